--- /dev/null
+++ b/src/rules.rs
@@ -0,0 +1,891 @@
+//! Every decision of the gateway; its interface is `src/interface.rs`, its plain state types `src/state.rs`.
+//! Order: constants, state, escrow, ceiling, servers, cold start, attempts, final answer.
+
+use crate::interface::*;
+use crate::state::*;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// Time between two sweeps while anything is held, in microseconds: fine beside aims of some 100 ms.
+const SWEEP: Micros = 10_000;
+/// Gap between sweeps, in microseconds, that is a standstill of its own: far above a tick.
+const STALL: Micros = 200_000;
+/// Shortest window, in microseconds: below this, calls to the counter would outnumber requests.
+const WINDOW_LEAST: Micros = 500_000;
+/// Longest window, in microseconds: a count's name lives 60 s at most, and twice the window must fit.
+const WINDOW_MOST: Micros = 25_000_000;
+/// Time for which an idle customer is remembered, in microseconds: its store is full again by then.
+const REMEMBER: Micros = 50_000_000;
+/// Calls to the counter a second from all gateways together, at first: a small counter takes some 600.
+const PACE_FIRST: f64 = 500.0;
+/// The same at the least: what finds out within seconds that the counter is back.
+const PACE_LEAST: f64 = 100.0;
+/// Factors on the pace: after a lost call, and after an answer that took more than a share of the time-out.
+const PACE_CUT: (f64, f64) = (0.7, 0.95);
+/// Share of the time-out above which an answer is slow: a line is forming.
+const PACE_SLOW: f64 = 0.4;
+/// Growth with each quick answer: share of the first pace, and of the way back to the pace before a loss.
+const PACE_GROW: (f64, f64) = (0.08, 0.25);
+/// Calls to the counter a second from all gateways together, at most: growth unused proves little.
+const PACE_MOST: f64 = 2_000.0;
+/// Shortest time over which unused calls are saved up, in seconds: requests come unevenly.
+const PACE_SPAN: f64 = 0.25;
+/// Share of its aim that a request waits for the counter or the ceiling before it is refused.
+const PATIENCE: f64 = 0.4;
+/// Time for which an answer of a customer's home is awaited, in microseconds: there and back, and a call.
+const HOME_WAIT: Micros = 150_000;
+/// Time for which a home that did not answer is not asked, in microseconds.
+const HOME_ABSENT: Micros = 1_000_000;
+/// Questions in a row without an answer after which a home is absent: one message in ten may be lost.
+const HOME_MISSES: u32 = 2;
+/// Share of a window's budget that a home leases at once: it spends for all doors, so little is forfeit.
+const HOME_LEASE: f64 = 0.5;
+/// Even split of a window's budget, in units, below which a home leases: single units are not worth a call.
+const HOME_SPLIT: f64 = 2.0;
+/// Weight of a new latency in a mean: some ten answers make it up.
+const LEARN: f64 = 0.1;
+/// Requests out at a server from all gateways together, at first: a fleet driven too hard is slow to recover.
+const LIMIT_FIRST: f64 = 8.0;
+/// Share of the first limit below which a limit is never cut: slow answers at so little are not our queue.
+const LIMIT_LEAST: f64 = 0.5;
+/// Share of the aim that a server's mean latency may take before its limit falls: the tail is many times it.
+const BUSY: f64 = 0.2;
+/// Factor on a limit when it proves too much, at most.
+const CUT: f64 = 0.9;
+/// Share of the aim between two cuts of a limit: what was sent before the last cut has its say first.
+const CUT_EVERY: f64 = 0.25;
+/// Share of the aim for the mean over all servers: few answers, of uneven work, make it up.
+const ROOM_BUSY: f64 = 0.3;
+/// Growth of the bound on all that is out, in requests, with each fast answer while it is used.
+const ROOM_GROW: f64 = 0.25;
+/// Mean latencies without any answer after which a server counts as silent: base, and per request out.
+const SILENCE: (f64, f64) = (2.0, 6.0);
+/// Time for which a suspect server gets nothing, in microseconds: at first, and at most after doubling.
+const EJECT: (Micros, Micros) = (1_000_000, 8_000_000);
+/// Failures in a row that make a server suspect.
+const FAILURES: u32 = 3;
+/// Share of the fall budget that is used: the rest covers uneven gateways and chance.
+const COLD_SHARE: f64 = 0.5;
+/// Further attempts for each first attempt, and the most saved up.
+const RETRIES: (f64, f64) = (0.1, 10.0);
+/// Time constant of the rate of sends, in microseconds.
+const RATE_SPAN: f64 = 2_000_000.0;
+/// Mean latency before anything is known, as a share of the aim.
+const LATENCY_FIRST: f64 = 0.2;
+/// Sweeps left before the deadline when the final answer is given.
+const MARGIN: u64 = 2;
+
+/// The decisions of one gateway.
+pub struct Gateway {
+    set: Settings,
+    now: Micros,
+    born: Micros,
+    woke: Micros,
+    random: u64,
+    sweep_at: Micros,
+    watch_at: Micros,
+    servers: Vec<Option<Server>>,
+    customers: BTreeMap<u64, Customer>,
+    /// Customers for which something waits, and when idle ones are forgotten.
+    holding: BTreeSet<u64>,
+    forget: BTreeSet<(Micros, u64)>,
+    calls: BTreeMap<u64, Call>,
+    counter: Counter,
+    /// Questions to homes by the time they are due, and homes that did not answer.
+    asks: BTreeSet<(Micros, u64)>,
+    absent: BTreeMap<u32, (u32, Micros)>,
+    requests: BTreeMap<RequestId, Request>,
+    ready: BTreeSet<(u64, u64, RequestId)>,
+    alarms: BTreeSet<(Micros, RequestId)>,
+    latency: Vec<f64>,
+    /// Bound on all that is out, mean latency over the aim, and the last cut of the bound.
+    room: f64,
+    busy: f64,
+    cut_at: Micros,
+    retries: f64,
+    rate: f64,
+    rate_at: Micros,
+    arrivals: u64,
+}
+
+impl Gateway {
+    /// A gateway that knows its settings and nothing else.
+    pub fn new(settings: Settings, seed: u64, now: Micros) -> Self {
+        let latency = settings.classes.iter().map(|c| c.aim as f64 * LATENCY_FIRST).collect();
+        let fleet = settings.counter.as_ref().map_or(0.0, |_| PACE_FIRST);
+        let pace = fleet / f64::from(settings.gateways.max(1));
+        // A part of one call by chance, so that hundreds of gateways do not all call at the start.
+        let calls = Bucket { level: pace * PACE_SPAN + (seed % 1_000) as f64 / 1_000.0, at: now };
+        Gateway {
+            set: settings,
+            now,
+            born: now,
+            woke: 0,
+            random: seed | 1,
+            sweep_at: 0,
+            watch_at: Micros::MAX,
+            servers: Vec::new(),
+            customers: BTreeMap::new(),
+            holding: BTreeSet::new(),
+            forget: BTreeSet::new(),
+            asks: BTreeSet::new(),
+            absent: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            counter: Counter { calls, pace, knee: pace, ..Counter::default() },
+            requests: BTreeMap::new(),
+            ready: BTreeSet::new(),
+            alarms: BTreeSet::new(),
+            latency,
+            room: f64::INFINITY,
+            busy: BUSY,
+            cut_at: 0,
+            retries: RETRIES.1,
+            rate: 0.0,
+            rate_at: now,
+            arrivals: 0,
+        }
+    }
+
+    /// Takes one event; what is to be done about it is added to `out`.
+    pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
+        self.now = now;
+        // A gap between sweeps is its own standstill: what it finds on waking tells nothing of the others.
+        self.woke = if now > self.sweep_at + STALL { now } else { self.woke };
+        match event {
+            Event::Servers { kind, entries } => self.on_servers(kind, entries, out),
+            Event::Request(demand) => self.on_request(demand, out),
+            Event::Timer { .. } => self.sweep(out),
+            Event::Outcome(outcome) => self.on_outcome(&outcome, out),
+            Event::Started { id, attempt } => self.on_started(id, attempt, out),
+            Event::Gone { id } => self.close(id, out),
+            Event::Counted { name, status, total, latency } => {
+                self.on_counted(name, status, total, latency, out)
+            }
+            Event::Peer { from, data } => self.on_peer(from, &data, out),
+            Event::Probed { .. } => {}
+        }
+        self.dispatch(out);
+        if self.sweep_at <= now && !(self.requests.is_empty() && self.customers.is_empty()) {
+            self.sweep_at = now + SWEEP.max(self.set.round);
+            out.push(Action::Timer { at: self.sweep_at, token: 0 });
+        }
+    }
+
+    fn draw(&mut self) -> u64 {
+        self.random = self.random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        self.random >> 33
+    }
+
+    fn sweep(&mut self, out: &mut Vec<Action>) {
+        if self.watch_at <= self.now {
+            self.watch_at = Micros::MAX;
+            out.push(Action::Watch);
+        }
+        if self.woke != self.now {
+            self.check_silence();
+            self.check_homes();
+        }
+        while let Some(&(at, id)) = self.alarms.first().filter(|a| a.0 <= self.now) {
+            self.alarms.remove(&(at, id));
+            self.on_alarm(id, out);
+        }
+        // From a random place on, so that a counter that takes few calls serves all customers alike.
+        let from = self.draw() as usize % self.holding.len().max(1);
+        let held: Vec<u64> = self.holding.iter().copied().collect();
+        for at in 0..held.len() {
+            self.settle(held[(from + at) % held.len()], out);
+        }
+        while let Some(&(at, key)) = self.forget.first().filter(|f| f.0 <= self.now) {
+            self.forget.remove(&(at, key));
+            let Some(c) = self.customers.get(&key) else { continue };
+            let plan = &self.set.plans[c.plan];
+            let full = (self.now - c.ceiling.at) as f64 * SECOND * plan.ceiling_rate >= plan.ceiling_burst;
+            let idle = self.now >= c.seen + REMEMBER && !c.calling && c.waiting.is_empty() && c.open == 0.0;
+            if full && idle {
+                self.customers.remove(&key);
+                continue;
+            }
+            self.forget.insert((self.now.max(c.seen) + REMEMBER, key));
+        }
+    }
+
+    // ---- Escrow: leases from the window's count, spent locally, forfeit at the window edge.
+
+    /// Lets waiting requests through as far as the escrow and the ceiling allow; leases when it runs dry.
+    fn settle(&mut self, key: u64, out: &mut Vec<Action>) {
+        let Some(customer) = self.customers.get_mut(&key) else { return };
+        let plan = &self.set.plans[customer.plan];
+        let (window, end) = customer.window_at(self.now);
+        customer.roll(window);
+        customer.fill(plan, self.now);
+        let here =
+            customer.home.filter(|home| self.absent.get(home).is_none_or(|a| a.1 <= self.now)).is_none();
+        // Credit: where no lease is to be had, the even split of the store is spent without one. Guards
+        // against a counter that is down, cut off, slow or too small for the number of gateways. Could hurt
+        // where a customer far over its quota comes in through many gateways: each lets one request through.
+        let silent = here && !customer.calling && (customer.lost || !self.counter.ready(self.now));
+        let limited = plan.rate > 0.0;
+        let (mut kept, mut refused) = (VecDeque::new(), Vec::new());
+        while let Some(item) = customer.waiting.pop_front() {
+            let (units, remote) = (item.units, item.peer.is_some());
+            let held = customer.held(window);
+            let granted = !remote && customer.granted >= units;
+            let open = (plan.open / customer.doors).floor().max(1.0);
+            let over_open = !remote && plan.open > 0.0 && customer.open >= open;
+            let under_ceiling = plan.ceiling_rate <= 0.0 || granted || customer.ceiling.level >= units;
+            let drained = limited && here && customer.store.level < units;
+            let escrowed = held >= units;
+            let credited = silent && customer.split.level >= units;
+            let gone =
+                here && !escrowed && customer.spent == Some(window) || self.now < customer.denied_until;
+            if remote && self.now > item.since + HOME_WAIT {
+                continue;
+            } else if over_open || !granted && (drained || limited && gone) {
+                let lack = (units - customer.store.level).max(0.0) / plan.rate.max(SECOND) / SECOND;
+                refused.push((item, if drained { lack as Micros } else { end - self.now }));
+            } else if !under_ceiling || limited && !granted && (!kept.is_empty() || !(escrowed || credited)) {
+                kept.push_back(item);
+            } else {
+                if granted {
+                    customer.granted -= units;
+                } else if limited && escrowed {
+                    customer.escrow.insert(window, held - units);
+                }
+                if !granted {
+                    customer.ceiling.level -= units;
+                }
+                customer.store.level -= units;
+                customer.split.level = (customer.split.level - units).max(0.0);
+                if let Some(peer) = item.peer {
+                    let message = Message::Grant { customer: key, units: units as f32 };
+                    out.push(Action::Tell { peer, data: message.encode() });
+                    continue;
+                }
+                let Some(request) = self.requests.get_mut(&item.id) else { continue };
+                customer.open += 1.0;
+                request.window = if escrowed && !granted { window } else { 0 };
+                request.stage = Stage::Ready;
+                let patience = request.arrived + self.set.classes[request.class].aim;
+                let alarm = patience.saturating_sub(self.latency[request.class] as u64);
+                set_alarm(&mut self.alarms, request, item.id, alarm);
+                self.ready.insert(request.rank);
+            }
+        }
+        customer.waiting = kept;
+        let wanted = customer.wanted();
+        if customer.waiting.is_empty() {
+            self.holding.remove(&key);
+        }
+        if here && wanted > customer.held(window) && !customer.calling && limited {
+            self.lease(key, out);
+        } else if !here && wanted > customer.granted && customer.asking.is_none() && limited {
+            self.ask(key, out);
+        }
+        for (item, wait) in refused {
+            let Some(peer) = item.peer else {
+                self.refuse(item.id, wait, out);
+                continue;
+            };
+            let wait = wait.min(HOME_ABSENT) as u32;
+            out.push(Action::Tell { peer, data: Message::Deny { customer: key, wait }.encode() });
+        }
+    }
+
+    /// A regional escrow in the sense of the source: where gateways talk, one door of a customer, its home,
+    /// leases for all of them and leases on. A home that does not answer is passed over for a while.
+    fn ask(&mut self, key: u64, out: &mut Vec<Action>) {
+        let Some(customer) = self.customers.get_mut(&key) else { return };
+        let Some(peer) = customer.home else { return };
+        let (plan, doors) = (customer.plan as u8, customer.doors as u16);
+        let units = (customer.wanted() - customer.granted) as f32;
+        customer.asking = Some(self.now + HOME_WAIT);
+        self.asks.insert((self.now + HOME_WAIT, key));
+        let message = Message::Ask { customer: key, plan, doors, units };
+        out.push(Action::Tell { peer, data: message.encode() });
+    }
+
+    /// Questions that are due without an answer.
+    fn check_homes(&mut self) {
+        while let Some(&(at, key)) = self.asks.first().filter(|a| a.0 <= self.now) {
+            self.asks.remove(&(at, key));
+            let Some(customer) = self.customers.get_mut(&key).filter(|c| c.asking == Some(at)) else {
+                continue;
+            };
+            customer.asking = None;
+            let Some(home) = customer.home else { continue };
+            let missed = self.absent.entry(home).or_insert((0, 0));
+            missed.0 += 1;
+            if missed.0 >= HOME_MISSES {
+                missed.1 = self.now + HOME_ABSENT;
+            }
+        }
+    }
+
+    /// Takes what another gateway says; what makes no sense is passed over.
+    fn on_peer(&mut self, from: u32, data: &[u8], out: &mut Vec<Action>) {
+        let Some(message) = Message::decode(data).filter(|_| self.set.permissions.peers) else { return };
+        self.absent.remove(&from);
+        let (Message::Ask { customer: key, .. }
+        | Message::Grant { customer: key, .. }
+        | Message::Deny { customer: key, .. }) = message;
+        if let Message::Ask { plan, doors, units, .. } = message {
+            if usize::from(plan) >= self.set.plans.len() {
+                return;
+            }
+            let customer = self.know(key, usize::from(plan), u32::from(doors));
+            let (units, since, peer) = (f64::from(units), customer.seen, Some(from));
+            customer.waiting.push_back(Waiting { id: 0, peer, units, since });
+            self.holding.insert(key);
+        } else {
+            let now = self.now;
+            let Some(customer) = self.customers.get_mut(&key) else { return };
+            let window = customer.window_at(now).0;
+            customer.roll(window);
+            customer.asking = None;
+            match message {
+                Message::Grant { units, .. } => customer.granted += f64::from(units),
+                Message::Deny { wait, .. } => customer.denied_until = now + Micros::from(wait),
+                Message::Ask { .. } => {}
+            }
+        }
+        self.settle(key, out);
+    }
+
+    /// One add to the customer's window count: what waits here, or a block where this is its home.
+    fn lease(&mut self, key: u64, out: &mut Vec<Action>) {
+        if !self.counter.ready(self.now) {
+            return;
+        }
+        let Some(customer) = self.customers.get_mut(&key) else { return };
+        let (window, end) = customer.window_at(self.now);
+        let needed = customer.wanted();
+        let at_home = customer.pooled && customer.home.is_none();
+        let block = if at_home { customer.budget * HOME_LEASE } else { 0.0 };
+        let amount = needed.max(block).min(customer.budget.max(1.0).ceil());
+        let name = stable_hash(&key.to_le_bytes(), window);
+        customer.calling = true;
+        self.counter.calls.level -= 1.0;
+        self.calls.insert(name, Call { customer: key, window, amount });
+        let ttl = 2 * (end - self.now) + WINDOW_LEAST;
+        out.push(Action::Count { name, amount, ttl });
+    }
+
+    fn on_counted(&mut self, name: u64, status: Status, total: f64, took: Micros, out: &mut Vec<Action>) {
+        let Some(call) = self.calls.remove(&name) else { return };
+        let limit = self.set.counter.as_ref().map_or(0, |c| c.limit);
+        let ok = status == Status::Ok;
+        if self.woke != self.now {
+            self.counter.answered(ok, took as f64 / limit.max(1) as f64, f64::from(self.set.gateways.max(1)));
+        }
+        let Some(customer) = self.customers.get_mut(&call.customer) else { return };
+        customer.calling = false;
+        customer.lost = !ok;
+        if ok && call.window == customer.window {
+            let before = total - call.amount;
+            customer.store.level -= (before - customer.total).max(0.0);
+            customer.total = total;
+            customer.spent = (total >= customer.budget).then_some(call.window);
+            let granted = (customer.budget - before).clamp(0.0, call.amount);
+            *customer.escrow.entry(call.window).or_insert(0.0) += granted;
+        }
+        self.settle(call.customer, out);
+    }
+
+    // ---- Servers: what discovery says, and what their answers say.
+
+    fn on_servers(&mut self, kind: ListKind, entries: Vec<Entry>, out: &mut Vec<Action>) {
+        if kind == ListKind::Failed {
+            self.watch_at = self.now + EJECT.0 / 2;
+            return;
+        }
+        let first = self.servers.is_empty();
+        if self.set.ask && first {
+            out.push(Action::Watch);
+        }
+        if kind != ListKind::Delta {
+            for (id, server) in self.servers.iter_mut().enumerate() {
+                if let Some(server) = server.as_mut().filter(|_| !entries.iter().any(|e| e.server == id)) {
+                    server.ready = false;
+                }
+            }
+        }
+        for entry in entries {
+            let chance = self.draw();
+            if self.servers.len() <= entry.server {
+                self.servers.resize_with(entry.server + 1, || None);
+            }
+            let (now, gateways) = (self.now, f64::from(self.set.gateways));
+            let known = self.servers[entry.server].is_some();
+            let server = self.servers[entry.server].get_or_insert_with(|| Server {
+                zone: entry.zone,
+                cell: entry.cell,
+                ready: entry.state == Lifecycle::Ready,
+                weight: entry.weight.max(0.01),
+                started: entry.started,
+                eject: EJECT.0,
+                answered: now,
+                limit: LIMIT_FIRST / gateways,
+                least: LIMIT_FIRST * LIMIT_LEAST / gateways,
+                busy: BUSY,
+                slow: 1.0,
+                ..Server::default()
+            });
+            let back = !server.ready && entry.state == Lifecycle::Ready;
+            let restarted = entry.started > server.started;
+            server.ready = entry.state == Lifecycle::Ready;
+            server.started = entry.started;
+            let recent = entry.started > 0 && now < entry.started + self.set.rules.cold;
+            if recent && (!known || restarted) || back || (!known && !first) {
+                // Guards any fresh process, however discovery words it.
+                server.chill(now, chance);
+                if restarted {
+                    server.outs.clear();
+                    server.health = Health::Up;
+                }
+            }
+        }
+    }
+
+    /// Silence with work out is a symptom, before any time-out: a hung or vanished server, or a cut link.
+    /// Only while others answer, since everything slow at once is no outlier.
+    fn check_silence(&mut self) {
+        let (now, classes) = (self.now, self.latency.len().max(1) as f64);
+        let mean = self.latency.iter().sum::<f64>() / classes;
+        let quiet = |s: &Server| {
+            let Some(oldest) = s.outs.values().min() else { return false };
+            let patience = mean * s.slow.clamp(1.0, 3.0) * (SILENCE.0 + SILENCE.1 / s.outs.len() as f64);
+            now.saturating_sub(s.answered.max(*oldest)) as f64 > patience
+        };
+        let aim = self.set.classes.iter().map(|c| c.aim as f64).sum::<f64>() / classes;
+        let live = |s: &Server| s.health == Health::Up && now < s.answered + mean as u64;
+        let live = self.servers.iter().flatten().any(live);
+        let mut rescued = Vec::new();
+        for server in self.servers.iter_mut().flatten() {
+            if live && !matches!(server.health, Health::Suspect(_)) && quiet(server) {
+                server.suspect(now);
+                rescued.extend(server.outs.keys().map(|k| k.0));
+            }
+            // Work that grows old without an answer tells of a jam before any latency does.
+            let age: f64 = server.outs.values().map(|sent| (now - sent) as f64).sum();
+            if age > aim * BUSY * server.outs.len() as f64 && now > server.cut_at + (aim * CUT_EVERY) as u64 {
+                server.cut(CUT, now);
+            }
+        }
+        for id in rescued {
+            if let Some(request) = self.requests.get_mut(&id) {
+                set_alarm(&mut self.alarms, request, id, now);
+            }
+        }
+    }
+
+    /// The sum of the bounds of servers in use, and what is out there.
+    fn load(&self) -> (f64, f64) {
+        let up = self.servers.iter().flatten().filter(|s| s.ready && s.health == Health::Up);
+        up.fold((0.0, 0.0), |sum, s| (sum.0 + s.limit, sum.1 + s.outs.len() as f64))
+    }
+
+    /// The server with the least outstanding work for its learned speed, among those that may take this.
+    fn choose(&mut self, id: RequestId) -> Option<ServerId> {
+        let draw = self.draw();
+        // A cold server takes part in as many choices as it is warm: by cost it would get nothing.
+        let luck = (draw >> 16) as f64 % 1_000.0 / 1_000.0;
+        let request = self.requests.get(&id)?;
+        let class = &self.set.classes[request.class];
+        let first = request.attempts.iter().find(|a| a.fate != Fate::NeverRan);
+        let group = first.and_then(|a| self.servers[a.server].as_ref()).map(|s| (s.zone, s.cell));
+        let now = self.now;
+        let usable = self.servers.iter().flatten().filter(|s| s.ready).count();
+        let share = self.rate / usable.max(1) as f64;
+        // Bounds below one request a server hold too: many gateways share a small fleet.
+        let (limits, outs) = self.load();
+        let full = outs >= f64::max(limits.min(self.room), 1.0);
+        let trial = class.effect != Effect::Unsafe && request.attempts.is_empty();
+        let same = |server: &Server| match (class.effect, class.scope, group) {
+            (Effect::Keyed, Scope::Zone, Some((zone, _))) => zone == server.zone,
+            (Effect::Keyed, Scope::Cell, Some((_, cell))) => cell == server.cell,
+            _ => true,
+        };
+        let mut best: Option<(f64, ServerId)> = None;
+        let offset = draw as usize % self.servers.len().max(1);
+        for n in 0..self.servers.len() {
+            let at = (n + offset) % self.servers.len();
+            let Some(server) = self.servers[at].as_mut() else { continue };
+            let tried = request.attempts.iter().any(|a| a.server == at);
+            if !server.ready || tried || !same(server) {
+                continue;
+            }
+            let warmth = server.warmth(&self.set.rules, now, share);
+            let cost = match server.health {
+                // One safe or keyed request at a time tries a suspect out.
+                Health::Suspect(until) if trial && now >= until => -1.0,
+                Health::Suspect(_) | Health::Trial => continue,
+                Health::Up if full || server.outs.len() as f64 >= server.limit.ceil() => continue,
+                Health::Up => (server.outs.len() as f64 + 1.0) * server.slow / server.weight,
+            };
+            if server.cold_since.is_some() && (server.tokens.level < 1.0 || luck > warmth) {
+                continue;
+            }
+            if best.is_none_or(|b| cost < b.0) {
+                best = Some((cost, at));
+            }
+        }
+        best.map(|b| b.1)
+    }
+
+    // ---- Attempts.
+
+    /// The customer of this key, with what its plan and its doors make of it.
+    fn know(&mut self, key: u64, plan: usize, doors: u32) -> &mut Customer {
+        let (now, born, max_units) = (self.now, self.born, self.set.max_units);
+        let peers = self.set.permissions.peers;
+        let (p, forget) = (&self.set.plans[plan], &mut self.forget);
+        let known = self.customers.entry(key).or_insert_with(|| {
+            // A window holds what the quota allows at most within it. Windows of different customers end at
+            // different times, so that the counter sees no rush.
+            let length = (p.burst.max(max_units) / p.rate.max(SECOND) / SECOND) as u64;
+            let length = length.clamp(WINDOW_LEAST, WINDOW_MOST);
+            forget.insert((now + REMEMBER, key));
+            Customer {
+                phase: key % length,
+                budget: p.rate * length as f64 * SECOND + p.burst,
+                plan,
+                length,
+                store: Bucket { level: f64::MAX, at: now },
+                split: Bucket { level: f64::MAX, at: now },
+                ceiling: Bucket { level: 0.0, at: born },
+                units: max_units,
+                ..Customer::default()
+            }
+        });
+        known.doors = f64::from(doors.max(1));
+        known.pooled = peers && p.ceiling_rate <= 0.0 && known.budget / known.doors < HOME_SPLIT;
+        known.seen = now;
+        known
+    }
+
+    fn on_request(&mut self, demand: Demand, out: &mut Vec<Action>) {
+        let Demand { id, class, plan, customer, left, units, doors, first } = demand;
+        let (key, me) = (stable_hash(customer.as_bytes(), plan as u64), self.set.me);
+        let home = (u64::from(first) + key % u64::from(doors.max(1))) % u64::from(self.set.gateways.max(1));
+        let known = self.know(key, plan, doors);
+        known.home = (known.pooled && home as u32 != me).then_some(home as u32);
+        let since = known.seen;
+        known.units = units;
+        known.waiting.push_back(Waiting { id, peer: None, units, since });
+        self.holding.insert(key);
+        self.arrivals += 1;
+        let worth = (self.set.classes[class].worth * 1_000.0) as u64;
+        let aim = self.set.classes[class].aim.min(left);
+        let mut request = Request {
+            class,
+            customer: key,
+            units,
+            window: 0,
+            arrived: self.now,
+            deadline: self.now + left,
+            stage: Stage::Waiting,
+            rank: (u64::MAX - worth, self.arrivals, id),
+            alarm: 0,
+            attempts: Vec::new(),
+        };
+        set_alarm(&mut self.alarms, &mut request, id, self.now + (aim as f64 * PATIENCE) as u64);
+        self.requests.insert(id, request);
+        self.settle(key, out);
+    }
+
+    /// Sends what is ready while servers have room.
+    fn dispatch(&mut self, out: &mut Vec<Action>) {
+        while let Some(&rank) = self.ready.first() {
+            let Some(at) = self.choose(rank.2) else { break };
+            self.ready.remove(&rank);
+            self.send(rank.2, at, out);
+        }
+    }
+
+    fn send(&mut self, id: RequestId, at: ServerId, out: &mut Vec<Action>) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Some(server) = self.servers[at].as_mut() else { return };
+        let passed = (self.now - self.rate_at) as f64;
+        self.rate = self.rate * (-passed / RATE_SPAN).exp() + 1.0 / (RATE_SPAN * SECOND);
+        self.rate_at = self.now;
+        if request.attempts.is_empty() {
+            self.retries = (self.retries + RETRIES.0).min(RETRIES.1);
+        }
+        if matches!(server.health, Health::Suspect(_)) {
+            server.health = Health::Trial;
+        }
+        if server.cold_since.is_some() {
+            server.tokens.level -= 1.0;
+        }
+        server.outs.insert((id, request.attempts.len() as u32), self.now);
+        request.attempts.push(Attempt { server: at, sent: self.now, fate: Fate::Out, cancelled: false });
+        request.stage = Stage::Sent;
+        let end = request.deadline.saturating_sub(MARGIN * SWEEP);
+        set_alarm(&mut self.alarms, request, id, end.max(self.now));
+        out.push(Action::Send { id, server: at, timeout: 0 });
+    }
+
+    fn on_outcome(&mut self, outcome: &Outcome, out: &mut Vec<Action>) {
+        let Outcome { id, attempt: number, server: at, status, latency, closed, .. } = *outcome;
+        let class = self.requests.get(&id).map(|r| r.class);
+        let (now, outs) = (self.now, self.load().1);
+        let (usable, chance) = (self.servers.len() as f64, self.draw());
+        if let Some(server) = self.servers.get_mut(at).and_then(Option::as_mut) {
+            let was_out = server.outs.remove(&(id, number)).is_some();
+            if matches!(status, Status::Ok | Status::Error | Status::Full) {
+                server.answered = now;
+                server.eject = EJECT.0;
+                if server.health == Health::Trial {
+                    server.chill(now, chance);
+                }
+                server.health = Health::Up;
+            }
+            match status {
+                Status::Ok => server.failures = 0,
+                // A full server may have room for another plan or class: its bound is left alone.
+                Status::Reset => server.suspect(now),
+                Status::Error | Status::ConnectFailed | Status::Timeout => {
+                    server.failures += 1;
+                    if server.failures >= FAILURES || server.health == Health::Trial {
+                        server.suspect(now);
+                    }
+                }
+                // A trial that ended without an answer proves nothing: suspect as before.
+                Status::Cancelled if server.health == Health::Trial => server.suspect(now),
+                Status::Full | Status::Cancelled | Status::Moot => {}
+            }
+            if let (Status::Ok, true, Some(class)) = (status, was_out && self.woke != now, class) {
+                let (aim, took) = (self.set.classes[class].aim.max(1) as f64, latency as f64);
+                let least = server.least * usable;
+                server.busy += LEARN * (took / aim - server.busy);
+                server.slow += LEARN * ((took / self.latency[class].max(1.0)).min(10.0) - server.slow);
+                self.latency[class] += LEARN / 5.0 * (took - self.latency[class]);
+                if server.busy > BUSY && now > server.cut_at + (aim * CUT_EVERY) as u64 {
+                    server.cut(BUSY / server.busy, now);
+                } else if server.busy < BUSY && server.outs.len() as f64 + 1.0 >= server.limit * 0.75 {
+                    server.limit += server.least / 2.0 / server.limit;
+                }
+                // The same over all servers: one of many gateways hears too little of each to bound it alone.
+                self.busy += LEARN * (took / aim - self.busy);
+                if self.busy > ROOM_BUSY && now > self.cut_at + (aim * CUT_EVERY) as u64 {
+                    self.room = self.room.min(outs) * (ROOM_BUSY / self.busy).clamp(0.5, CUT);
+                    self.room = self.room.max(least);
+                    self.cut_at = now;
+                } else if self.busy < ROOM_BUSY && outs >= self.room * 0.75 {
+                    self.room += ROOM_GROW;
+                }
+            }
+        }
+        if closed {
+            return self.close(id, out);
+        }
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        let Some(attempt) = request.attempts.get_mut(number as usize) else { return };
+        if attempt.fate != Fate::Out {
+            return;
+        }
+        let proven = matches!(status, Status::Full | Status::ConnectFailed | Status::Moot);
+        attempt.fate = if proven { Fate::NeverRan } else { Fate::MayHaveRun };
+        if request.attempts.iter().all(|a| a.fate != Fate::Out) {
+            self.again(id, proven, out);
+        }
+    }
+
+    /// A stream is the client's once it has begun: no deadline runs, and other copies are withdrawn.
+    fn on_started(&mut self, id: RequestId, number: u32, out: &mut Vec<Action>) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.stage = Stage::Streaming;
+        for (other, attempt) in (0..).zip(&mut request.attempts) {
+            if other == number {
+                if let Some(server) = self.servers[attempt.server].as_mut() {
+                    server.outs.remove(&(id, number));
+                    server.answered = self.now;
+                }
+            } else if attempt.fate == Fate::Out && !attempt.cancelled && self.set.permissions.cancel {
+                attempt.cancelled = true;
+                out.push(Action::Cancel { id, attempt: other });
+            }
+        }
+    }
+
+    /// Sends a further attempt where class, site and retry budget allow; ends the request where none is left.
+    fn again(&mut self, id: RequestId, proven: bool, out: &mut Vec<Action>) {
+        let Some(request) = self.requests.get(&id) else { return };
+        let (class, allow) = (&self.set.classes[request.class], &self.set.permissions);
+        let out_now = request.attempts.iter().any(|a| a.fate == Fate::Out);
+        let effect = match (class.effect, request.attempts.iter().find(|a| a.fate != Fate::NeverRan)) {
+            (_, None) | (Effect::Safe, _) => true,
+            (Effect::Keyed, Some(a)) => self.now + self.set.round < a.sent + class.window,
+            (Effect::Unsafe, Some(_)) => false,
+        };
+        let allowed = effect
+            && (allow.second_copies || !out_now)
+            && (request.attempts.len() as u32) < allow.max_attempts
+            && (proven || self.retries >= 1.0)
+            && request.deadline > self.now + MARGIN * SWEEP;
+        if let Some(at) = allowed.then(|| self.choose(id)).flatten() {
+            self.retries -= if proven { 0.0 } else { 1.0 };
+            self.send(id, at, out);
+        } else if !out_now {
+            self.finish(id, out);
+        }
+    }
+
+    fn on_alarm(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        request.alarm = 0;
+        if request.stage == Stage::Streaming {
+            return;
+        } else if request.stage != Stage::Sent || self.now + MARGIN * SWEEP >= request.deadline {
+            return self.finish(id, out);
+        }
+        // An attempt sits at a suspect server: move on, with a copy or by withdrawing it first.
+        set_alarm(&mut self.alarms, request, id, request.deadline - MARGIN * SWEEP);
+        let stuck = request.attempts.iter().enumerate().find(|(_, a)| {
+            let server = self.servers[a.server].as_ref();
+            a.fate == Fate::Out && !a.cancelled && server.is_some_and(|s| s.health != Health::Up)
+        });
+        let Some((number, _)) = stuck else { return };
+        let safe = self.set.classes[request.class].effect != Effect::Unsafe;
+        if self.set.permissions.second_copies {
+            self.again(id, false, out);
+        } else if safe && self.set.permissions.cancel && self.retries >= 1.0 {
+            request.attempts[number].cancelled = true;
+            out.push(Action::Cancel { id, attempt: number as u32 });
+        }
+    }
+
+    // ---- Final answer.
+
+    /// Ends a request: refused where a repeat is known to be harmless, failed otherwise.
+    fn finish(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(request) = self.requests.get(&id) else { return };
+        if request.attempts.iter().all(|a| a.fate == Fate::NeverRan) {
+            return self.refuse(id, 0, out);
+        }
+        out.push(Action::Fail { id });
+        self.close(id, out);
+    }
+
+    fn refuse(&mut self, id: RequestId, wait: Micros, out: &mut Vec<Action>) {
+        let allow = &self.set.permissions;
+        let retry_after = if allow.retry_after { wait.min(allow.max_retry_after) } else { 0 };
+        out.push(Action::Refuse { id, retry_after });
+        self.close(id, out);
+    }
+
+    /// Forgets a request; units that were never sent on go back.
+    fn close(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(request) = self.requests.remove(&id) else { return };
+        self.alarms.remove(&(request.alarm, id));
+        self.ready.remove(&request.rank);
+        for (number, attempt) in request.attempts.iter().enumerate() {
+            if attempt.fate == Fate::Out && !attempt.cancelled && self.set.permissions.cancel {
+                out.push(Action::Cancel { id, attempt: number as u32 });
+            }
+        }
+        let Some(customer) = self.customers.get_mut(&request.customer) else { return };
+        if request.stage == Stage::Waiting {
+            customer.waiting.retain(|w| w.peer.is_some() || w.id != id);
+            return;
+        }
+        customer.open -= 1.0;
+        if request.attempts.is_empty() {
+            customer.ceiling.level += request.units;
+            customer.store.level += request.units;
+            if let Some(held) = customer.escrow.get_mut(&request.window) {
+                *held += request.units;
+            }
+        }
+    }
+}
+
+fn set_alarm(alarms: &mut BTreeSet<(Micros, RequestId)>, request: &mut Request, id: RequestId, at: Micros) {
+    alarms.remove(&(request.alarm, id));
+    request.alarm = at.min(request.deadline.saturating_sub(MARGIN * SWEEP));
+    alarms.insert((request.alarm, id));
+}
+
+impl Customer {
+    /// Moves on to a window; escrow of earlier ones is forfeit.
+    fn roll(&mut self, window: u64) {
+        if window > self.window {
+            self.total = 0.0;
+            self.granted = 0.0;
+            self.window = window;
+            self.escrow.retain(|w, _| *w >= window);
+        }
+    }
+
+    /// The ceiling is split evenly over the customer's gateways: shares that sum to it need no agreement and
+    /// hold through flushes, restarts and rerouted traffic. A new gateway starts with what it earned since
+    /// its start, as it cannot know what it spent. Hurts a customer whose requests all come to one gateway.
+    fn fill(&mut self, plan: &Plan, now: Micros) {
+        // A home spends for all doors: its split of the store is the whole.
+        let split = if self.pooled && self.home.is_none() { 1.0 } else { 1.0 / self.doors };
+        self.store.fill(plan.rate, plan.burst.max(self.units), now);
+        self.split.fill(plan.rate * split, (plan.burst * split).max(self.units), now);
+        self.ceiling.fill(plan.ceiling_rate / self.doors, plan.ceiling_burst / self.doors, now);
+    }
+}
+
+impl Counter {
+    /// Whether a call may be made now.
+    fn ready(&mut self, now: Micros) -> bool {
+        self.calls.fill(self.pace, (self.pace * PACE_SPAN).max(2.0), now);
+        self.calls.level >= 1.0
+    }
+
+    /// Moves the pace of calls: all gateways together must stay under what the counter can do, as it works
+    /// on calls that nobody waits for any more. Could hurt where calls are lost for other reasons.
+    fn answered(&mut self, ok: bool, share: f64, gateways: f64) {
+        if !ok {
+            self.pace *= PACE_CUT.0;
+            // Of losses in a row only the first tells how much was too much.
+            self.knee = if self.failing { self.knee } else { self.pace };
+        } else if share > PACE_SLOW {
+            self.pace *= PACE_CUT.1;
+        } else {
+            let back = (self.knee - self.pace).max(0.0) * PACE_GROW.1;
+            self.pace += back.max(PACE_GROW.0 * PACE_FIRST / gateways);
+        }
+        self.failing = !ok;
+        self.pace = self.pace.clamp(PACE_LEAST / gateways, PACE_MOST / gateways);
+    }
+}
+
+impl Server {
+    fn suspect(&mut self, now: Micros) {
+        self.health = Health::Suspect(now + self.eject);
+        self.eject = (self.eject * 2).min(EJECT.1);
+        self.failures = 0;
+    }
+
+    /// Lowers the bound on what is out. The floor guards against starving a server that is slow at any load.
+    fn cut(&mut self, factor: f64, now: Micros) {
+        let limit = self.limit.min(self.outs.len() as f64 + 1.0);
+        self.limit = (limit * factor.clamp(0.5, CUT)).max(self.least);
+        self.cut_at = now;
+    }
+
+    /// Counts as cold from now on. A part of a first token by chance: hundreds of gateways that all start at
+    /// nought would all send at one moment, or none before it is warm.
+    fn chill(&mut self, now: Micros, chance: u64) {
+        self.cold_since = Some(now);
+        self.tokens = Bucket { level: (chance % 1_000) as f64 / 1_000.0, at: now };
+    }
+
+    /// Share of full capacity to be expected, 1 when warm; fills this gateway's share of the fall budget.
+    fn warmth(&mut self, rules: &Rules, now: Micros, rate: f64) -> f64 {
+        let Some(since) = self.cold_since else { return 1.0 };
+        if now >= since + rules.cold {
+            self.cold_since = None;
+            return 1.0;
+        }
+        let share = (now - since) as f64 / rules.cold.max(1) as f64;
+        let warm = rules.cold_from + (1.0 - rules.cold_from) * share;
+        let budget = COLD_SHARE * rules.fall_multiple * warm * rate;
+        let most = (budget * rules.fall as f64 * SECOND / 2.0).max(1.0);
+        self.tokens.fill(budget, most, now);
+        warm.max(0.05)
+    }
+}
--- /dev/null
+++ b/tests/escrow.rs
@@ -0,0 +1,156 @@
+//! The ordinary path: leases, local spending, forfeits, and what happens when the counter is away.
+
+mod common;
+use common::*;
+use pondgw::*;
+
+/// First attempts sent so far.
+fn total_sent(host: &Host) -> usize {
+    host.sends.iter().filter(|s| s.2 == 0).count()
+}
+
+#[test]
+fn a_request_is_sent_only_after_its_lease() {
+    let mut host = Host::new(settings(), 4);
+    host.ask(1, 0, 0, 4 * S);
+    assert!(host.sent(1).is_empty());
+    assert_eq!(host.calls.len(), 1);
+    host.wait(5 * MS);
+    assert_eq!(host.sent(1).len(), 1);
+}
+
+#[test]
+fn one_lease_call_is_in_flight_for_a_customer() {
+    let mut host = Host::new(settings(), 4);
+    for id in 0..4 {
+        host.ask(id, 0, 0, 4 * S);
+    }
+    assert_eq!(host.calls.len(), 1);
+    host.wait(5 * MS);
+    assert_eq!(host.calls.len(), 2, "what waited is leased with one further call");
+    assert_eq!(host.calls[1].2, 3.0);
+}
+
+#[test]
+fn a_budget_that_others_took_refuses_at_once() {
+    let mut host = Host::new(settings(), 4);
+    host.ask(1, 0, 0, 4 * S);
+    let name = host.calls[0].1;
+    *host.counts.get_mut(&name).expect("a count") += 100.0;
+    let counted = Event::Counted { name, status: Status::Ok, total: 101.0, latency: MS };
+    host.give(counted);
+    assert!(host.refused(1));
+    assert!(host.sent(1).is_empty());
+}
+
+#[test]
+fn use_stays_inside_the_quota_over_a_long_run() {
+    let mut host = Host::new(settings(), 4);
+    host.serve = (0..4).collect();
+    let start = host.now;
+    for id in 0..800 {
+        host.ask(id, 0, 0, 4 * S);
+        host.wait(25 * MS);
+    }
+    let passed = (host.now - start) as f64 / S as f64;
+    let allowed = 8.0 + 4.0 * passed;
+    assert!(total_sent(&host) as f64 <= allowed + 1.0, "{} of {allowed}", total_sent(&host));
+    assert!(total_sent(&host) as f64 >= 0.7 * allowed, "{} of {allowed}", total_sent(&host));
+}
+
+#[test]
+fn with_a_silent_counter_it_spends_its_even_split_and_then_refuses() {
+    let mut host = Host::new(settings(), 4);
+    host.mode = CounterMode::Silent;
+    for id in 0..10 {
+        host.ask(id, 0, 0, 4 * S);
+    }
+    host.wait(S);
+    // Half of a burst of eight, and two units a second for the 0.4 s that a request waits.
+    assert!((4..=5).contains(&total_sent(&host)), "{}", total_sent(&host));
+    assert_eq!((0..10).filter(|id| host.refused(*id)).count(), 10 - total_sent(&host));
+}
+
+#[test]
+fn a_silent_counter_is_ridden_out_on_the_even_split_across_window_edges() {
+    let mut host = Host::new(settings(), 4);
+    host.serve = (0..4).collect();
+    host.ask(1, 0, 0, 4 * S);
+    host.wait(S);
+    for mode in [CounterMode::Silent, CounterMode::Refuses] {
+        host.mode = mode;
+        let before = total_sent(&host);
+        let start = host.now;
+        for id in 0..200 {
+            host.ask(1_000 + start + id, 0, 0, 4 * S);
+            host.wait(50 * MS);
+        }
+        // Ten seconds at two units a second, the even split between two doors, and its burst of four.
+        let sent = total_sent(&host) - before;
+        assert!(sent >= 8, "served from the split: {sent}");
+        assert!(sent <= 25, "no more than the split: {sent}");
+    }
+}
+
+#[test]
+fn count_names_are_the_same_at_every_gateway_and_in_every_build() {
+    let mut one = Host::new(settings(), 2);
+    let mut other = Host::new(Settings { gateways: 5, ..settings() }, 3);
+    one.ask(1, 0, 0, 4 * S);
+    other.ask(9, 1, 0, 4 * S);
+    assert_eq!(one.calls[0].1, other.calls[0].1);
+    assert!(one.calls[0].1 < 1 << 63);
+}
+
+#[test]
+fn a_site_without_a_counter_makes_no_calls_and_keeps_a_share() {
+    let mut host = Host::new(Settings { counter: None, ..settings() }, 4);
+    for id in 0..100 {
+        host.ask(id, 0, 0, 4 * S);
+    }
+    host.wait(S);
+    assert!(host.calls.is_empty());
+    assert!((1..=8).contains(&total_sent(&host)), "{}", total_sent(&host));
+}
+
+#[test]
+fn idle_customers_are_forgotten() {
+    let mut host = Host::new(settings(), 2);
+    host.ask(1, 0, 0, 2 * S);
+    host.wait(MS * 10);
+    host.done(1, 0, host.sent(1)[0], Status::Ok);
+    host.wait(120 * S);
+    assert!(host.timers.is_empty(), "nothing held, nothing to wake up for");
+}
+
+#[test]
+fn hundreds_of_gateways_keep_their_calls_within_what_a_small_counter_takes() {
+    let set = Settings { gateways: 200, ..settings() };
+    let mut hosts: Vec<Host> = (0..200).map(|n| Host::seeded(set.clone(), 4, n * 77)).collect();
+    let (mut offered, mut answered) = (0, 0);
+    for step in 0..2_000u64 {
+        // The counter answers three calls in ten milliseconds; what comes on top is lost.
+        let mut room = 3;
+        for n in 0..200 {
+            let host = &mut hosts[(n + step as usize * 7) % 200];
+            if (step + n as u64).is_multiple_of(20) {
+                let (customer, units, doors) = (format!("club{}", step % 90), 1.0, 50);
+                let id = step;
+                let (class, plan, left) = (0, 0, S);
+                host.give(Event::Request(Demand { id, class, plan, customer, left, units, doors, first: 0 }));
+            }
+            let before = host.calls.len();
+            host.mode = if room > 0 { CounterMode::Answers } else { CounterMode::Silent };
+            host.wait(10 * MS);
+            let calls = host.calls.len() - before;
+            room -= calls.min(room);
+            if step >= 500 {
+                offered += calls;
+                answered += if host.mode == CounterMode::Answers { calls } else { 0 };
+            }
+        }
+    }
+    // Fifteen seconds of a thousand requests a second against 300 calls a second.
+    assert!(offered <= 15 * 450, "{offered} calls");
+    assert!(answered >= 15 * 120, "{answered} answered of {offered}");
+}
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,324 @@
+//! Many gateways at once: what their figures sum to, and what they tell each other.
+
+mod common;
+use common::*;
+use pondgw::*;
+
+/// Settings of one of many gateways that may talk.
+fn talking(me: u32, gateways: u32) -> Settings {
+    let mut set = Settings { me, gateways, ..settings() };
+    set.permissions.peers = true;
+    set
+}
+
+fn ask_of(host: &mut Host, id: RequestId, doors: u32) {
+    let (customer, class, plan, left, units, first) = ("choir".to_owned(), 0, 0, 4 * S, 1.0, 0);
+    host.give(Event::Request(Demand { id, class, plan, customer, left, units, doors, first }));
+}
+
+fn told(host: &Host) -> Vec<(u32, Vec<u8>)> {
+    let tell = |a: &Action| match a {
+        Action::Tell { peer, data } => Some((*peer, data.clone())),
+        _ => None,
+    };
+    host.all.iter().filter_map(tell).collect()
+}
+
+/// Plays a fleet for some time: messages arrive after a step, and all share one counter.
+fn play(hosts: &mut [Host], steps: u64, deliver: bool, mut each: impl FnMut(u64, &mut [Host])) {
+    let mut seen = vec![0; hosts.len()];
+    for step in 0..steps {
+        each(step, hosts);
+        let mut mail = Vec::new();
+        for (from, host) in hosts.iter_mut().enumerate() {
+            host.wait(10 * MS);
+            let messages = told(host);
+            mail.extend(messages[seen[from]..].iter().map(|m| (from as u32, m.clone())));
+            seen[from] = messages.len();
+        }
+        for (from, (to, data)) in mail.into_iter().filter(|_| deliver) {
+            hosts[to as usize].give(Event::Peer { from, data });
+        }
+    }
+}
+
+fn fleet(size: u32) -> Vec<Host> {
+    let mut hosts: Vec<Host> =
+        (0..size).map(|n| Host::seeded(talking(n, size), 4, 31 * u64::from(n))).collect();
+    for host in &mut hosts {
+        host.serve = (0..4).collect();
+    }
+    hosts
+}
+
+fn sent(hosts: &[Host]) -> usize {
+    hosts.iter().map(|h| h.sends.iter().filter(|s| s.2 == 0).count()).sum()
+}
+
+#[test]
+fn a_home_leases_for_all_doors_and_keeps_their_sum_inside_the_quota() {
+    let mut hosts = fleet(40);
+    play(&mut hosts, 1_000, true, |step, hosts| {
+        // Ten requests a second, over twice the quota, each through another door.
+        if step % 10 == 0 {
+            ask_of(&mut hosts[(step / 10 * 7 % 40) as usize], step, 40);
+        }
+    });
+    let calls: usize = hosts.iter().map(|h| h.calls.len()).sum();
+    let callers = hosts.iter().filter(|h| !h.calls.is_empty()).count();
+    // A burst of eight, and four a second for ten seconds.
+    assert!((35..=52).contains(&sent(&hosts)), "{} sent", sent(&hosts));
+    assert_eq!(callers, 1, "only the home calls the counter");
+    assert!(calls <= 25, "{calls} calls for a hundred requests");
+}
+
+#[test]
+fn a_home_that_does_not_answer_is_passed_over() {
+    let mut hosts = fleet(40);
+    play(&mut hosts, 300, false, |step, hosts| {
+        if step % 30 == 0 {
+            ask_of(&mut hosts[(step / 30 + 1) as usize], step, 40);
+        }
+    });
+    // Ten requests in three seconds are inside the quota; no message arrives.
+    assert!(sent(&hosts) >= 9, "{} of 10", sent(&hosts));
+}
+
+#[test]
+fn one_lost_message_does_not_make_a_home_absent() {
+    let mut host = Host::seeded(talking(0, 40), 4, 5);
+    let id = (0..40).find(|id| {
+        ask_of(&mut host, *id, 40);
+        !told(&host).is_empty()
+    });
+    let asked = told(&host).len();
+    host.wait(200 * MS);
+    assert!(told(&host).len() > asked, "asked again after the first question was lost");
+    assert!(id.is_some());
+}
+
+#[test]
+fn senseless_messages_are_passed_over() {
+    let mut host = Host::new(talking(0, 40), 4);
+    let mut unknown_plan = vec![0; 16];
+    unknown_plan[9..13].copy_from_slice(&1.0f32.to_le_bytes());
+    unknown_plan[13] = 200;
+    let mut endless = vec![1; 13];
+    endless[9..13].copy_from_slice(&f32::INFINITY.to_le_bytes());
+    let mut below = endless.clone();
+    below[9..13].copy_from_slice(&(-4.0f32).to_le_bytes());
+    for data in [vec![], vec![9; 16], vec![0; 7], vec![2; 300], unknown_plan, endless, below, vec![2; 13]] {
+        for from in [0, 3, 4_000_000_000] {
+            host.give(Event::Peer { from, data: data.clone() });
+        }
+    }
+    host.wait(S);
+    assert!(host.all.iter().all(|a| matches!(a, Action::Timer { .. })), "{:?}", host.all);
+    // Where gateways may not talk, a question is none.
+    let mut silent = Host::new(settings(), 4);
+    let mut question = vec![0; 16];
+    question[9..13].copy_from_slice(&1.0f32.to_le_bytes());
+    silent.give(Event::Peer { from: 1, data: question });
+    silent.wait(S);
+    assert!(silent.calls.is_empty() && told(&silent).is_empty());
+}
+
+#[test]
+fn cold_tokens_of_hundreds_of_gateways_sum_to_the_fall_budget() {
+    let (gateways, servers) = (300, 20);
+    let set = Settings { gateways, ..settings() };
+    let mut hosts: Vec<Host> = (0..gateways)
+        .map(|n| Host::seeded(set.clone(), servers, u64::from(n).wrapping_mul(0x9e37_79b9_7f4a_7c15)))
+        .collect();
+    let (mut start, mut id) = (0, 0);
+    for step in 0..600u64 {
+        for (n, host) in hosts.iter_mut().enumerate() {
+            host.serve = (0..servers).collect();
+            // Two requests a second at each gateway: six hundred a second over twenty servers.
+            if (step + n as u64 * 17) % 25 == 0 {
+                id += 1;
+                host.ask(id, 0, 3, 4 * S);
+            }
+            host.wait(20 * MS);
+            if step == 300 {
+                start = host.now;
+                let rack = (0..6).map(|s| Entry { started: start, ..entry(s) }).collect();
+                host.list(ListKind::Delta, rack);
+            }
+        }
+    }
+    for server in 0..6 {
+        let first: usize = hosts
+            .iter()
+            .map(|h| h.sends.iter().filter(|s| s.3 == server && s.0 >= start && s.0 < start + S).count())
+            .sum();
+        // A warm one has thirty a second: twice a quarter of that, for one second, is the budget.
+        assert!(first <= 15, "{first} to cold server {server} in its first second");
+    }
+    let later: usize =
+        hosts.iter().map(|h| h.sends.iter().filter(|s| s.3 < 6 && s.0 >= start + S).count()).sum();
+    assert!(later >= 10, "{later}: they are fed long before they count as warm");
+}
+
+#[test]
+fn a_standstill_of_its_own_is_no_silence_of_servers() {
+    let mut host = Host::new(Settings { gateways: 1, ..settings() }, 4);
+    host.serve = (0..4).collect();
+    for id in 0..100 {
+        host.ask(id, 0, 3, 4 * S);
+        host.wait(20 * MS);
+    }
+    // Requests go out, then the gateway gets no turn for two seconds.
+    host.serve.clear();
+    for id in 100..108 {
+        host.ask(id, 0, 3, 6 * S);
+    }
+    let out: Vec<_> = host.sends[100..].to_vec();
+    host.now += 2 * S;
+    host.timers.retain(|t| *t > host.now);
+    host.give(Event::Timer { token: 0 });
+    for &(_, id, attempt, server) in &out {
+        host.done(id, attempt, server, Status::Ok);
+    }
+    host.wait(50 * MS);
+    let copies = host.sends.iter().filter(|s| s.2 > 0).count();
+    assert_eq!(copies, 0, "no work was moved, as nothing was silent but the gateway itself");
+}
+
+#[test]
+fn a_server_that_turns_one_plan_away_keeps_its_room_for_the_others() {
+    let mut host = Host::new(Settings { gateways: 1, ..settings() }, 1);
+    for id in 0..50 {
+        host.ask(id, 0, 3, 4 * S);
+        if !host.sent(id).is_empty() {
+            host.done(id, 0, 0, Status::Full);
+        }
+    }
+    for id in 100..108 {
+        host.ask(id, 1, 3, 4 * S);
+    }
+    let out = (100..108).filter(|id| !host.sent(*id).is_empty()).count();
+    assert_eq!(out, 8, "the first bound still stands");
+}
+
+#[test]
+fn slow_answers_anywhere_bound_all_that_is_out_from_one_of_many() {
+    let mut host = Host::new(Settings { gateways: 300, ..settings() }, 100);
+    let (mut out, mut seen, mut most) = (Vec::new(), 0, 0);
+    for id in 0..3_000u64 {
+        host.ask(id, 0, 3, 4 * S);
+        host.wait(10 * MS);
+        out.extend_from_slice(&host.sends[seen..]);
+        seen = host.sends.len();
+        most = if id >= 1_000 { most.max(out.len()) } else { 0 };
+        // Every answer takes 0.9 of the aim, each from another server than the last.
+        while out.first().is_some_and(|o: &(Micros, u64, u32, usize)| o.0 + 900 * MS <= host.now) {
+            let (_, id, attempt, server) = out.remove(0);
+            let (status, latency, load) = (Status::Ok, 900 * MS, Load::default());
+            host.give(Event::Outcome(Outcome { id, attempt, server, status, latency, closed: true, load }));
+        }
+    }
+    assert!(most <= 3, "{most} out from one of 300 gateways, whose share of the first bounds is 2.7");
+}
+
+#[test]
+fn one_event_costs_the_same_however_many_customers_are_idle() {
+    let mut host = Host::new(Settings { gateways: 1, ..settings() }, 4);
+    host.serve = (0..4).collect();
+    for id in 0..5_000 {
+        let customer = format!("club{id}");
+        let (class, plan, left, units, doors, first) = (0, 0, S, 1.0, 2, 0);
+        host.give(Event::Request(Demand { id, class, plan, customer, left, units, doors, first }));
+        host.wait(2 * MS);
+    }
+    host.wait(5 * S);
+    let before = (host.all.len(), host.calls.len());
+    host.wait(S);
+    assert_eq!(host.calls.len(), before.1, "idle customers call nobody");
+    let timers = host.all.len() - before.0;
+    assert!(timers <= 101, "{timers} actions in an idle second: its sweeps alone");
+    host.wait(120 * S);
+    assert!(host.timers.is_empty(), "all are forgotten");
+}
+
+#[test]
+fn the_ceiling_holds_over_all_doors_whatever_the_counter_does_and_whoever_restarts() {
+    for seed in [3u64, 58, 901] {
+        let fresh = |n: u64| {
+            let mut host = Host::seeded(Settings { gateways: 300, ..settings() }, 4, seed * 97 + n);
+            host.serve = (0..4).collect();
+            host
+        };
+        let mut hosts: Vec<Host> = (0..8).map(fresh).collect();
+        let (start, mut gone) = (hosts[0].now, 0);
+        for step in 0..1_500u64 {
+            for (n, host) in hosts.iter_mut().enumerate() {
+                let mode = (step / 90 + seed + n as u64) % 3;
+                host.mode = [CounterMode::Answers, CounterMode::Silent, CounterMode::Refuses][mode as usize];
+                if step % 200 == 0 {
+                    host.counts.clear();
+                }
+                let (customer, class, plan, left, units) = ("choir".to_owned(), 0, 1, S, 1.0);
+                let (id, doors, first) = (step, 8, 0);
+                host.give(Event::Request(Demand { id, class, plan, customer, left, units, doors, first }));
+                host.wait(10 * MS);
+            }
+            if step % 170 == 169 {
+                let n = (step * 7 + seed) as usize % 8;
+                gone += sent(&hosts[n..=n]);
+                let now = hosts[n].now;
+                let mut host = fresh(step);
+                host.now = now;
+                host.timers.clear();
+                host.gateway = Gateway::new(Settings { gateways: 300, ..settings() }, step, now);
+                host.sends.clear();
+                host.list(ListKind::Cached, (0..4).map(entry).collect());
+                hosts[n] = host;
+            }
+            let passed = (hosts[0].now - start) as f64 / S as f64;
+            let all = (gone + sent(&hosts)) as f64;
+            assert!(all <= 16.0 + 8.0 * passed, "{all} in {passed} s with seed {seed}");
+        }
+        assert!(gone + sent(&hosts) >= 40, "{} sent in 15 s", gone + sent(&hosts));
+    }
+}
+
+#[test]
+fn odd_settings_and_jumps_of_time_are_answered() {
+    for (gateways, me) in [(0, 0), (1, 0), (1, 7), (1_000, 999)] {
+        for servers in [0, 1, 4] {
+            let mut host = Host::new(talking(me, gateways), servers);
+            host.serve = (0..servers).collect();
+            for id in 0..40u64 {
+                // Spreads of none, of more doors than gateways, and a first door that is not there.
+                let (doors, first) = ([0, 1, 3, 70_000][id as usize % 4], id as u32 * 1_000);
+                let (customer, class, plan) =
+                    (format!("club{}", id % 5), (id % 3) as usize, (id % 4) as usize);
+                let (left, units) = (S, 1.0);
+                host.give(Event::Request(Demand { id, class, plan, customer, left, units, doors, first }));
+                if id == 20 {
+                    host.now += 3_600 * S;
+                }
+                host.wait(20 * MS);
+            }
+            host.wait(5 * S);
+            let ended = host.answers.len() + host.sends.iter().filter(|s| s.2 == 0).count();
+            assert!(ended >= 40, "{ended} of 40 with {gateways} gateways and {servers} servers");
+        }
+    }
+}
+
+#[test]
+fn with_homes_out_of_reach_and_the_counter_silent_credit_is_the_even_split() {
+    let mut hosts = fleet(40);
+    for host in &mut hosts {
+        host.mode = CounterMode::Silent;
+    }
+    play(&mut hosts, 1_000, false, |step, hosts| {
+        if step % 5 == 0 {
+            ask_of(&mut hosts[(step / 5 * 7 % 40) as usize], step, 40);
+        }
+    });
+    // One request at each of forty doors at the least, and four a second over all of them for ten seconds.
+    assert!((30..=80).contains(&sent(&hosts)), "{} of 200", sent(&hosts));
+}
