--- /dev/null
+++ b/limeway/src/config.rs
@@ -0,0 +1,172 @@
+//! The JSON configuration and the environment, checked; each error names its key.
+
+use crate::discovery::List;
+use pondgw::Setup;
+use serde::Deserialize;
+use std::fmt;
+use std::net::SocketAddr;
+
+/// Why the configuration cannot be used.
+#[derive(Debug)]
+pub struct ConfigError {
+    key: String,
+    reason: String,
+}
+
+impl ConfigError {
+    fn new(key: &str, reason: impl fmt::Display) -> Self {
+        // One plain line, whatever the library's message holds.
+        ConfigError { key: key.to_owned(), reason: reason.to_string().replace('\n', " ") }
+    }
+}
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.key, self.reason)
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+/// The file as it stands.
+#[derive(Deserialize)]
+struct File {
+    name: Option<String>,
+    listen: Option<String>,
+    discovery: Option<String>,
+    seed: Option<String>,
+    #[serde(default)]
+    limits: Limits,
+    peer_listen: Option<String>,
+    #[serde(default)]
+    peers: Vec<String>,
+    counter: Option<String>,
+    known: Option<List>,
+    settings: Option<serde_json::Value>,
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct Limits {
+    sockets: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { sockets: 1_024 }
+    }
+}
+
+/// What the program is told, ready for use.
+pub struct Config {
+    /// Name of this limiter.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery answers.
+    pub discovery: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// Descriptors that the process may hold.
+    pub sockets: usize,
+    /// Where messages of other limiters arrive, and the address of each limiter.
+    pub peers: Option<(SocketAddr, Vec<SocketAddr>)>,
+    /// Where the counter answers.
+    pub counter: Option<SocketAddr>,
+    /// The servers as last known.
+    pub known: Option<List>,
+    /// The settings object.
+    pub setup: Setup,
+}
+
+fn address(key: &str, text: Option<&str>) -> Result<SocketAddr, ConfigError> {
+    let text = text.ok_or_else(|| ConfigError::new(key, "is missing"))?;
+    text.parse().map_err(|_| ConfigError::new(key, format!("is no address and port: {text}")))
+}
+
+/// Least number of descriptors with which the limiter can work at all.
+const SOCKETS_LEAST: usize = 64;
+
+impl Config {
+    /// Reads the environment and the file that it names.
+    pub fn load(env: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
+        let path = env("ROUTER_CONFIG").ok_or_else(|| ConfigError::new("ROUTER_CONFIG", "is not set"))?;
+        let text = std::fs::read_to_string(&path)
+            .map_err(|e| ConfigError::new("ROUTER_CONFIG", format!("cannot read {path}: {e}")))?;
+        Self::parse(&text, env)
+    }
+
+    /// Reads the text of the file; what the environment says goes before it.
+    fn parse(text: &str, env: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
+        let file: File = serde_json::from_str(text).map_err(|e| ConfigError::new("ROUTER_CONFIG", e))?;
+        let named = |variable: &str, key: &str, value: &Option<String>| match env(variable) {
+            Some(text) => address(variable, Some(&text)),
+            None => address(key, value.as_deref()),
+        };
+        let listen = named("ROUTER_LISTEN", "listen", &file.listen)?;
+        let discovery = named("ROUTER_DISCOVERY", "discovery", &file.discovery)?;
+        let seed = file.seed.ok_or_else(|| ConfigError::new("seed", "is missing"))?;
+        let seed = u64::from_str_radix(&seed, 16)
+            .map_err(|_| ConfigError::new("seed", "is no hexadecimal number"))?;
+        if file.limits.sockets < SOCKETS_LEAST {
+            return Err(ConfigError::new("limits.sockets", format!("is below {SOCKETS_LEAST}")));
+        }
+        let settings = file.settings.ok_or_else(|| ConfigError::new("settings", "is missing"))?;
+        let setup =
+            Setup::read(&settings).map_err(|e| ConfigError::new(&format!("settings.{}", e.key), e.reason))?;
+        check(&setup)?;
+        let peers = if setup.settings.permissions.peers {
+            let listen = address("peer_listen", file.peer_listen.as_deref())?;
+            let peers: Result<Vec<_>, _> = file.peers.iter().map(|p| address("peers", Some(p))).collect();
+            Some((listen, peers?))
+        } else {
+            None
+        };
+        let counter = match setup.settings.counter {
+            Some(_) => Some(address("counter", file.counter.as_deref())?),
+            None => None,
+        };
+        Ok(Config {
+            name: env("ROUTER_NAME").or(file.name).unwrap_or_default(),
+            listen,
+            discovery,
+            seed,
+            sockets: file.limits.sockets,
+            peers,
+            counter,
+            known: file.known,
+            setup,
+        })
+    }
+}
+
+/// What the adapter may leave open but a limiter cannot work without.
+fn check(setup: &Setup) -> Result<(), ConfigError> {
+    let settings = &setup.settings;
+    let bad = |key: &str, reason: &str| Err(ConfigError::new(key, reason));
+    if settings.classes.is_empty() || setup.classes.iter().any(String::is_empty) {
+        return bad("settings.profiles", "is missing, empty or has a class without a name");
+    }
+    if settings.plans.is_empty() || setup.plans.iter().any(String::is_empty) {
+        return bad("settings.plans", "is missing, empty or has a plan without a name");
+    }
+    if settings.me >= settings.gateways {
+        return bad("settings.me", "is not below settings.balancers");
+    }
+    if settings.permissions.max_attempts == 0 {
+        return bad("settings.permissions.max-attempts", "is missing or nought");
+    }
+    if setup.dial_timeout == 0 {
+        return bad("settings.permissions.dial-timeout", "is missing or nought");
+    }
+    if setup.keepalive == 0 {
+        return bad("settings.permissions.keepalive", "is missing or nought");
+    }
+    if settings.max_units <= 0.0 {
+        return bad("settings.family-info.max-units", "is missing or nought");
+    }
+    if settings.counter.as_ref().is_some_and(|c| c.limit == 0) {
+        return bad("settings.family-info.count-limit", "is missing or nought");
+    }
+    Ok(())
+}
--- /dev/null
+++ b/limeway/src/core.rs
@@ -0,0 +1,390 @@
+//! The one `Gateway` with its events, actions, timers, and the table of open requests and attempts.
+//! Holds no policy: what the module asks for is carried out, within what the site permits.
+
+use crate::config::Config;
+use crate::discovery::List;
+use crate::servers::{self, Forward, Pools, Served};
+use crate::{counter, peers};
+use pondgw::*;
+use std::cell::{Cell, RefCell};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime};
+use tokio::sync::{oneshot, Notify};
+
+/// Time before its deadline at which a request's attempts are ended: the module is done some 10 ms earlier,
+/// so this only guards against one that is silent or a process that was held up.
+const GUARD: Micros = 5_000;
+/// Time that the module then has for its final answer.
+const GUARD_WAIT: Micros = 2_000;
+
+/// The module's clock: Unix microseconds, which limiters agree on, carried on by a clock that never steps.
+pub struct Clock {
+    base: Micros,
+    start: Instant,
+}
+
+impl Clock {
+    fn new() -> Self {
+        let unix = SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default();
+        Clock { base: unix.as_micros() as Micros, start: Instant::now() }
+    }
+
+    /// The time.
+    pub fn now(&self) -> Micros {
+        self.base + self.start.elapsed().as_micros() as Micros
+    }
+
+    fn instant(&self, at: Micros) -> Instant {
+        self.start + Duration::from_micros(at.saturating_sub(self.base))
+    }
+}
+
+/// A request's final answer.
+#[derive(Debug)]
+pub enum Answer {
+    /// A server's 200.
+    Served(Served),
+    /// Trying again is harmless; when to come back, 0 for no advice.
+    Refused(Micros),
+    /// Nothing is promised.
+    Failed,
+    /// The client's time is up and the module has said nothing.
+    Overdue,
+}
+
+struct Attempt {
+    server: ServerId,
+    sent: Micros,
+    /// Ends the attempt with a status; nothing once it has been told to end.
+    stop: Option<oneshot::Sender<Status>>,
+    out: bool,
+}
+
+struct Open {
+    /// Where the final answer goes; nothing once it has been given.
+    reply: Option<oneshot::Sender<Answer>>,
+    forward: Rc<Forward>,
+    deadline: Micros,
+    attempts: Vec<Attempt>,
+}
+
+/// What is due at a time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Module(u64),
+    Attempt(RequestId, u32),
+    Guard(RequestId),
+}
+
+struct State {
+    gateway: Gateway,
+    events: VecDeque<Event>,
+    actions: Vec<Action>,
+    open: HashMap<RequestId, Open>,
+    last_id: RequestId,
+    timers: BinaryHeap<Reverse<(Micros, Due)>>,
+}
+
+/// What all tasks share.
+pub struct Core {
+    /// What the program was told.
+    pub config: Config,
+    /// The module's clock.
+    pub clock: Clock,
+    /// Connections to servers.
+    pub pools: Pools,
+    /// Connections to the counter.
+    pub counter: Option<counter::Counter>,
+    /// The way to other limiters.
+    pub peers: Option<peers::Peers>,
+    /// Discovery may be watched: at once where it pushes, else when the module asks.
+    pub watch: Notify,
+    /// Clients may be sent here.
+    pub ready: Cell<bool>,
+    /// The process has been told to end.
+    pub draining: Cell<bool>,
+    state: RefCell<State>,
+    timer: Notify,
+}
+
+impl Core {
+    /// The core, with the servers that were known when it started.
+    pub fn new(
+        config: Config,
+        counter: Option<counter::Counter>,
+        peers: Option<peers::Peers>,
+        connections: usize,
+    ) -> Rc<Self> {
+        let clock = Clock::new();
+        let gateway = Gateway::new(config.setup.settings.clone(), config.seed, clock.now());
+        let core = Rc::new(Core {
+            pools: Pools::new(&config.setup, connections),
+            clock,
+            counter,
+            peers,
+            watch: Notify::new(),
+            ready: Cell::new(false),
+            draining: Cell::new(false),
+            state: RefCell::new(State {
+                gateway,
+                events: VecDeque::new(),
+                actions: Vec::new(),
+                open: HashMap::new(),
+                last_id: 0,
+                timers: BinaryHeap::new(),
+            }),
+            timer: Notify::new(),
+            config,
+        });
+        if let Some(known) = &core.config.known {
+            core.learn(ListKind::Cached, known);
+        }
+        core
+    }
+
+    /// Takes news of the servers: pools first, so that nothing more goes where it should not.
+    pub fn learn(self: &Rc<Self>, kind: ListKind, list: &List) {
+        let entries = self.pools.learn(kind, list);
+        self.feed(Event::Servers { kind, entries });
+    }
+
+    /// Gives the module an event and carries out what it wants done before the next one.
+    pub fn feed(self: &Rc<Self>, event: Event) {
+        let mut state = self.state.borrow_mut();
+        state.events.push_back(event);
+        self.run(&mut state);
+    }
+
+    fn run(self: &Rc<Self>, state: &mut State) {
+        while let Some(event) = state.events.pop_front() {
+            let mut actions = std::mem::take(&mut state.actions);
+            state.gateway.handle(self.clock.now(), event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(state, action);
+            }
+            state.actions = actions;
+        }
+    }
+
+    fn act(self: &Rc<Self>, state: &mut State, action: Action) {
+        match action {
+            Action::Send { id, server, timeout } => self.send(state, id, server, timeout),
+            Action::Cancel { id, attempt } => {
+                let attempt = state.open.get_mut(&id).and_then(|o| o.attempts.get_mut(attempt as usize));
+                if let Some(stop) = attempt.and_then(|a| a.stop.take()) {
+                    let _ = stop.send(Status::Cancelled);
+                }
+            }
+            Action::Refuse { id, retry_after } => state.answer(id, Answer::Refused(retry_after)),
+            Action::Fail { id } => state.answer(id, Answer::Failed),
+            Action::Timer { at, token } => self.set(state, at, Due::Module(token)),
+            Action::Count { name, amount, ttl } => match &self.counter {
+                Some(counter) => counter.call(self, name, amount, ttl),
+                None => {
+                    let status = Status::ConnectFailed;
+                    state.events.push_back(Event::Counted { name, status, total: 0.0, latency: 0 });
+                }
+            },
+            Action::Tell { peer, data } => {
+                if let Some(peers) = &self.peers {
+                    peers.tell(peer, &data);
+                }
+            }
+            Action::Watch => self.watch.notify_one(),
+        }
+    }
+
+    fn send(self: &Rc<Self>, state: &mut State, id: RequestId, server: ServerId, timeout: Micros) {
+        let now = self.clock.now();
+        let allow = &self.config.setup.settings.permissions;
+        let moot = |number: usize, closed: bool| {
+            log::warn!(
+                "attempt {number} of request {id} is not sent: the request is over or the site forbids it"
+            );
+            Event::Outcome(Outcome {
+                id,
+                attempt: number as u32,
+                server,
+                status: Status::Moot,
+                latency: 0,
+                closed,
+                load: Load::default(),
+            })
+        };
+        let Some(open) = state.open.get_mut(&id) else {
+            state.events.push_back(moot(0, true));
+            return;
+        };
+        let number = open.attempts.len();
+        let over = open.reply.is_none() || now >= open.deadline;
+        let copies = !allow.second_copies && open.attempts.iter().any(|a| a.out);
+        if over || copies || number >= allow.max_attempts as usize {
+            let closed = open.reply.is_none();
+            open.attempts.push(Attempt { server, sent: now, stop: None, out: false });
+            state.events.push_back(moot(number, closed));
+            return;
+        }
+        let (stop, stopped) = oneshot::channel();
+        open.attempts.push(Attempt { server, sent: now, stop: Some(stop), out: true });
+        let (forward, number, deadline) = (open.forward.clone(), number as u32, open.deadline);
+        if timeout > 0 && now + timeout < deadline {
+            self.set(state, now + timeout, Due::Attempt(id, number));
+        }
+        let left = deadline.saturating_sub(now);
+        let left = if timeout > 0 { left.min(timeout) } else { left };
+        servers::start(self.clone(), servers::Start { id, number, server, forward, left }, stopped);
+    }
+
+    /// A client's request has come whole. Gives its number and where its answer will come.
+    pub fn request(
+        self: &Rc<Self>,
+        mut demand: Demand,
+        forward: Forward,
+    ) -> (RequestId, oneshot::Receiver<Answer>) {
+        let (reply, answer) = oneshot::channel();
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        // Numbered here and not by the client's own id, which nobody can vouch for being new.
+        state.last_id += 1;
+        demand.id = state.last_id;
+        let deadline = self.clock.now() + demand.left;
+        let open = Open { reply: Some(reply), forward: Rc::new(forward), deadline, attempts: Vec::new() };
+        state.open.insert(demand.id, open);
+        self.set(state, deadline.saturating_sub(GUARD), Due::Guard(demand.id));
+        let id = demand.id;
+        state.events.push_back(Event::Request(demand));
+        self.run(state);
+        (id, answer)
+    }
+
+    /// The client has left; nothing more is owed.
+    pub fn gone(self: &Rc<Self>, id: RequestId) {
+        let mut state = self.state.borrow_mut();
+        let Some(open) = state.open.get_mut(&id) else { return };
+        if open.reply.take().is_none() {
+            return;
+        }
+        state.tidy(id);
+        state.events.push_back(Event::Gone { id });
+        self.run(&mut state);
+    }
+
+    /// An attempt has ended; its connection is closed or back in its pool.
+    pub fn ended(self: &Rc<Self>, id: RequestId, number: u32, status: Status, served: Option<Served>) {
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        let Some(open) = state.open.get_mut(&id) else { return };
+        let Some(attempt) = open.attempts.get_mut(number as usize) else { return };
+        attempt.out = false;
+        attempt.stop = None;
+        let (server, latency) = (attempt.server, self.clock.now().saturating_sub(attempt.sent));
+        log::debug!("request {id} attempt {number} at server {server}: {status:?} after {latency} us");
+        if let Some(served) = served {
+            // The first good answer goes to the client; a later one finds the request closed.
+            if let Some(reply) = open.reply.take() {
+                let _ = reply.send(Answer::Served(served));
+            }
+        }
+        let closed = open.reply.is_none();
+        state.tidy(id);
+        let load = Load::default();
+        let outcome = Outcome { id, attempt: number, server, status, latency, closed, load };
+        state.events.push_back(Event::Outcome(outcome));
+        self.run(state);
+    }
+
+    /// Requests that are not answered yet.
+    pub fn unanswered(&self) -> usize {
+        self.state.borrow().open.values().filter(|o| o.reply.is_some()).count()
+    }
+
+    fn set(&self, state: &mut State, at: Micros, due: Due) {
+        let sooner = state.timers.peek().is_none_or(|Reverse((first, _))| at < *first);
+        state.timers.push(Reverse((at, due)));
+        if sooner {
+            self.timer.notify_one();
+        }
+    }
+
+    /// Runs the one queue of timers, for ever.
+    pub async fn run_timers(self: Rc<Self>) {
+        let sleep = tokio::time::sleep(Duration::ZERO);
+        tokio::pin!(sleep);
+        loop {
+            let next = self.state.borrow().timers.peek().map(|Reverse((at, _))| *at);
+            let at =
+                next.map_or_else(|| Instant::now() + Duration::from_secs(1), |at| self.clock.instant(at));
+            sleep.as_mut().reset(at.into());
+            tokio::select! {
+                () = &mut sleep => self.run_due(),
+                () = self.timer.notified() => {}
+            }
+        }
+    }
+
+    fn run_due(self: &Rc<Self>) {
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        let now = self.clock.now();
+        while let Some(&Reverse((at, due))) = state.timers.peek() {
+            if at > now {
+                break;
+            }
+            state.timers.pop();
+            match due {
+                Due::Module(token) => {
+                    state.events.push_back(Event::Timer { token });
+                    self.run(state);
+                }
+                Due::Attempt(id, number) => {
+                    let open = state.open.get_mut(&id);
+                    let attempt = open.and_then(|o| o.attempts.get_mut(number as usize));
+                    if let Some(stop) = attempt.and_then(|a| a.stop.take()) {
+                        let _ = stop.send(Status::Timeout);
+                    }
+                }
+                Due::Guard(id) => self.guard(state, id, now),
+            }
+        }
+    }
+
+    /// The client's time is nearly up: attempts time out, which gives the module its last word; if that does
+    /// not come either, the request fails here.
+    fn guard(self: &Rc<Self>, state: &mut State, id: RequestId, now: Micros) {
+        let Some(open) = state.open.get_mut(&id) else { return };
+        let mut stopped = false;
+        for stop in open.attempts.iter_mut().filter_map(|a| a.stop.take()) {
+            stopped |= stop.send(Status::Timeout).is_ok();
+        }
+        if open.reply.is_none() {
+            return;
+        }
+        if stopped {
+            return self.set(state, now + GUARD_WAIT, Due::Guard(id));
+        }
+        log::warn!("request {id} ends at its deadline without the module's answer");
+        state.answer(id, Answer::Overdue);
+        state.events.push_back(Event::Gone { id });
+        self.run(state);
+    }
+}
+
+impl State {
+    fn answer(&mut self, id: RequestId, answer: Answer) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        if let Some(reply) = open.reply.take() {
+            let _ = reply.send(answer);
+        }
+        self.tidy(id);
+    }
+
+    /// Forgets a request that is answered and has nothing out.
+    fn tidy(&mut self, id: RequestId) {
+        let done = |o: &Open| o.reply.is_none() && o.attempts.iter().all(|a| !a.out);
+        if self.open.get(&id).is_some_and(done) {
+            self.open.remove(&id);
+        }
+    }
+}
--- /dev/null
+++ b/limeway/src/counter.rs
@@ -0,0 +1,105 @@
+//! Calls to the counter.
+
+use crate::core::Core;
+use crate::servers::Conn;
+use pondgw::{Event, Micros, Status};
+use std::cell::{Cell, RefCell};
+use std::io::Write;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::time::timeout;
+
+/// Connections at most: the counter resets those beyond 32, and may hold on to some that are given up here.
+const CONNECTIONS_MOST: usize = 24;
+/// Time for which an idle connection is kept: the counter closes one after some 10 s or less, and a call that
+/// crosses this may or may not have been added.
+const IDLE_MOST: Duration = Duration::from_secs(3);
+
+/// The counter: one call at a time on a connection, so that a call that is given up takes no other with it.
+pub struct Counter {
+    address: SocketAddr,
+    limit: Duration,
+    idle: RefCell<Vec<Conn>>,
+    count: Rc<Cell<usize>>,
+}
+
+impl Counter {
+    /// The counter at an address; a call is given up after `limit`.
+    pub fn new(address: SocketAddr, limit: Micros) -> Self {
+        let limit = Duration::from_micros(limit);
+        Counter { address, limit, idle: RefCell::default(), count: Rc::default() }
+    }
+
+    /// Makes a call; the module hears of its end. Calls on one name never overlap: the module has one call out
+    /// for a customer at a time, and no two customers share a name.
+    pub fn call(&self, core: &Rc<Core>, name: u64, amount: f64, ttl: Micros) {
+        let core = core.clone();
+        tokio::task::spawn_local(async move {
+            let Some(counter) = &core.counter else { return };
+            let (start, written) = (Instant::now(), Cell::new(false));
+            let ended = timeout(counter.limit, counter.exchange(name, amount, ttl, &written)).await;
+            let (status, total) = match ended {
+                Ok(ended) => ended,
+                Err(_) if written.get() => (Status::Timeout, 0.0),
+                Err(_) => (Status::ConnectFailed, 0.0),
+            };
+            let latency = start.elapsed().as_micros() as Micros;
+            log::debug!("count {name} {amount}: {status:?} {total} after {latency} us");
+            core.feed(Event::Counted { name, status, total, latency });
+        });
+    }
+
+    fn take(&self) -> Option<Conn> {
+        let mut idle = self.idle.borrow_mut();
+        while let Some(conn) = idle.pop() {
+            if conn.idle() < IDLE_MOST && conn.quiet() {
+                return Some(conn);
+            }
+        }
+        None
+    }
+
+    async fn exchange(&self, name: u64, amount: f64, ttl: Micros, written: &Cell<bool>) -> (Status, f64) {
+        let mut conn = match self.take() {
+            Some(conn) => conn,
+            // Nothing was added where no connection may be opened.
+            None if self.count.get() >= CONNECTIONS_MOST => return (Status::Full, 0.0),
+            None => match Conn::open(self.address, &self.count).await {
+                Ok(conn) => conn,
+                Err(_) => return (Status::ConnectFailed, 0.0),
+            },
+        };
+        let mut message = Vec::with_capacity(128);
+        let ttl = ttl.div_ceil(1_000).max(1);
+        let done = write!(
+            message,
+            "POST /v1/count/{name}?add={amount}&ttl_ms={ttl} HTTP/1.1\r\nHost: counter\r\nContent-Length: 0\r\n\r\n"
+        );
+        debug_assert!(done.is_ok(), "writing to memory cannot fail");
+        if conn.write(&message, written).await.is_err() {
+            return (Status::ConnectFailed, 0.0);
+        }
+        let Ok((head, _, body, keep)) = conn.read().await else {
+            return (Status::Reset, 0.0);
+        };
+        if keep {
+            conn.rest();
+            self.idle.borrow_mut().push(conn);
+        }
+        match head.status {
+            200 => match std::str::from_utf8(&body).ok().and_then(|t| t.trim().parse::<f64>().ok()) {
+                Some(total) if total.is_finite() => (Status::Ok, total),
+                // An answer that makes no sense: it may have been added.
+                _ => (Status::Error, 0.0),
+            },
+            400 | 404 | 503 => (Status::Full, 0.0),
+            _ => (Status::Error, 0.0),
+        }
+    }
+
+    /// Lets go of connections that have stood idle too long or were closed from the other side.
+    pub fn prune(&self) {
+        self.idle.borrow_mut().retain(|conn| conn.idle() < IDLE_MOST && conn.quiet());
+    }
+}
--- /dev/null
+++ b/limeway/src/http.rs
@@ -0,0 +1,338 @@
+//! HTTP/1.1 framing for all sides: heads, bodies, limits, keep-alive.
+
+use bytes::{Buf, BytesMut};
+use std::fmt;
+use std::ops::Range;
+
+/// Longest head of a message, in bytes.
+pub const HEAD_MOST: usize = 16 * 1024;
+/// Longest body of a message, in bytes.
+pub const BODY_MOST: usize = 64 * 1024;
+/// Most headers of a message.
+const HEADERS_MOST: usize = 64;
+/// Longest line that opens a chunk, in bytes; and all trailers together.
+const CHUNK_LINE_MOST: usize = 1024;
+
+/// Why a message cannot be read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HttpError {
+    /// It is no HTTP/1.x message, or its framing is ambiguous.
+    Malformed,
+    /// The head is too long.
+    HeadTooLong,
+    /// The body is too long.
+    BodyTooLong,
+    /// A transfer coding other than chunked.
+    Coding,
+}
+
+impl fmt::Display for HttpError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            HttpError::Malformed => "malformed message",
+            HttpError::HeadTooLong => "head too long",
+            HttpError::BodyTooLong => "body too long",
+            HttpError::Coding => "transfer coding not supported",
+        })
+    }
+}
+
+impl std::error::Error for HttpError {}
+
+/// How long the body is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Framing {
+    /// So many bytes.
+    Length(usize),
+    /// In chunks.
+    Chunked,
+    /// As far as the connection goes; answers only.
+    UntilClose,
+}
+
+/// The first line and the headers of a message, by their places in its bytes.
+#[derive(Debug)]
+pub struct Head {
+    /// Length in bytes.
+    pub len: usize,
+    /// How long the body is.
+    pub framing: Framing,
+    /// The connection may carry another message after this one.
+    pub keep_alive: bool,
+    /// Status of an answer; 0 for a request.
+    pub status: u16,
+    /// Method and target of a request; empty for an answer.
+    pub method: Range<usize>,
+    /// See `method`.
+    pub target: Range<usize>,
+    /// Names and values.
+    pub headers: Vec<(Range<usize>, Range<usize>)>,
+}
+
+/// Place of a part in the whole that it was cut from.
+fn place(whole: &[u8], part: &[u8]) -> Range<usize> {
+    let start = (part.as_ptr() as usize).saturating_sub(whole.as_ptr() as usize);
+    start..start + part.len()
+}
+
+/// Whether a comma-separated header names a token.
+fn lists(value: &[u8], token: &str) -> bool {
+    value.split(|b| *b == b',').any(|part| part.trim_ascii().eq_ignore_ascii_case(token.as_bytes()))
+}
+
+fn framing(headers: &[httparse::Header], answer: bool) -> Result<Framing, HttpError> {
+    let mut length: Option<usize> = None;
+    let mut chunked = false;
+    for header in headers {
+        if header.name.eq_ignore_ascii_case("content-length") {
+            let digits = header.value.trim_ascii();
+            if digits.is_empty() || digits.len() > 18 || !digits.iter().all(u8::is_ascii_digit) {
+                return Err(HttpError::Malformed);
+            }
+            let value = digits.iter().fold(0, |sum, d| sum * 10 + usize::from(d - b'0'));
+            if length.is_some_and(|l| l != value) {
+                return Err(HttpError::Malformed);
+            }
+            length = Some(value);
+        } else if header.name.eq_ignore_ascii_case("transfer-encoding") {
+            if chunked || !header.value.trim_ascii().eq_ignore_ascii_case(b"chunked") {
+                return Err(HttpError::Coding);
+            }
+            chunked = true;
+        }
+    }
+    match (length, chunked) {
+        // Two lengths for one body: a way to smuggle a second request past whoever reads the other one.
+        (Some(_), true) => Err(HttpError::Malformed),
+        (Some(length), false) if length > BODY_MOST => Err(HttpError::BodyTooLong),
+        (Some(length), false) => Ok(Framing::Length(length)),
+        (None, true) => Ok(Framing::Chunked),
+        (None, false) => Ok(if answer { Framing::UntilClose } else { Framing::Length(0) }),
+    }
+}
+
+fn keep_alive(headers: &[httparse::Header], version: u8) -> bool {
+    let mut keep = version == 1;
+    for header in headers.iter().filter(|h| h.name.eq_ignore_ascii_case("connection")) {
+        if lists(header.value, "close") {
+            return false;
+        }
+        keep |= lists(header.value, "keep-alive");
+    }
+    keep
+}
+
+/// What the library made of the bytes: nothing yet, a length, or an error.
+fn length(parsed: httparse::Result<usize>, have: usize) -> Result<Option<usize>, HttpError> {
+    match parsed {
+        Ok(httparse::Status::Complete(len)) if len <= HEAD_MOST => Ok(Some(len)),
+        Ok(httparse::Status::Partial) if have < HEAD_MOST => Ok(None),
+        Ok(_) | Err(httparse::Error::TooManyHeaders) => Err(HttpError::HeadTooLong),
+        Err(_) => Err(HttpError::Malformed),
+    }
+}
+
+fn places(bytes: &[u8], headers: &[httparse::Header]) -> Vec<(Range<usize>, Range<usize>)> {
+    headers.iter().map(|h| (place(bytes, h.name.as_bytes()), place(bytes, h.value))).collect()
+}
+
+/// Reads a request's head; nothing while it is not whole.
+pub fn request(bytes: &[u8]) -> Result<Option<Head>, HttpError> {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS_MOST];
+    let mut parsed = httparse::Request::new(&mut headers);
+    let Some(len) = length(parsed.parse(bytes), bytes.len())? else { return Ok(None) };
+    let (Some(method), Some(target)) = (parsed.method, parsed.path) else { return Err(HttpError::Malformed) };
+    Ok(Some(Head {
+        len,
+        framing: framing(parsed.headers, false)?,
+        keep_alive: keep_alive(parsed.headers, parsed.version.unwrap_or(0)),
+        status: 0,
+        method: place(bytes, method.as_bytes()),
+        target: place(bytes, target.as_bytes()),
+        headers: places(bytes, parsed.headers),
+    }))
+}
+
+/// Reads an answer's head; nothing while it is not whole.
+pub fn answer(bytes: &[u8]) -> Result<Option<Head>, HttpError> {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS_MOST];
+    let mut parsed = httparse::Response::new(&mut headers);
+    let Some(len) = length(parsed.parse(bytes), bytes.len())? else { return Ok(None) };
+    let status = parsed.code.unwrap_or(0);
+    let bare = (100..200).contains(&status) || status == 204 || status == 304;
+    let framing = if bare { Framing::Length(0) } else { framing(parsed.headers, true)? };
+    Ok(Some(Head {
+        len,
+        framing,
+        keep_alive: keep_alive(parsed.headers, parsed.version.unwrap_or(0)) && framing != Framing::UntilClose,
+        status,
+        method: 0..0,
+        target: 0..0,
+        headers: places(bytes, parsed.headers),
+    }))
+}
+
+impl Head {
+    /// Value of the first header of this name.
+    pub fn header<'a>(&self, bytes: &'a [u8], name: &str) -> Option<&'a [u8]> {
+        let found =
+            self.headers.iter().find(|(n, _)| bytes[n.clone()].eq_ignore_ascii_case(name.as_bytes()))?;
+        Some(bytes[found.1.clone()].trim_ascii())
+    }
+
+    /// Copies the headers that concern the two ends, leaving out those of one connection and those in `less`.
+    pub fn copy_headers(&self, bytes: &[u8], less: &[&str], to: &mut Vec<u8>) {
+        const HOP: [&str; 9] = [
+            "connection",
+            "keep-alive",
+            "proxy-connection",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade",
+            "content-length",
+            "expect",
+        ];
+        let named = self.header(bytes, "connection").unwrap_or_default();
+        for (name, value) in &self.headers {
+            let name = &bytes[name.clone()];
+            let is = |other: &&str| name.eq_ignore_ascii_case(other.as_bytes());
+            let hop = HOP.iter().any(is) || less.iter().any(is);
+            if hop || std::str::from_utf8(name).is_ok_and(|name| lists(named, name)) {
+                continue;
+            }
+            to.extend_from_slice(name);
+            to.extend_from_slice(b": ");
+            to.extend_from_slice(&bytes[value.clone()]);
+            to.extend_from_slice(b"\r\n");
+        }
+    }
+}
+
+/// Gathers a body as its bytes come in.
+#[derive(Debug)]
+pub struct Body {
+    framing: Framing,
+    /// What has been gathered.
+    pub bytes: Vec<u8>,
+    /// Left of the chunk being read; nothing between chunks.
+    chunk: Option<usize>,
+    /// The last chunk has come; trailers follow.
+    trailers: bool,
+    trailing: usize,
+}
+
+impl Body {
+    /// A body of this framing.
+    pub fn new(framing: Framing) -> Self {
+        Body { framing, bytes: Vec::new(), chunk: None, trailers: false, trailing: 0 }
+    }
+
+    /// Takes from the front of `from` what belongs to the body; true once it is whole.
+    pub fn take(&mut self, from: &mut BytesMut) -> Result<bool, HttpError> {
+        match self.framing {
+            Framing::Length(length) => {
+                let part = from.len().min(length - self.bytes.len());
+                self.bytes.extend_from_slice(&from[..part]);
+                from.advance(part);
+                Ok(self.bytes.len() == length)
+            }
+            Framing::UntilClose => {
+                if self.bytes.len() + from.len() > BODY_MOST {
+                    return Err(HttpError::BodyTooLong);
+                }
+                self.bytes.extend_from_slice(from);
+                from.clear();
+                Ok(false)
+            }
+            Framing::Chunked => self.take_chunks(from),
+        }
+    }
+
+    /// Whether the end of the connection makes the body whole.
+    pub fn ends_with_connection(&self) -> bool {
+        self.framing == Framing::UntilClose
+    }
+
+    fn take_chunks(&mut self, from: &mut BytesMut) -> Result<bool, HttpError> {
+        loop {
+            if self.trailers {
+                let Some(end) = from.windows(2).position(|w| w == b"\r\n") else {
+                    return if from.len() > CHUNK_LINE_MOST {
+                        Err(HttpError::HeadTooLong)
+                    } else {
+                        Ok(false)
+                    };
+                };
+                from.advance(end + 2);
+                self.trailing += end + 2;
+                if self.trailing > CHUNK_LINE_MOST {
+                    return Err(HttpError::HeadTooLong);
+                }
+                if end == 0 {
+                    return Ok(true);
+                }
+            } else if let Some(left) = self.chunk {
+                let part = from.len().min(left);
+                self.bytes.extend_from_slice(&from[..part]);
+                from.advance(part);
+                self.chunk = Some(left - part);
+                if left > part || from.len() < 2 {
+                    return Ok(false);
+                }
+                if !from.starts_with(b"\r\n") {
+                    return Err(HttpError::Malformed);
+                }
+                from.advance(2);
+                self.chunk = None;
+            } else {
+                match httparse::parse_chunk_size(from) {
+                    Ok(httparse::Status::Complete((len, size))) => {
+                        let size = usize::try_from(size).map_err(|_| HttpError::BodyTooLong)?;
+                        if size > BODY_MOST - self.bytes.len() {
+                            return Err(HttpError::BodyTooLong);
+                        }
+                        from.advance(len);
+                        self.trailers = size == 0;
+                        self.chunk = (size > 0).then_some(size);
+                    }
+                    Ok(httparse::Status::Partial) if from.len() <= CHUNK_LINE_MOST => return Ok(false),
+                    _ => return Err(HttpError::Malformed),
+                }
+            }
+        }
+    }
+}
+
+/// Writes a head and a body as one message.
+pub fn write_answer(to: &mut Vec<u8>, status: u16, headers: &[u8], close: bool, body: &[u8]) {
+    let reason = match status {
+        200 => "OK",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        501 => "Not Implemented",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "",
+    };
+    let mut digits = itoa::Buffer::new();
+    to.extend_from_slice(b"HTTP/1.1 ");
+    to.extend_from_slice(digits.format(status).as_bytes());
+    to.push(b' ');
+    to.extend_from_slice(reason.as_bytes());
+    to.extend_from_slice(b"\r\n");
+    to.extend_from_slice(headers);
+    if close {
+        to.extend_from_slice(b"Connection: close\r\n");
+    }
+    to.extend_from_slice(b"Content-Length: ");
+    to.extend_from_slice(digits.format(body.len()).as_bytes());
+    to.extend_from_slice(b"\r\n\r\n");
+    to.extend_from_slice(body);
+}
--- /dev/null
+++ b/limeway/src/main.rs
@@ -0,0 +1,120 @@
+//! limeway: a quota limiter on real sockets, round the decisions of `pondgw`. Start, signals, exit code.
+#![forbid(unsafe_code)]
+
+mod clients;
+mod config;
+mod core;
+mod counter;
+mod discovery;
+mod http;
+mod peers;
+mod servers;
+
+use crate::core::Core;
+use clients::Closing;
+use config::Config;
+use std::fmt::Display;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::task::{spawn_local, LocalSet};
+use tokio::time::{sleep, Instant};
+
+/// Descriptors set aside: standard streams, runtime, listener, datagrams, discovery and the counter.
+const SOCKETS_ASIDE: usize = 56;
+/// Share of the rest that is for clients, in hundredths.
+const CLIENTS_SHARE: usize = 60;
+/// Discovery has so long to answer; then what was known must do.
+const READY_MOST: Duration = Duration::from_secs(2);
+/// Time between two looks at idle connections.
+const PRUNE_EVERY: Duration = Duration::from_secs(1);
+/// After SIGTERM, idle connections are closed after this time; new ones go on coming till then and a bit on.
+const CLOSE_IDLE: Duration = Duration::from_millis(450);
+/// The listener closes once so much time has passed without a new connection, and at the latest then.
+const LISTEN_ON: (Duration, Duration) = (Duration::from_millis(250), Duration::from_millis(1_200));
+/// Time for what has been taken, in all.
+const FINISH_MOST: Duration = Duration::from_millis(9_000);
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
+    let config = match Config::load(|name| std::env::var(name).ok()) {
+        Ok(config) => config,
+        Err(e) => return fail(e),
+    };
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(e) => return fail(format!("runtime: {e}")),
+    };
+    match LocalSet::new().block_on(&runtime, serve(config)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => fail(e),
+    }
+}
+
+fn fail(reason: impl Display) -> ExitCode {
+    eprintln!("limeway: {reason}");
+    ExitCode::FAILURE
+}
+
+async fn serve(config: Config) -> Result<(), String> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("signals: {e}"))?;
+    let listener = clients::listen(config.listen).map_err(|e| format!("listen: {}: {e}", config.listen))?;
+    let peers = match &config.peers {
+        Some((address, all)) => Some(
+            peers::Peers::bind(*address, all.clone())
+                .await
+                .map_err(|e| format!("peer_listen: {address}: {e}"))?,
+        ),
+        None => None,
+    };
+    let limit = config.setup.settings.counter.as_ref().map_or(0, |c| c.limit);
+    let counter = config.counter.map(|address| counter::Counter::new(address, limit));
+    let sockets = config.sockets.saturating_sub(SOCKETS_ASIDE).max(8);
+    let most = sockets * CLIENTS_SHARE / 100;
+    let clients = clients::Clients::new(most);
+    log::info!("limiter {} listens at {}", config.name, config.listen);
+    let core = Core::new(config, counter, peers, sockets - most);
+
+    spawn_local(core.clone().run_timers());
+    spawn_local(discovery::run(core.clone()));
+    spawn_local(peers::run(core.clone()));
+    spawn_local(housekeeping(core.clone()));
+    let accepting = spawn_local(clients::run(core.clone(), clients.clone(), listener));
+
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    log::info!("ending: {} requests are open", core.unanswered());
+    core.draining.set(true);
+    let told = Instant::now();
+    sleep(CLOSE_IDLE).await;
+    clients.close_idle(Closing::Used);
+    while told.elapsed() < LISTEN_ON.1 && clients.quiet_for() < LISTEN_ON.0 {
+        sleep(Duration::from_millis(10)).await;
+    }
+    accepting.abort();
+    clients.close_idle(Closing::All);
+    while clients.open() > 0 && told.elapsed() < FINISH_MOST {
+        sleep(Duration::from_millis(5)).await;
+    }
+    log::info!("ended: {} requests are open", core.unanswered());
+    Ok(())
+}
+
+/// Lets go of idle connections in time, and makes do with the known servers where discovery is silent.
+async fn housekeeping(core: Rc<Core>) {
+    let start = Instant::now();
+    loop {
+        sleep(PRUNE_EVERY).await;
+        core.pools.prune();
+        if let Some(counter) = &core.counter {
+            counter.prune();
+        }
+        if start.elapsed() >= READY_MOST && core.config.known.as_ref().is_some_and(|k| !k.hosts.is_empty()) {
+            core.ready.set(true);
+        }
+    }
+}
--- /dev/null
+++ b/limeway/src/servers.rs
@@ -0,0 +1,333 @@
+//! Connections to servers: pools, attempts, and the outcome of each.
+
+use crate::core::Core;
+use crate::discovery::{Health, List};
+use crate::http::{self, Body};
+use bytes::BytesMut;
+use pondgw::{Entry, Lifecycle, ListKind, Micros, RequestId, ServerId, Setup, Status};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+/// Part of the time after which a server closes an idle connection that it is kept here: a request written
+/// as the server closes would end as a reset that may have run.
+const IDLE_PART: u32 = 3;
+
+/// A client's request as it goes on to servers.
+#[derive(Debug)]
+pub struct Forward {
+    /// Request line and headers, without the last empty line and what depends on the attempt.
+    pub head: Vec<u8>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// A server's 200: headers worth passing on, and the body.
+#[derive(Debug)]
+pub struct Served {
+    /// Whole header lines.
+    pub headers: Vec<u8>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// Counts what is open for as long as it lives.
+pub struct Counted(Rc<Cell<usize>>);
+
+impl Counted {
+    /// One more.
+    pub fn new(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Counted(count.clone())
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
+/// A kept connection of ours.
+pub struct Conn {
+    stream: TcpStream,
+    buffer: BytesMut,
+    since: Instant,
+    _counted: Counted,
+}
+
+impl Conn {
+    /// Opens a connection and counts it.
+    pub async fn open(address: SocketAddr, count: &Rc<Cell<usize>>) -> io::Result<Self> {
+        let _counted = Counted::new(count);
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        Ok(Conn { stream, buffer: BytesMut::with_capacity(1024), since: Instant::now(), _counted })
+    }
+
+    /// Whether nothing has come since the last answer, neither bytes nor the end. Asks the system itself:
+    /// what the runtime knows of the socket may be a turn old.
+    pub fn quiet(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit(); 1];
+        let peeked = socket2::SockRef::from(&self.stream).peek(&mut byte);
+        self.buffer.is_empty() && matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// How long it has stood idle.
+    pub fn idle(&self) -> Duration {
+        self.since.elapsed()
+    }
+
+    /// Marks it as idle from now on.
+    pub fn rest(&mut self) {
+        self.since = Instant::now();
+    }
+
+    /// Writes a message; sets `written` once its last byte has been handed over.
+    pub async fn write(&mut self, message: &[u8], written: &Cell<bool>) -> io::Result<()> {
+        self.stream.write_all(message).await?;
+        written.set(true);
+        Ok(())
+    }
+
+    /// Reads one whole answer: its head with the bytes that it was read from, its body, and whether the
+    /// connection may be used again.
+    pub async fn read(&mut self) -> io::Result<(http::Head, BytesMut, Vec<u8>, bool)> {
+        let bad = |e: http::HttpError| io::Error::new(io::ErrorKind::InvalidData, e);
+        let (head, bytes) = loop {
+            match http::answer(&self.buffer).map_err(bad)? {
+                Some(head) if (100..200).contains(&head.status) && head.status != 101 => {
+                    let _ = self.buffer.split_to(head.len);
+                }
+                Some(head) => {
+                    let bytes = self.buffer.split_to(head.len);
+                    break (head, bytes);
+                }
+                None => {
+                    if self.stream.read_buf(&mut self.buffer).await? == 0 {
+                        return Err(io::ErrorKind::UnexpectedEof.into());
+                    }
+                }
+            }
+        };
+        let mut body = Body::new(head.framing);
+        while !body.take(&mut self.buffer).map_err(bad)? {
+            if self.stream.read_buf(&mut self.buffer).await? == 0 {
+                if body.ends_with_connection() {
+                    break;
+                }
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+        let keep = head.keep_alive && self.buffer.is_empty();
+        Ok((head, bytes, body.bytes, keep))
+    }
+}
+
+struct Host {
+    address: Option<SocketAddr>,
+    /// In service: idle connections are kept.
+    ready: bool,
+    idle: Vec<Conn>,
+}
+
+/// The servers by number, with the connections to each.
+pub struct Pools {
+    hosts: RefCell<Vec<Host>>,
+    numbers: RefCell<HashMap<String, ServerId>>,
+    zones: RefCell<Vec<String>>,
+    count: Rc<Cell<usize>>,
+    most: usize,
+    keep: Duration,
+    dial_timeout: Duration,
+}
+
+impl Pools {
+    /// Empty pools that hold so many connections at most.
+    pub fn new(setup: &Setup, most: usize) -> Self {
+        Pools {
+            hosts: RefCell::default(),
+            numbers: RefCell::default(),
+            zones: RefCell::new(setup.zones.clone()),
+            count: Rc::default(),
+            most,
+            keep: Duration::from_micros(setup.keepalive) / IDLE_PART,
+            dial_timeout: Duration::from_micros(setup.dial_timeout),
+        }
+    }
+
+    /// Takes in a list of servers and turns it into what the module reads. A server is known by its host, as
+    /// its address may change; connections to an old address or to one that leaves are let go.
+    pub fn learn(&self, kind: ListKind, list: &List) -> Vec<Entry> {
+        let (mut hosts, mut numbers) = (self.hosts.borrow_mut(), self.numbers.borrow_mut());
+        let mut zones = self.zones.borrow_mut();
+        let mut listed = vec![kind == ListKind::Delta; hosts.len()];
+        let mut entries = Vec::with_capacity(list.hosts.len());
+        for row in &list.hosts {
+            let server = *numbers.entry(row.host.clone()).or_insert_with(|| {
+                hosts.push(Host { address: None, ready: false, idle: Vec::new() });
+                hosts.len() - 1
+            });
+            if let Some(listed) = listed.get_mut(server) {
+                *listed = true;
+            }
+            let zone = zones.iter().position(|z| *z == row.site).unwrap_or_else(|| {
+                zones.push(row.site.clone());
+                zones.len() - 1
+            });
+            let host = &mut hosts[server];
+            let address = row.dial.parse().ok();
+            host.ready = row.health == Health::Serving;
+            if address != host.address && (address.is_some() || host.ready) {
+                host.address = address;
+                host.idle.clear();
+            }
+            if !host.ready {
+                host.idle.clear();
+            }
+            let state = match row.health {
+                Health::Serving => Lifecycle::Ready,
+                Health::Draining => Lifecycle::Draining,
+                Health::Deleted => Lifecycle::Gone,
+            };
+            log::info!("server {server} is {} at {}: {:?}", row.host, row.dial, row.health);
+            let started = row.born_ms * 1_000;
+            entries.push(Entry { server, zone, cell: row.block, state, weight: row.share, started });
+        }
+        for (host, _) in hosts.iter_mut().zip(listed).filter(|(_, listed)| !listed) {
+            host.ready = false;
+            host.idle.clear();
+        }
+        entries
+    }
+
+    /// An idle connection that can be used, or the address to open one to.
+    fn take(&self, server: ServerId) -> Option<Result<Conn, SocketAddr>> {
+        let mut hosts = self.hosts.borrow_mut();
+        let host = hosts.get_mut(server)?;
+        // The one used last is the least likely to be closing, and the others can grow old and go.
+        while let Some(conn) = host.idle.pop() {
+            if conn.idle() < self.keep && conn.quiet() {
+                return Some(Ok(conn));
+            }
+        }
+        let address = host.address?;
+        if self.count.get() >= self.most {
+            let oldest = hosts.iter_mut().filter(|h| !h.idle.is_empty()).max_by_key(|h| h.idle[0].idle())?;
+            oldest.idle.remove(0);
+        }
+        Some(Err(address))
+    }
+
+    fn give_back(&self, server: ServerId, mut conn: Conn) {
+        if let Some(host) = self.hosts.borrow_mut().get_mut(server).filter(|h| h.ready) {
+            conn.rest();
+            host.idle.push(conn);
+        }
+    }
+
+    /// Lets go of connections that have stood idle too long or were closed from the other side.
+    pub fn prune(&self) {
+        for host in self.hosts.borrow_mut().iter_mut() {
+            host.idle.retain(|conn| conn.idle() < self.keep && conn.quiet());
+        }
+    }
+}
+
+/// An attempt to be made.
+pub struct Start {
+    /// The request.
+    pub id: RequestId,
+    /// Number of the attempt.
+    pub number: u32,
+    /// Where it goes.
+    pub server: ServerId,
+    /// What is sent.
+    pub forward: Rc<Forward>,
+    /// How long an answer is waited for.
+    pub left: Micros,
+}
+
+/// Makes an attempt and tells the core how it ended. `stopped` ends it before its time: its connection is
+/// closed by the time the core hears of it, so that no further attempt can overlap with it.
+pub fn start(core: Rc<Core>, start: Start, stopped: oneshot::Receiver<Status>) {
+    tokio::task::spawn_local(async move {
+        let (status, served) = tokio::select! {
+            biased;
+            ended = attempt(&core.pools, &start) => ended,
+            status = stopped => (status.unwrap_or(Status::Cancelled), None),
+        };
+        core.ended(start.id, start.number, status, served);
+    });
+}
+
+async fn attempt(pools: &Pools, start: &Start) -> (Status, Option<Served>) {
+    let mut conn = match pools.take(start.server) {
+        Some(Ok(conn)) => conn,
+        Some(Err(address)) => match timeout(pools.dial_timeout, Conn::open(address, &pools.count)).await {
+            Ok(Ok(conn)) => conn,
+            Ok(Err(e)) if e.raw_os_error().is_some_and(|code| OWN_LIMITS.contains(&code)) => {
+                log::warn!("no connection to server {}: {e}", start.server);
+                return (Status::Moot, None);
+            }
+            Ok(Err(_)) | Err(_) => return (Status::ConnectFailed, None),
+        },
+        // No address, or all connections that this process may hold are busy.
+        None => return (Status::Moot, None),
+    };
+    let message = message(&start.forward, start.left);
+    let written = Cell::new(false);
+    if conn.write(&message, &written).await.is_err() {
+        // Broke before the last byte was handed over: it cannot have run.
+        return (Status::ConnectFailed, None);
+    }
+    let (head, bytes, body, keep) = match conn.read().await {
+        Ok(answer) => answer,
+        Err(e) => {
+            log::debug!("server {} broke off: {e}", start.server);
+            return (Status::Reset, None);
+        }
+    };
+    let declined = head.header(&bytes, "srv-declined") == Some(b"1");
+    let status = match head.status {
+        200 => Status::Ok,
+        503 | 504 if declined => Status::Full,
+        _ => Status::Error,
+    };
+    if keep {
+        pools.give_back(start.server, conn);
+    }
+    let served = (status == Status::Ok).then(|| {
+        let mut headers = Vec::new();
+        head.copy_headers(&bytes, &["srv-load", "srv-declined"], &mut headers);
+        Served { headers, body }
+    });
+    (status, served)
+}
+
+/// System errors that speak of this process's own limits, not of the server: EMFILE, ENFILE, EADDRNOTAVAIL.
+const OWN_LIMITS: [i32; 3] = [24, 23, 99];
+
+/// The bytes of an attempt: the client's request, with the time that is left.
+fn message(forward: &Forward, left: Micros) -> Vec<u8> {
+    let mut digits = itoa::Buffer::new();
+    let mut message = Vec::with_capacity(forward.head.len() + forward.body.len() + 64);
+    message.extend_from_slice(&forward.head);
+    message.extend_from_slice(b"Req-Deadline-Ms: ");
+    message.extend_from_slice(digits.format((left / 1_000).max(1)).as_bytes());
+    if !forward.body.is_empty() || forward.head.starts_with(b"POST") {
+        message.extend_from_slice(b"\r\nContent-Length: ");
+        message.extend_from_slice(digits.format(forward.body.len()).as_bytes());
+    }
+    message.extend_from_slice(b"\r\n\r\n");
+    message.extend_from_slice(&forward.body);
+    message
+}
--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -105,86 +105,6 @@
     Ok(load)
 }
 
-fn num(v: &Value, key: &str) -> f64 {
-    v.get(key).and_then(Value::as_f64).unwrap_or_default()
-}
-
-fn time(v: &Value, key: &str) -> Micros {
-    num(v, key).max(0.0) as Micros
-}
-
-fn flag(v: &Value, key: &str) -> bool {
-    v.get(key).and_then(Value::as_bool).unwrap_or_default()
-}
-
-fn text<'a>(v: &'a Value, key: &str) -> &'a str {
-    v.get(key).and_then(Value::as_str).unwrap_or_default()
-}
-
-fn rows<'a>(v: &'a Value, key: &str) -> &'a [Value] {
-    v.get(key).and_then(Value::as_array).map_or(&[], Vec::as_slice)
-}
-
-fn names(v: &Value, key: &str) -> Vec<String> {
-    rows(v, key).iter().map(|r| text(r, "name").to_owned()).collect()
-}
-
-fn class(v: &Value) -> Parsed<Class> {
-    let effect = match text(v, "effect") {
-        "pure" => Effect::Safe,
-        "token" => Effect::Keyed,
-        "side_effect" => Effect::Unsafe,
-        other => return Err(format!("unknown effect: {other}")),
-    };
-    let scope = match text(v, "key-scope") {
-        "zone" => Scope::Zone,
-        "cell" => Scope::Cell,
-        _ => Scope::All,
-    };
-    Ok(Class { aim: time(v, "goal-time"), effect, scope, window: time(v, "window"), worth: num(v, "worth") })
-}
-
-fn settings(v: &Value) -> Parsed<Settings> {
-    let zones: Vec<&str> = rows(v, "failure-domains").iter().filter_map(Value::as_str).collect();
-    let (allow, rules, info) = (&v["permissions"], &v["rules"], &v["family-info"]);
-    Ok(Settings {
-        gateways: num(v, "balancers").max(1.0) as u32,
-        me: num(v, "me") as u32,
-        zone: zones.iter().position(|z| *z == text(v, "zone")).unwrap_or_default(),
-        round: time(v, "round"),
-        ask: text(v, "discovery") == "ask",
-        classes: rows(v, "profiles").iter().map(class).collect::<Parsed<_>>()?,
-        plans: rows(v, "plans")
-            .iter()
-            .map(|p| Plan {
-                rate: num(p, "per-second"),
-                burst: num(p, "store-size"),
-                open: num(p, "at-once"),
-                price: num(p, "pays"),
-                ceiling_rate: num(p, "cap-rate"),
-                ceiling_burst: num(p, "hard-burst"),
-            })
-            .collect(),
-        max_units: num(info, "max-units"),
-        permissions: Permissions {
-            cancel: flag(allow, "cancel"),
-            second_copies: flag(allow, "may-duplicate"),
-            max_attempts: num(allow, "max-attempts") as u32,
-            max_retry_after: time(allow, "max-retry-after"),
-            retry_after: flag(allow, "retry-after"),
-            peers: flag(allow, "may-tell"),
-        },
-        counter: flag(info, "may-count").then(|| CounterSettings { limit: time(info, "count-limit") }),
-        rules: Rules {
-            cold: time(rules, "cold"),
-            cold_from: num(rules, "cold-from"),
-            fall: time(rules, "fall"),
-            fall_multiple: num(rules, "fall-multiple"),
-            ask_within: time(rules, "must-ask-in"),
-        },
-    })
-}
-
 fn find(names: &[String], name: &str, what: &str) -> Parsed<usize> {
     names.iter().position(|n| n == name).ok_or_else(|| format!("unknown {what}: {name}"))
 }
@@ -362,15 +282,12 @@
                 let seed = w.value("init-seed")?;
                 let json: Value =
                     serde_json::from_str(w.0).map_err(|e| format!("setup is not valid: {e}"))?;
+                let setup = Setup::read(&json).map_err(|e| e.reason)?;
                 let instance = Instance {
-                    gateway: Gateway::new(settings(&json)?, seed, self.now),
-                    classes: names(&json, "profiles"),
-                    plans: names(&json, "plans"),
-                    zones: rows(&json, "failure-domains")
-                        .iter()
-                        .filter_map(Value::as_str)
-                        .map(str::to_owned)
-                        .collect(),
+                    gateway: Gateway::new(setup.settings, seed, self.now),
+                    classes: setup.classes,
+                    plans: setup.plans,
+                    zones: setup.zones,
                     servers: Vec::new(),
                     index: HashMap::new(),
                 };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -42,7 +42,9 @@
 
 pub mod interface;
 pub mod rules;
+pub mod setup;
 mod state;
 
 pub use interface::*;
 pub use rules::Gateway;
+pub use setup::{Setup, SetupError};
