--- /dev/null
+++ b/limeway/tests/requests.rs
@@ -0,0 +1,288 @@
+//! Requests through the limiter: what goes on to servers, what becomes of each outcome, bad input.
+
+mod common;
+
+use common::*;
+use std::io::{Read, Write};
+use std::sync::mpsc::{channel, RecvTimeoutError};
+use std::sync::Mutex;
+use std::time::Duration;
+
+fn ok(_: usize, _: &Message, stream: &mut std::net::TcpStream) {
+    reply(stream, "200 OK", "hi there");
+}
+
+#[test]
+fn a_request_goes_on_unchanged_and_its_answer_comes_back() {
+    let (server, counter) = (server(ok), counter());
+    let limiter = Setup::new(&[&server], &counter).start();
+    let answer = limiter.client().ask(&request("book", "9b1f", "team", 9000));
+    assert_eq!((answer.status(), answer.body.as_str()), (200, "hi there"));
+    let (_, sent) = server.requests.recv_timeout(LONG).expect("an attempt");
+    assert_eq!(sent.line, "POST /book/00000000b4d65521?x=1 HTTP/1.1");
+    assert_eq!(sent.body, "hello");
+    assert_eq!(sent.header("req-id"), Some("9b1f"));
+    assert_eq!(sent.header("idempotency-key"), Some("5c0f"));
+    let left: u64 = sent.header("req-deadline-ms").and_then(|l| l.parse().ok()).expect("a deadline");
+    assert!((1..=9000).contains(&left), "{left}");
+}
+
+#[test]
+fn bad_requests_get_their_status_and_reach_no_server() {
+    let (server, counter) = (server(ok), counter());
+    let limiter = Setup::new(&[&server], &counter).start();
+    let good = request("book", "1", "team", 9000);
+    let look = request("look", "1", "team", 9000);
+    let long = format!("X-Long: {}\r\nHost:", "y".repeat(20_000));
+    let many = format!("{}Host:", "X-Many: 1\r\n".repeat(80));
+    let cases: Vec<(u16, String)> = vec![
+        (400, "NONSENSE\r\n\r\n".into()),
+        (400, "\u{1}\u{2}\u{3}\r\n\r\n".into()),
+        (400, good.replace("Content-Length: 5", "Content-Length: 5x")),
+        (400, good.replace("Content-Length: 5", "Content-Length: -5")),
+        (400, good.replace("Content-Length: 5", "Content-Length: 5\r\nContent-Length: 6")),
+        (400, good.replace("Content-Length: 5", "Content-Length: 5\r\nTransfer-Encoding: chunked")),
+        (501, good.replace("Content-Length: 5", "Transfer-Encoding: gzip")),
+        (
+            400,
+            good.replace("Content-Length: 5", "Transfer-Encoding: chunked").replace("hello", "zz\r\nhello"),
+        ),
+        (413, good.replace("Content-Length: 5", "Content-Length: 65537")),
+        (
+            413,
+            good.replace("Content-Length: 5", "Transfer-Encoding: chunked")
+                .replace("hello", "10001\r\nhello"),
+        ),
+        (413, good.replace("Content-Length: 5", "Content-Length: 999999999999999999")),
+        (431, good.replace("Host:", &long)),
+        (431, good.replace("Host:", &many)),
+        (404, good.replace("/book/", "/")),
+        (404, good.replace("/book/", "/other/")),
+        (404, good.replace("00000000b4d65521", "b4d65521")),
+        (404, good.replace("00000000b4d65521", "00000000b4d6552g")),
+        (404, good.replace("00000000b4d65521", "ffffffffffffffff")),
+        (404, "GET / HTTP/1.1\r\nHost: x\r\n\r\n".into()),
+        (405, good.replace("POST", "PUT")),
+        (405, look.replace("GET", "POST")),
+        (405, "POST /_health HTTP/1.1\r\nHost: x\r\n\r\n".into()),
+        (400, good.replace("Req-Kind: book", "Req-Kind: look")),
+        (400, good.replace("Req-Kind: book", "X-Other: book")),
+        (400, good.replace("Idempotency-Key: 5c0f", "X-Other: 5c0f")),
+        (400, good.replace("Req-Id: 1\r\n", "")),
+        (400, good.replace("Plan: team", "Plan: gold")),
+        (400, good.replace("Plan: team\r\n", "")),
+        (400, good.replace("Req-Deadline-Ms: 9000\r\n", "")),
+        (400, good.replace("Req-Deadline-Ms: 9000", "Req-Deadline-Ms: 0")),
+        (400, good.replace("Req-Deadline-Ms: 9000", "Req-Deadline-Ms: soon")),
+        (400, good.replace("Req-Deadline-Ms: 9000", "Req-Deadline-Ms: 99999999999999999999")),
+        (400, good.replace("Quota-Info: units=1,spread=2,first=0\r\n", "")),
+        (400, good.replace("units=1", "units=nan")),
+        (400, good.replace("units=1", "units=-1")),
+        (400, good.replace("units=1", "units=1e30")),
+        (400, good.replace("units=1", "units=1,units=2")),
+        (400, good.replace("spread=2", "spread=0")),
+        (400, good.replace("spread=2", "spread=3")),
+        (400, good.replace("first=0", "first=2")),
+        (400, good.replace(",first=0", "")),
+        (400, good.replace("units=1,spread=2,first=0", "units")),
+    ];
+    for (status, bytes) in cases {
+        let answer = limiter.client().ask(&bytes);
+        assert_eq!(answer.status(), status, "{bytes:.300}");
+    }
+    assert_eq!(server.requests.recv_timeout(Duration::ZERO).err(), Some(RecvTimeoutError::Timeout));
+    assert!(limiter.alive());
+    assert_eq!(limiter.client().ask(&good).status(), 200);
+}
+
+#[test]
+fn a_chunked_request_and_a_chunked_answer_are_read_whole() {
+    let (server, counter) = (
+        server(|_, _, stream| {
+            let _ = stream.write_all(
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhi \r\n5;x=1\r\nthere\r\n0\r\nT: 1\r\n\r\n",
+            );
+        }),
+        counter(),
+    );
+    let limiter = Setup::new(&[&server], &counter).start();
+    let chunked = request("once", "1", "team", 9000)
+        .replace("Content-Length: 5", "Transfer-Encoding: chunked")
+        .replace("hello", "2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n");
+    let mut client = limiter.client();
+    for _ in 0..2 {
+        let answer = client.ask(&chunked);
+        assert_eq!((answer.status(), answer.body.as_str()), (200, "hi there"));
+        assert_eq!(server.requests.recv_timeout(LONG).expect("an attempt").1.body, "hello");
+    }
+}
+
+#[test]
+fn requests_written_at_once_are_answered_in_order() {
+    let (server, counter) =
+        (server(|_, m, s| reply(s, "200 OK", m.header("req-id").unwrap_or("-"))), counter());
+    let limiter = Setup::new(&[&server], &counter).start();
+    let mut client = limiter.client();
+    let all: String = (0..5).map(|n| request("look", &n.to_string(), "team", 9000)).collect();
+    client.write(&all);
+    for n in 0..5 {
+        assert_eq!(client.read().expect("an answer").body, n.to_string());
+    }
+}
+
+#[test]
+fn turned_away_unseen_is_a_refusal_only_where_the_server_says_so() {
+    let (server, counter) = (
+        server(|_, m, s| match m.header("req-id") {
+            Some("a") => reply(s, "503 Busy\r\nSrv-Declined: 1", ""),
+            Some("b") => reply(s, "504 Late\r\nSrv-Declined: 1", ""),
+            Some("c") => reply(s, "503 Busy", ""),
+            Some("d") => reply(s, "500 Broken\r\nSrv-Declined: 1", ""),
+            _ => reply(s, "418 Teapot", ""),
+        }),
+        counter(),
+    );
+    let limiter = Setup::new(&[&server], &counter).start();
+    let mut client = limiter.client();
+    for (id, status) in [("a", 429), ("b", 429), ("c", 502), ("d", 502), ("e", 502)] {
+        assert_eq!(client.ask(&request("once", id, "team", 9000)).status(), status, "{id}");
+    }
+}
+
+#[test]
+fn a_broken_answer_is_no_answer_and_an_unsafe_request_is_never_sent_again() {
+    let parts: [&str; 5] = [
+        "",
+        "HTTP/1.1 200 OK\r\nContent-Le",
+        "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc",
+        "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\nabc",
+        "garbage\r\n\r\n",
+    ];
+    let (one, counter) = (
+        server(move |_, m, s| {
+            let part: usize = m.header("req-id").and_then(|id| id.parse().ok()).expect("a number");
+            let _ = s.write_all(parts[part].as_bytes());
+            hang_up(s);
+        }),
+        counter(),
+    );
+    for part in 0..parts.len() {
+        let limiter = Setup::new(&[&one, &one], &counter).start();
+        let answer = limiter.client().ask(&request("once", &part.to_string(), "team", 9000));
+        assert_eq!(answer.status(), 502, "{part}");
+    }
+    assert_eq!(one.requests.try_iter().count(), parts.len());
+}
+
+#[test]
+fn a_keyed_request_that_failed_is_sent_to_another_server() {
+    let (bad, good) = (server(|_, _, s| reply(s, "500 Broken", "")), server(ok));
+    let counter = counter();
+    let limiter = Setup::new(&[&bad, &good], &counter).start();
+    let mut client = limiter.client();
+    for n in 0..6 {
+        assert_eq!(client.ask(&request("book", &n.to_string(), "team", 9000)).status(), 200);
+    }
+    assert!(bad.requests.try_iter().count() >= 1, "the bad server was tried");
+}
+
+#[test]
+fn a_refused_connection_never_ran_so_even_an_unsafe_request_moves_on() {
+    let (good, counter) = (server(ok), counter());
+    let mut setup = Setup::new(&[&good], &counter);
+    setup.servers.push(("s-dead".into(), free_port()));
+    let limiter = setup.start();
+    let mut client = limiter.client();
+    for n in 0..8 {
+        assert_eq!(client.ask(&request("once", &n.to_string(), "team", 9000)).status(), 200);
+    }
+}
+
+/// Guards against writing to a connection that its server has closed while it stood idle: that would end as
+/// a reset, and an unsafe request would fail for nothing.
+#[test]
+fn a_connection_closed_while_idle_is_not_used() {
+    let (closed, is_closed) = channel();
+    let closed = Mutex::new(closed);
+    let (server, counter) = (
+        server(move |_, _, s| {
+            reply(s, "200 OK", "");
+            hang_up(s);
+            let _ = closed.lock().expect("no panic while it is held").send(());
+        }),
+        counter(),
+    );
+    let limiter = Setup::new(&[&server], &counter).start();
+    let mut client = limiter.client();
+    for n in 0..10 {
+        assert_eq!(client.ask(&request("once", &n.to_string(), "team", 9000)).status(), 200);
+        is_closed.recv_timeout(LONG).expect("the server hangs up");
+    }
+}
+
+#[test]
+fn connections_to_servers_are_kept_and_used_again() {
+    let (server, counter) = (server(ok), counter());
+    let limiter = Setup::new(&[&server], &counter).start();
+    let mut client = limiter.client();
+    for n in 0..5 {
+        assert_eq!(client.ask(&request("look", &n.to_string(), "team", 9000)).status(), 200);
+    }
+    let connections: Vec<usize> = server.requests.try_iter().map(|(connection, _)| connection).collect();
+    assert_eq!(connections, [0; 5]);
+}
+
+/// Guards against work for a client that has left, and against an attempt that outlives its request.
+#[test]
+fn a_client_that_leaves_ends_its_attempt() {
+    let (ended, has_ended) = channel();
+    let ended = Mutex::new(ended);
+    let (server, counter) = (
+        server(move |_, _, s| {
+            let read = s.read(&mut [0; 1]);
+            let _ = ended.lock().expect("no panic while it is held").send(matches!(read, Ok(0) | Err(_)));
+        }),
+        counter(),
+    );
+    let limiter = Setup::new(&[&server], &counter).start();
+    let mut client = limiter.client();
+    client.write(&request("look", "1", "team", 30_000));
+    server.requests.recv_timeout(LONG).expect("an attempt");
+    drop(client);
+    assert_eq!(has_ended.recv_timeout(LONG), Ok(true));
+    assert!(limiter.alive());
+}
+
+#[test]
+fn a_silent_server_costs_no_more_than_the_clients_time() {
+    let (ended, has_ended) = channel();
+    let ended = Mutex::new(ended);
+    let (server, counter) = (
+        server(move |_, _, s| {
+            let read = s.read(&mut [0; 1]);
+            let _ = ended.lock().expect("no panic while it is held").send(matches!(read, Ok(0) | Err(_)));
+        }),
+        counter(),
+    );
+    let limiter = Setup::new(&[&server], &counter).start();
+    let mut client = limiter.client();
+    assert_eq!(client.ask(&request("once", "1", "team", 400)).status(), 502);
+    assert_eq!(has_ended.recv_timeout(LONG), Ok(true));
+    // Nothing more comes for it: the next answer on the connection is the next request's.
+    assert_eq!(client.ask("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n").status(), 200);
+    assert_eq!(server.requests.try_iter().count(), 1);
+}
+
+#[test]
+fn beyond_its_quota_a_customer_is_refused_and_told_when_to_come_back() {
+    let (server, counter) = (server(ok), counter());
+    let limiter = Setup::new(&[&server], &counter).start();
+    let mut client = limiter.client();
+    let answers: Vec<Message> =
+        (0..6).map(|n| client.ask(&request("look", &n.to_string(), "tiny", 9000))).collect();
+    assert_eq!(answers[0].status(), 200);
+    let refused = answers.last().expect("six answers");
+    assert_eq!(refused.status(), 429);
+    let wait: f64 = refused.header("retry-after").and_then(|w| w.parse().ok()).expect("advice");
+    assert!(wait > 0.0 && wait <= 1.0, "{wait}");
+}
--- /dev/null
+++ b/limeway/tests/service.rs
@@ -0,0 +1,272 @@
+//! The limiter as a service: its other protocols, its limits, its start and its end.
+
+mod common;
+
+use common::*;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream, UdpSocket};
+use std::sync::mpsc::channel;
+use std::sync::Mutex;
+use std::time::Duration;
+
+fn ok(_: usize, _: &Message, stream: &mut TcpStream) {
+    reply(stream, "200 OK", "hi");
+}
+
+#[test]
+fn nothing_new_goes_to_a_server_once_discovery_says_that_it_drains() {
+    let (one, two, counter) = (server(ok), server(ok), counter());
+    let entries = [entry("s-0", one.address, "SERVING"), entry("s-1", two.address, "SERVING")];
+    for word in ["DRAINING", "DELETED", "PONDERING"] {
+        let (list_server, news) = discovery(list(1, true, &entries));
+        let mut setup = Setup::new(&[&one, &two], &counter);
+        setup.discovery = Some(list_server.address);
+        let limiter = setup.start();
+        news.send(list(2, false, &[entry("s-0", one.address, word)])).expect("a watch");
+        // The next watch tells that the change has been taken in.
+        while !list_server.requests.recv_timeout(LONG).expect("a watch").1.line.contains("from=2&") {}
+        one.requests.try_iter().count();
+        let mut client = limiter.client();
+        for n in 0..6 {
+            assert_eq!(client.ask(&request("look", &n.to_string(), "team", 9000)).status(), 200);
+        }
+        assert_eq!(one.requests.try_iter().count(), 0, "{word}");
+    }
+}
+
+#[test]
+fn a_server_is_known_by_its_host_and_followed_to_a_new_address() {
+    let (old, new, counter) = (server(ok), server(ok), counter());
+    let (list_server, news) = discovery(list(1, true, &[entry("s-0", old.address, "SERVING")]));
+    let mut setup = Setup::new(&[&old], &counter);
+    setup.discovery = Some(list_server.address);
+    let limiter = setup.start();
+    let mut client = limiter.client();
+    assert_eq!(client.ask(&request("look", "1", "team", 9000)).status(), 200);
+    assert_eq!(old.requests.try_iter().count(), 1);
+    news.send(list(2, false, &[entry("s-0", new.address, "SERVING")])).expect("a watch");
+    while !list_server.requests.recv_timeout(LONG).expect("a watch").1.line.contains("from=2&") {}
+    assert_eq!(client.ask(&request("look", "2", "team", 9000)).status(), 200);
+    assert_eq!((old.requests.try_iter().count(), new.requests.try_iter().count()), (0, 1));
+}
+
+#[test]
+fn bad_answers_of_discovery_are_tried_again_and_what_was_known_serves_meanwhile() {
+    let (one, counter) = (server(ok), counter());
+    let whole = list(1, true, &[entry("s-0", one.address, "SERVING")]);
+    let bad = ["200 OK\r\nX: {", "503 Busy", "404 None", "nonsense", "200 OK\r\nContent-Length: 99999999"];
+    let list_server = server(move |n, m, s| match bad.get(n) {
+        Some(head) => {
+            reply(s, head, r#"{"seq":"x"}"#);
+            hang_up(s);
+        }
+        None if m.line.contains("from=") => std::thread::park(),
+        None => reply(s, "200 OK", &whole),
+    });
+    let mut setup = Setup::new(&[&one], &counter);
+    setup.discovery = Some(list_server.address);
+    let limiter = setup.start();
+    assert_eq!(limiter.client().ask(&request("look", "1", "team", 9000)).status(), 200);
+}
+
+#[test]
+fn a_silent_discovery_does_not_keep_a_limiter_that_knows_servers_from_starting() {
+    let (one, counter) = (server(ok), counter());
+    let silent = server(|_, _, _| std::thread::park());
+    let mut setup = Setup::new(&[&one], &counter);
+    setup.discovery = Some(silent.address);
+    let limiter = setup.start();
+    assert_eq!(limiter.client().ask(&request("look", "1", "team", 9000)).status(), 200);
+}
+
+#[test]
+fn a_call_to_the_counter_names_amount_and_life() {
+    let (one, counter) = (server(ok), counter());
+    let limiter = Setup::new(&[&one], &counter).start();
+    assert_eq!(limiter.client().ask(&request("look", "1", "team", 9000)).status(), 200);
+    let (_, call) = counter.requests.recv_timeout(LONG).expect("a call");
+    let target = call.line.strip_prefix("POST /v1/count/").expect("a call").strip_suffix(" HTTP/1.1");
+    let (name, query) = target.and_then(|t| t.split_once('?')).expect("a query");
+    assert!(name.parse::<u64>().is_ok(), "{name}");
+    let (add, ttl) = query.split_once('&').expect("two values");
+    let add: f64 = add.strip_prefix("add=").and_then(|a| a.parse().ok()).expect("an amount");
+    let ttl: u64 = ttl.strip_prefix("ttl_ms=").and_then(|t| t.parse().ok()).expect("a life");
+    assert!(add >= 1.0 && (1..=60_000).contains(&ttl), "{add} {ttl}");
+}
+
+#[test]
+fn whatever_the_counter_says_each_request_gets_its_answer() {
+    let heads = ["200 OK", "503 Busy", "404 None", "500 Broken", "nonsense", "200 OK\r\nContent-Length: x"];
+    for head in heads {
+        let (one, bad) = (server(ok), server(move |_, _, s| reply(s, head, "nan")));
+        let limiter = Setup::new(&[&one], &bad).start();
+        let mut client = limiter.client();
+        for n in 0..3 {
+            let status = client.ask(&request("look", &n.to_string(), "team", 9000)).status();
+            assert!([200, 429].contains(&status), "{head}: {status}");
+        }
+        assert!(bad.requests.try_iter().count() >= 1, "{head}: the counter was called");
+    }
+}
+
+#[test]
+fn a_counter_that_is_silent_or_gone_is_given_up() {
+    let (one, silent) = (server(ok), server(|_, _, _| std::thread::park()));
+    let limiter = Setup::new(&[&one], &silent).start();
+    let status = limiter.client().ask(&request("look", "1", "team", 30_000)).status();
+    assert!([200, 429].contains(&status), "{status}");
+    let mut setup = Setup::new(&[&one], &silent);
+    setup.counter = free_port();
+    let limiter = setup.start();
+    let status = limiter.client().ask(&request("look", "1", "team", 30_000)).status();
+    assert!([200, 429].contains(&status), "{status}");
+}
+
+#[test]
+fn bad_datagrams_are_dropped() {
+    let (one, counter) = (server(ok), counter());
+    let limiter = Setup::new(&[&one], &counter).start();
+    let stranger = UdpSocket::bind("127.0.0.1:0").expect("a port");
+    for data in [&[][..], &[0], &[255; 16], &[0; 16], &[1; 13], &[2; 256], &[0; 300]] {
+        for from in [&limiter.peer, &stranger] {
+            from.send_to(data, limiter.peer_listen).expect("sent");
+        }
+    }
+    assert!(limiter.alive());
+    assert_eq!(limiter.client().ask(&request("look", "1", "team", 9000)).status(), 200);
+}
+
+/// What the module has leased for small quotas goes between limiters: the other's question gets an answer.
+#[test]
+fn limiters_talk_by_datagrams() {
+    let (one, counter) = (server(ok), counter());
+    let limiter = Setup::new(&[&one], &counter).start();
+    let mut ask = vec![0];
+    ask.extend(7_u64.to_le_bytes());
+    ask.extend(1_f32.to_le_bytes());
+    ask.push(1);
+    ask.extend(2_u16.to_le_bytes());
+    limiter.peer.send_to(&ask, limiter.peer_listen).expect("sent");
+    let mut data = [0; 300];
+    let (len, _) = limiter.peer.recv_from(&mut data).expect("an answer");
+    assert_eq!((len, data[0], &data[1..9]), (13, 1, &7_u64.to_le_bytes()[..]));
+}
+
+#[test]
+fn told_to_end_it_serves_what_comes_meanwhile_and_exits_cleanly() {
+    let (go, wait) = channel::<()>();
+    let wait = Mutex::new(wait);
+    let (one, counter) = (
+        server(move |_, m, s| {
+            if m.header("req-id") == Some("held") {
+                let _ = wait.lock().expect("no panic while it is held").recv();
+            }
+            reply(s, "200 OK", "hi");
+        }),
+        counter(),
+    );
+    let mut limiter = Setup::new(&[&one], &counter).start();
+    let (mut held, mut kept) = (limiter.client(), limiter.client());
+    assert_eq!(kept.ask(&request("look", "before", "team", 9000)).status(), 200);
+    held.write(&request("look", "held", "team", 9000));
+    while one.requests.recv_timeout(LONG).expect("an attempt").1.header("req-id") != Some("held") {}
+    limiter.terminate();
+    // Not ready any more: that it knows of its end shows on a connection opened after it was told.
+    let mut new = loop {
+        let mut new = limiter.client();
+        let answer = new.ask("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n");
+        if answer.status() == 503 {
+            assert_eq!(answer.header("connection"), Some("close"));
+            break limiter.client();
+        }
+    };
+    let answer = new.ask(&request("look", "after", "team", 9000));
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    go.send(()).expect("the server waits");
+    let answer = held.read().expect("an answer");
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    assert!(limiter.wait().success());
+}
+
+#[test]
+fn a_bad_configuration_ends_it_with_one_line_that_names_the_key() {
+    let (one, counter) = (server(ok), counter());
+    let addresses = [free_port(), free_port()];
+    let good = Setup::new(&[&one], &counter).json(free_port(), free_port(), &addresses);
+    let cases: Vec<(&str, String)> = vec![
+        ("ROUTER_CONFIG", "{".into()),
+        ("listen", good.replace("\"listen\":", "\"x\":")),
+        ("listen", good.replace("\"listen\":\"127.", "\"listen\":\"nowhere.")),
+        ("discovery", good.replacen("\"discovery\":", "\"x\":", 1)),
+        ("counter", good.replace("\"counter\":", "\"x\":")),
+        ("seed", good.replace("8c1f30d27a5be964", "green")),
+        ("limits.sockets", good.replace("\"sockets\":1024", "\"sockets\":3")),
+        ("peer_listen", good.replace("\"peer_listen\":", "\"x\":")),
+        ("settings", good.replace("\"settings\":", "\"x\":")),
+        ("settings.profiles", good.replace("\"profiles\":", "\"x\":")),
+        ("settings.profiles", good.replace("\"pure\"", "\"holy\"")),
+        ("settings.plans", good.replace("\"plans\":", "\"x\":")),
+        ("settings.permissions.max-attempts", good.replace("\"max-attempts\":3", "\"max-attempts\":0")),
+        ("settings.permissions.keepalive", good.replace("\"keepalive\":", "\"x\":")),
+        ("settings.permissions.dial-timeout", good.replace("\"dial-timeout\":", "\"x\":")),
+        ("settings.me", good.replace("\"me\":0", "\"me\":2")),
+    ];
+    for (key, config) in cases {
+        assert_ne!(config, good, "{key}");
+        let output = end_of(spawn(&config));
+        let text = String::from_utf8(output.stderr).expect("text");
+        assert!(!output.status.success(), "{key}");
+        assert_eq!(text.lines().count(), 1, "{text}");
+        assert!(text.contains(key), "{key}: {text}");
+    }
+    let output = command().output().expect("it ends");
+    assert!(!output.status.success());
+    assert!(
+        String::from_utf8_lossy(&output.stderr).contains("ROUTER_CONFIG is not set")
+            || String::from_utf8_lossy(&output.stderr).contains("ROUTER_CONFIG: is not set")
+    );
+    let taken = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let taken = taken.local_addr().map(|a| (taken, a)).expect("its address");
+    let config = Setup::new(&[&one], &counter).json(taken.1, free_port(), &addresses);
+    let output = end_of(spawn(&config));
+    assert!(!output.status.success());
+    assert!(String::from_utf8_lossy(&output.stderr).starts_with("limeway: listen: "));
+}
+
+/// Guards against connections beyond what the process may hold: they wait or are turned away, and service is
+/// back once they are gone.
+#[test]
+fn more_connections_than_it_may_hold_do_not_stop_it() {
+    let (one, counter) = (server(ok), counter());
+    let mut setup = Setup::new(&[&one], &counter);
+    setup.sockets = 100;
+    let limiter = setup.start();
+    let mut many: Vec<TcpStream> =
+        (0..120).map(|_| TcpStream::connect(limiter.address).expect("a connection")).collect();
+    // Idle ones make room: a request on a new connection is answered while all the others stay.
+    let status = limiter.client().ask(&request("look", "1", "team", 9000)).status();
+    assert!([200, 429, 503].contains(&status), "{status}");
+    // Half a request holds its connection; it is cut off in time, or goes with its client.
+    for stream in &mut many {
+        let _ = stream.write_all(b"GET /look");
+    }
+    drop(many);
+    let status = limiter.client().ask(&request("look", "2", "team", 9000)).status();
+    assert!([200, 503].contains(&status), "{status}");
+    assert!(limiter.alive());
+}
+
+#[test]
+fn half_a_request_and_then_the_end_does_no_harm() {
+    let (one, counter) = (server(ok), counter());
+    let limiter = Setup::new(&[&one], &counter).start();
+    let whole = request("book", "1", "team", 9000);
+    for end in [1, 20, whole.len() / 2, whole.len() - 1] {
+        let mut client = limiter.client();
+        client.write(&whole[..end]);
+        client.stream.shutdown(std::net::Shutdown::Write).expect("an end");
+        assert_eq!(client.stream.read(&mut [0; 1]).ok(), Some(0), "{end}");
+    }
+    assert_eq!(one.requests.recv_timeout(Duration::ZERO).ok().map(|_| ()), None);
+    assert!(limiter.alive());
+}
