Let go of a server's older connections after a reset or restart; log failed connects

Ruled out: slow calls, failed connects, work past deadlines. Idle connections now go with a reset and with a new start time; the test fails without this.

--- a/limeway/src/servers.rs
+++ b/limeway/src/servers.rs
@@ -134,6 +134,8 @@
 
 struct Host {
     address: Option<SocketAddr>,
+    /// When it last started: connections to an earlier life lead nowhere.
+    born_ms: u64,
     /// In service: idle connections are kept.
     ready: bool,
     idle: Vec<Conn>,
@@ -173,7 +175,7 @@
         let mut entries = Vec::with_capacity(list.hosts.len());
         for row in &list.hosts {
             let server = *numbers.entry(row.host.clone()).or_insert_with(|| {
-                hosts.push(Host { address: None, ready: false, idle: Vec::new() });
+                hosts.push(Host { address: None, born_ms: row.born_ms, ready: false, idle: Vec::new() });
                 hosts.len() - 1
             });
             if let Some(listed) = listed.get_mut(server) {
@@ -190,7 +192,8 @@
                 host.address = address;
                 host.idle.clear();
             }
-            if !host.ready {
+            if !host.ready || row.born_ms != host.born_ms {
+                host.born_ms = row.born_ms;
                 host.idle.clear();
             }
             let state = match row.health {
@@ -234,6 +237,14 @@
         }
     }
 
+    /// Lets go of all idle connections to a server. Guards against one that vanished or restarted unseen: its
+    /// other connections look sound but end as resets too, where a new one would fail as 'never ran'.
+    fn forget(&self, server: ServerId) {
+        if let Some(host) = self.hosts.borrow_mut().get_mut(server) {
+            host.idle.clear();
+        }
+    }
+
     /// Lets go of connections that have stood idle too long or were closed from the other side.
     pub fn prune(&self) {
         for host in self.hosts.borrow_mut().iter_mut() {
@@ -278,14 +289,22 @@
                 log::warn!("no connection to server {}: {e}", start.server);
                 return (Status::Moot, None);
             }
-            Ok(Err(_)) | Err(_) => return (Status::ConnectFailed, None),
+            Ok(Err(e)) => {
+                log::debug!("server {} at {address} takes no connection: {e}", start.server);
+                return (Status::ConnectFailed, None);
+            }
+            Err(_) => {
+                log::debug!("server {} at {address} takes no connection in time", start.server);
+                return (Status::ConnectFailed, None);
+            }
         },
         // No address, or all connections that this process may hold are busy.
         None => return (Status::Moot, None),
     };
     let message = message(&start.forward, start.left);
     let written = Cell::new(false);
-    if conn.write(&message, &written).await.is_err() {
+    if let Err(e) = conn.write(&message, &written).await {
+        log::debug!("server {} broke off before the request was written: {e}", start.server);
         // Broke before the last byte was handed over: it cannot have run.
         return (Status::ConnectFailed, None);
     }
@@ -293,6 +312,7 @@
         Ok(answer) => answer,
         Err(e) => {
             log::debug!("server {} broke off: {e}", start.server);
+            pools.forget(start.server);
             return (Status::Reset, None);
         }
     };
--- a/limeway/tests/requests.rs
+++ b/limeway/tests/requests.rs
@@ -286,3 +286,36 @@
     let wait: f64 = refused.header("retry-after").and_then(|w| w.parse().ok()).expect("advice");
     assert!(wait > 0.0 && wait <= 1.0, "{wait}");
 }
+
+/// Guards against a server that vanished or restarted unseen: once a connection to it has broken, the others
+/// from before are not used either.
+#[test]
+fn after_a_reset_the_older_connections_to_a_server_are_let_go() {
+    let (go, wait) = channel::<()>();
+    let wait = Mutex::new(wait);
+    let (server, counter) = (
+        server(move |_, m, s| match m.header("req-id") {
+            Some("held") => {
+                let _ = wait.lock().expect("no panic while it is held").recv();
+                reply(s, "200 OK", "");
+            }
+            Some("broken") => hang_up(s),
+            _ => reply(s, "200 OK", ""),
+        }),
+        counter(),
+    );
+    let limiter = Setup::new(&[&server], &counter).start();
+    let (mut one, mut two) = (limiter.client(), limiter.client());
+    one.write(&request("look", "held", "team", 9000));
+    assert_eq!(server.requests.recv_timeout(LONG).expect("an attempt").0, 0);
+    assert_eq!(two.ask(&request("look", "second", "team", 9000)).status(), 200);
+    assert_eq!(server.requests.recv_timeout(LONG).expect("an attempt").0, 1);
+    go.send(()).expect("the server waits");
+    assert_eq!(one.read().expect("an answer").status(), 200);
+    assert_eq!(two.ask(&request("once", "broken", "team", 9000)).status(), 502);
+    assert_eq!(server.requests.recv_timeout(LONG).expect("an attempt").0, 0);
+    let mut three = limiter.client();
+    three.write(&request("book", "after", "team", 9000));
+    assert_eq!(server.requests.recv_timeout(LONG).expect("an attempt").0, 2);
+    assert_eq!(three.read().expect("an answer").status(), 200);
+}
