--- a/limeway/tests/requests.rs
+++ b/limeway/tests/requests.rs
@@ -4,7 +4,7 @@
 
 use common::*;
 use std::io::{Read, Write};
-use std::sync::mpsc::{channel, RecvTimeoutError};
+use std::sync::mpsc::{channel, Receiver, RecvTimeoutError};
 use std::sync::Mutex;
 use std::time::Duration;
 
@@ -232,18 +232,21 @@
     assert_eq!(connections, [0; 5]);
 }
 
+/// A server that says nothing and tells when the connection ends.
+fn silent() -> (Server, Receiver<bool>) {
+    let (ended, has_ended) = channel();
+    let ended = Mutex::new(ended);
+    let server = server(move |_, _, s| {
+        let read = s.read(&mut [0; 1]);
+        let _ = ended.lock().expect("no panic while it is held").send(matches!(read, Ok(0) | Err(_)));
+    });
+    (server, has_ended)
+}
+
 /// Guards against work for a client that has left, and against an attempt that outlives its request.
 #[test]
 fn a_client_that_leaves_ends_its_attempt() {
-    let (ended, has_ended) = channel();
-    let ended = Mutex::new(ended);
-    let (server, counter) = (
-        server(move |_, _, s| {
-            let read = s.read(&mut [0; 1]);
-            let _ = ended.lock().expect("no panic while it is held").send(matches!(read, Ok(0) | Err(_)));
-        }),
-        counter(),
-    );
+    let ((server, has_ended), counter) = (silent(), counter());
     let limiter = Setup::new(&[&server], &counter).start();
     let mut client = limiter.client();
     client.write(&request("look", "1", "team", 30_000));
@@ -255,15 +258,7 @@
 
 #[test]
 fn a_silent_server_costs_no_more_than_the_clients_time() {
-    let (ended, has_ended) = channel();
-    let ended = Mutex::new(ended);
-    let (server, counter) = (
-        server(move |_, _, s| {
-            let read = s.read(&mut [0; 1]);
-            let _ = ended.lock().expect("no panic while it is held").send(matches!(read, Ok(0) | Err(_)));
-        }),
-        counter(),
-    );
+    let ((server, has_ended), counter) = (silent(), counter());
     let limiter = Setup::new(&[&server], &counter).start();
     let mut client = limiter.client();
     assert_eq!(client.ask(&request("once", "1", "team", 400)).status(), 502);
