Take in a new configuration on SIGHUP: follow discovery and the counter to new addresses

Cause: main.rs installed no handler; even with one, config.rs let ROUTER_DISCOVERY go before the file, and discovery.rs and counter.rs held one address. Now: handlers are installed before the file is read; the file is checked whole, a bad one is logged and changes nothing; a pending watch is given up and the whole list asked of the new agent; counter calls under way finish. Test: reload under requests, three moves and two bad files; without the handler the process ends at once.

--- a/limeway/src/config.rs
+++ b/limeway/src/config.rs
@@ -57,22 +57,44 @@
     }
 }
 
+/// What may change while the program runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Places {
+    /// Where discovery answers.
+    pub discovery: SocketAddr,
+    /// Where the counter answers, if there is one.
+    pub counter: Option<SocketAddr>,
+    /// What the file says of discovery, where the environment went before it.
+    file: Option<SocketAddr>,
+}
+
+impl Places {
+    /// Reads the whole configuration again. The environment cannot change while the program runs, so what the
+    /// file newly says of discovery goes before it; what it said already does not.
+    pub fn again(self, env: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
+        let read = Config::load(env)?.places;
+        let discovery = match read.file {
+            Some(file) if read.file != self.file => file,
+            _ => self.discovery,
+        };
+        Ok(Places { discovery, ..read })
+    }
+}
+
 /// What the program is told, ready for use.
 pub struct Config {
     /// Name of this limiter.
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
-    /// Where discovery answers.
-    pub discovery: SocketAddr,
+    /// Where discovery and the counter answer.
+    pub places: Places,
     /// For random numbers.
     pub seed: u64,
     /// Descriptors that the process may hold.
     pub sockets: usize,
     /// Where messages of other limiters arrive, and the address of each limiter.
     pub peers: Option<(SocketAddr, Vec<SocketAddr>)>,
-    /// Where the counter answers.
-    pub counter: Option<SocketAddr>,
     /// The servers as last known.
     pub known: Option<List>,
     /// The settings object.
@@ -105,6 +127,7 @@
         };
         let listen = named("ROUTER_LISTEN", "listen", &file.listen)?;
         let discovery = named("ROUTER_DISCOVERY", "discovery", &file.discovery)?;
+        let in_file = file.discovery.as_deref().map(|text| address("discovery", Some(text))).transpose()?;
         let seed = file.seed.ok_or_else(|| ConfigError::new("seed", "is missing"))?;
         let seed = u64::from_str_radix(&seed, 16)
             .map_err(|_| ConfigError::new("seed", "is no hexadecimal number"))?;
@@ -129,11 +152,10 @@
         Ok(Config {
             name: env("ROUTER_NAME").or(file.name).unwrap_or_default(),
             listen,
-            discovery,
+            places: Places { discovery, counter, file: in_file },
             seed,
             sockets: file.limits.sockets,
             peers,
-            counter,
             known: file.known,
             setup,
         })
--- a/limeway/src/core.rs
+++ b/limeway/src/core.rs
@@ -1,7 +1,7 @@
 //! The one `Gateway` with its events, actions, timers, and the table of open requests and attempts.
 //! Holds no policy: what the module asks for is carried out, within what the site permits.
 
-use crate::config::Config;
+use crate::config::{Config, Places};
 use crate::discovery::List;
 use crate::servers::{self, Forward, Pools, Served};
 use crate::{counter, peers};
@@ -99,6 +99,10 @@
     pub counter: Option<counter::Counter>,
     /// The way to other limiters.
     pub peers: Option<peers::Peers>,
+    /// Where discovery and the counter are at present.
+    pub places: Cell<Places>,
+    /// Discovery has moved.
+    pub moved: Notify,
     /// Discovery may be watched: at once where it pushes, else when the module asks.
     pub watch: Notify,
     /// Clients may be sent here.
@@ -124,6 +128,8 @@
             clock,
             counter,
             peers,
+            places: Cell::new(config.places),
+            moved: Notify::new(),
             watch: Notify::new(),
             ready: Cell::new(false),
             draining: Cell::new(false),
@@ -144,6 +150,17 @@
         core
     }
 
+    /// Goes over to other addresses of discovery and the counter.
+    pub fn move_to(&self, places: Places) {
+        let old = self.places.replace(places);
+        if let (Some(counter), Some(address)) = (&self.counter, places.counter) {
+            counter.move_to(address);
+        }
+        if old.discovery != places.discovery {
+            self.moved.notify_one();
+        }
+    }
+
     /// Takes news of the servers: pools first, so that nothing more goes where it should not.
     pub fn learn(self: &Rc<Self>, kind: ListKind, list: &List) {
         let entries = self.pools.learn(kind, list);
--- a/limeway/src/counter.rs
+++ b/limeway/src/counter.rs
@@ -19,17 +19,27 @@
 
 /// The counter: one call at a time on a connection, so that a call that is given up takes no other with it.
 pub struct Counter {
-    address: SocketAddr,
+    address: Cell<SocketAddr>,
     limit: Duration,
     idle: RefCell<Vec<Conn>>,
-    count: Rc<Cell<usize>>,
+    /// Connections to the present address.
+    count: RefCell<Rc<Cell<usize>>>,
 }
 
 impl Counter {
     /// The counter at an address; a call is given up after `limit`.
     pub fn new(address: SocketAddr, limit: Micros) -> Self {
         let limit = Duration::from_micros(limit);
-        Counter { address, limit, idle: RefCell::default(), count: Rc::default() }
+        Counter { address: Cell::new(address), limit, idle: RefCell::default(), count: RefCell::default() }
+    }
+
+    /// Moves to another address: new calls go there, those under way finish where they are, and connections to
+    /// the old address are let go as they fall idle.
+    pub fn move_to(&self, address: SocketAddr) {
+        if self.address.replace(address) != address {
+            self.idle.borrow_mut().clear();
+            self.count.replace(Rc::default());
+        }
     }
 
     /// Makes a call; the module hears of its end. Calls on one name never overlap: the module has one call out
@@ -62,11 +72,12 @@
     }
 
     async fn exchange(&self, name: u64, amount: f64, ttl: Micros, written: &Cell<bool>) -> (Status, f64) {
+        let (address, count) = (self.address.get(), self.count.borrow().clone());
         let mut conn = match self.take() {
             Some(conn) => conn,
             // Nothing was added where no connection may be opened.
-            None if self.count.get() >= CONNECTIONS_MOST => return (Status::Full, 0.0),
-            None => match Conn::open(self.address, &self.count).await {
+            None if count.get() >= CONNECTIONS_MOST => return (Status::Full, 0.0),
+            None => match Conn::open(address, &count).await {
                 Ok(conn) => conn,
                 Err(_) => return (Status::ConnectFailed, 0.0),
             },
@@ -84,7 +95,7 @@
         let Ok((head, _, body, keep)) = conn.read().await else {
             return (Status::Reset, 0.0);
         };
-        if keep {
+        if keep && self.address.get() == address {
             conn.rest();
             self.idle.borrow_mut().push(conn);
         }
--- a/limeway/src/discovery.rs
+++ b/limeway/src/discovery.rs
@@ -73,15 +73,30 @@
     pub hosts: Vec<Row>,
 }
 
-/// Follows discovery, for ever.
+/// Follows discovery, for ever, also to another address.
 pub async fn run(core: Rc<Core>) {
+    let mut moved = false;
+    loop {
+        tokio::select! {
+            biased;
+            // The old agent is told no more: a pending watch is given up, and the whole list is asked of the new.
+            () = core.moved.notified() => moved = true,
+            () = follow(&core, moved) => {}
+        }
+    }
+}
+
+/// Follows discovery at its present address. Where it must be asked, the module says when to begin, but for one
+/// that has moved.
+async fn follow(core: &Rc<Core>, mut moved: bool) {
     let ask = core.config.setup.settings.ask;
     let (mut conn, mut seq, mut backoff) = (None, None, BACKOFF.0);
     loop {
-        if ask && conn.is_none() {
+        if ask && conn.is_none() && !moved {
             core.watch.notified().await;
         }
-        match call(&core, &mut conn, seq).await {
+        moved = false;
+        match call(core, &mut conn, seq).await {
             Ok(list) => {
                 // Changes refer to the list held; the whole list stands for itself.
                 if list.whole {
@@ -118,7 +133,7 @@
     let exchange = async {
         let mut open = match conn.take().filter(Conn::quiet) {
             Some(open) => open,
-            None => timeout(CALL_MOST, Conn::open(core.config.discovery, &Rc::default())).await??,
+            None => timeout(CALL_MOST, Conn::open(core.places.get().discovery, &Rc::default())).await??,
         };
         open.write(message.as_bytes(), &Cell::new(false)).await?;
         let (head, _, body, keep) = open.read().await?;
--- a/limeway/src/main.rs
+++ b/limeway/src/main.rs
@@ -17,7 +17,7 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{sleep, Instant};
 
@@ -38,28 +38,35 @@
 
 fn main() -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
-    let config = match Config::load(|name| std::env::var(name).ok()) {
-        Ok(config) => config,
-        Err(e) => return fail(e),
-    };
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(e) => return fail(format!("runtime: {e}")),
     };
-    match LocalSet::new().block_on(&runtime, serve(config)) {
+    match LocalSet::new().block_on(&runtime, serve()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => fail(e),
     }
 }
 
+fn env(name: &str) -> Option<String> {
+    std::env::var(name).ok()
+}
+
 fn fail(reason: impl Display) -> ExitCode {
     eprintln!("limeway: {reason}");
     ExitCode::FAILURE
 }
 
-async fn serve(config: Config) -> Result<(), String> {
-    let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("signals: {e}"))?;
+fn listen_for(kind: SignalKind) -> Result<Signal, String> {
+    signal(kind).map_err(|e| format!("signals: {e}"))
+}
+
+async fn serve() -> Result<(), String> {
+    // Before all else: a signal that comes early must not find its default action, which ends the process.
+    let mut terminate = listen_for(SignalKind::terminate())?;
+    let mut interrupt = listen_for(SignalKind::interrupt())?;
+    let mut hangup = listen_for(SignalKind::hangup())?;
+    let config = Config::load(env).map_err(|e| e.to_string())?;
     let listener = clients::listen(config.listen).map_err(|e| format!("listen: {}: {e}", config.listen))?;
     let peers = match &config.peers {
         Some((address, all)) => Some(
@@ -70,7 +77,7 @@
         None => None,
     };
     let limit = config.setup.settings.counter.as_ref().map_or(0, |c| c.limit);
-    let counter = config.counter.map(|address| counter::Counter::new(address, limit));
+    let counter = config.places.counter.map(|address| counter::Counter::new(address, limit));
     let sockets = config.sockets.saturating_sub(SOCKETS_ASIDE).max(8);
     let most = sockets * CLIENTS_SHARE / 100;
     let clients = clients::Clients::new(most);
@@ -83,9 +90,12 @@
     spawn_local(housekeeping(core.clone()));
     let accepting = spawn_local(clients::run(core.clone(), clients.clone(), listener));
 
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => reload(&core),
+        }
     }
     log::info!("ending: {} requests are open", core.unanswered());
     core.draining.set(true);
@@ -104,6 +114,17 @@
     Ok(())
 }
 
+/// Takes in the file anew; one that cannot be used changes nothing.
+fn reload(core: &Core) {
+    match core.places.get().again(env) {
+        Ok(places) => {
+            log::warn!("reloaded: discovery {}, counter {:?}", places.discovery, places.counter);
+            core.move_to(places);
+        }
+        Err(e) => log::error!("the configuration stays as it was: {e}"),
+    }
+}
+
 /// Lets go of idle connections in time, and makes do with the known servers where discovery is silent.
 async fn housekeeping(core: Rc<Core>) {
     let start = Instant::now();
--- a/limeway/tests/common/mod.rs
+++ b/limeway/tests/common/mod.rs
@@ -4,6 +4,7 @@
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Output, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
@@ -225,8 +226,12 @@
         let entries: Vec<String> = self.servers.iter().map(|(h, a)| entry(h, *a, "SERVING")).collect();
         let stood = stand_in.then(|| discovery(list(1, true, &entries)));
         let at = self.discovery.or(stood.as_ref().map(|s| s.0.address)).expect("discovery");
+        let config = self.json(listen, at, &peers);
+        let path = place(&config);
         let limiter = Limiter {
-            child: spawn(&self.json(listen, at, &peers)),
+            child: command().env("ROUTER_CONFIG", &path).spawn().expect("the limiter starts"),
+            config,
+            path,
             address: listen,
             peer: other,
             peer_listen: peers[0],
@@ -243,13 +248,18 @@
     socket
 }
 
-/// Starts the program with a configuration, which it gets as a file.
-pub fn spawn(config: &str) -> Child {
+/// Puts a configuration into a file of its own.
+fn place(config: &str) -> PathBuf {
     static NUMBER: AtomicUsize = AtomicUsize::new(0);
     let number = NUMBER.fetch_add(1, Ordering::Relaxed);
     let path = std::env::temp_dir().join(format!("limeway-{}-{number}.json", std::process::id()));
     std::fs::write(&path, config).expect("the configuration is written");
-    command().env("ROUTER_CONFIG", &path).spawn().expect("the limiter starts")
+    path
+}
+
+/// Starts the program with a configuration, which it gets as a file.
+pub fn spawn(config: &str) -> Child {
+    command().env("ROUTER_CONFIG", place(config)).spawn().expect("the limiter starts")
 }
 
 /// The program, with nothing of the test's own environment that it would read.
@@ -277,6 +287,9 @@
 /// A running limiter.
 pub struct Limiter {
     pub child: Child,
+    /// The configuration that it was started with, and the file that holds it.
+    pub config: String,
+    path: PathBuf,
     pub address: SocketAddr,
     /// The other limiter's socket.
     pub peer: UdpSocket,
@@ -305,10 +318,22 @@
         Client::over(TcpStream::connect(self.address).expect("a connection"))
     }
 
+    fn signal(&self, name: &str) {
+        let done = Command::new("kill").args([name, &self.child.id().to_string()]).status();
+        assert!(done.expect("kill runs").success());
+    }
+
     /// Asks it to end.
     pub fn terminate(&self) {
-        let done = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
-        assert!(done.expect("kill runs").success());
+        self.signal("-TERM");
+    }
+
+    /// Replaces its configuration and tells it so.
+    pub fn reload(&self, config: &str) {
+        let new = self.path.with_extension("new");
+        std::fs::write(&new, config).expect("the configuration is written");
+        std::fs::rename(&new, &self.path).expect("it is put in place");
+        self.signal("-HUP");
     }
 
     /// Waits for its end.
--- a/limeway/tests/service.rs
+++ b/limeway/tests/service.rs
@@ -270,3 +270,52 @@
     assert_eq!(one.requests.recv_timeout(Duration::ZERO).ok().map(|_| ()), None);
     assert!(limiter.alive());
 }
+
+/// Guards against SIGHUP's default action, a watch that hangs at the old agent, and calls that go on to the old
+/// counter. Requests go on all the while, and none is lost.
+#[test]
+fn told_to_reload_it_follows_discovery_and_the_counter_to_new_addresses() {
+    let (servers, counters) = ([server(ok), server(ok)], [counter(), counter()]);
+    let lists: Vec<_> = servers
+        .iter()
+        .enumerate()
+        .map(|(n, s)| discovery(list(n as u64 + 1, true, &[entry(&format!("s-{n}"), s.address, "SERVING")])))
+        .collect();
+    let mut setup = Setup::new(&[&servers[0]], &counters[0]);
+    setup.discovery = Some(lists[0].0.address);
+    let mut limiter = setup.start();
+    let moved = limiter
+        .config
+        .replace(&lists[0].0.address.to_string(), &lists[1].0.address.to_string())
+        .replace(&counters[0].address.to_string(), &counters[1].address.to_string());
+    let first = limiter.config.clone();
+    let mut client = limiter.client();
+    let serve = |client: &mut Client, to: usize| {
+        let end = std::time::Instant::now() + LONG;
+        for n in 0.. {
+            let status = client.ask(&request("look", &format!("{to}-{n}"), "team", 9000)).status();
+            assert!([200, 429].contains(&status), "{status}");
+            let (here, called) =
+                (servers[to].requests.try_iter().count(), counters[to].requests.try_iter().count());
+            if here > 0 && called > 0 {
+                return;
+            }
+            assert!(std::time::Instant::now() < end, "server and counter {to} are not used");
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    };
+    serve(&mut client, 0);
+    for (config, to) in [(&moved, 1), (&first, 0), (&moved, 1)] {
+        limiter.reload(config);
+        serve(&mut client, to);
+        // What had begun elsewhere is over by now, and nothing new goes there.
+        servers[1 - to].requests.try_iter().count();
+        serve(&mut client, to);
+        assert_eq!(servers[1 - to].requests.try_iter().count(), 0);
+    }
+    limiter.reload("{");
+    limiter.reload(&first.replace("\"seed\":", "\"x\":"));
+    serve(&mut client, 1);
+    limiter.terminate();
+    assert!(limiter.wait().success());
+}
