Ask a small counter less and better: slower pace, debts, and leases that grow while calls are scarce

Ruled out: too few connections of ours (37 calls ended that way). To blame, rules.rs: PACE_LEAST of 100 calls a second keeps such a counter overfull for good, and PACE_GROW added 10 calls a second with each quick answer. Lost calls cost their turn all the same; those customers then had the even split alone, and what they spent of it never reached the count. Now: growth of 0.4 calls a second with each answer, floor 24; where calls are scarce, customers within their even split leave them to others; what is spent so is owed and added with the next call; and a lease grows with the use of the last window (the growth that the design names, until now left out), only while calls are scarce.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -17,14 +17,18 @@
 const REMEMBER: Micros = 50_000_000;
 /// Calls to the counter a second from all gateways together, at first: a small counter takes some 600.
 const PACE_FIRST: f64 = 500.0;
-/// The same at the least: what finds out within seconds that the counter is back.
-const PACE_LEAST: f64 = 100.0;
+/// The same at the least: what finds out within seconds that the counter is back, and too little to crowd one
+/// that takes less than a call for three requests.
+const PACE_LEAST: f64 = 24.0;
+/// Share of the first pace below which the counter is scarce, if calls saved up are below this part too.
+const SCARCE: (f64, f64) = (0.5, 0.5);
 /// Factors on the pace: after a lost call, and after an answer that took more than a share of the time-out.
 const PACE_CUT: (f64, f64) = (0.7, 0.95);
 /// Share of the time-out above which an answer is slow: a line is forming.
 const PACE_SLOW: f64 = 0.4;
-/// Growth with each quick answer: share of the first pace, and of the way back to the pace before a loss.
-const PACE_GROW: (f64, f64) = (0.08, 0.25);
+/// Growth with each quick answer: calls a second, and share of the way back to the pace before a loss. As
+/// answers come at the pace itself, the first is its growth in a second.
+const PACE_GROW: (f64, f64) = (0.4, 0.25);
 /// Calls to the counter a second from all gateways together, at most: growth unused proves little.
 const PACE_MOST: f64 = 2_000.0;
 /// Shortest time over which unused calls are saved up, in seconds: requests come unevenly.
@@ -222,7 +226,10 @@
         // Credit: where no lease is to be had, the even split of the store is spent without one. Guards
         // against a counter that is down, cut off, slow or too small for the number of gateways. Could hurt
         // where a customer far over its quota comes in through many gateways: each lets one request through.
-        let silent = here && !customer.calling && (customer.lost || !self.counter.ready(self.now));
+        // The same where the counter takes fewer calls than there are requests: customers within their even
+        // split leave the calls to those beyond it. What is spent so is owed, and added with the next call.
+        let gateways = f64::from(self.set.gateways.max(1));
+        let silent = here && !customer.calling && (customer.lost || self.counter.scarce(self.now, gateways));
         let limited = plan.rate > 0.0;
         let (mut kept, mut refused) = (VecDeque::new(), Vec::new());
         while let Some(item) = customer.waiting.pop_front() {
@@ -249,7 +256,10 @@
                     customer.granted -= units;
                 } else if limited && escrowed {
                     customer.escrow.insert(window, held - units);
+                } else if limited {
+                    customer.owed += units;
                 }
+                customer.used += units;
                 if !granted {
                     customer.ceiling.level -= units;
                 }
@@ -359,12 +369,21 @@
         let (window, end) = customer.window_at(self.now);
         let needed = customer.wanted();
         let at_home = customer.pooled && customer.home.is_none();
-        let block = if at_home { customer.budget * HOME_LEASE } else { 0.0 };
-        let amount = needed.max(block).min(customer.budget.max(1.0).ceil());
+        // As the source has it, a lease grows with the use in the last window, up to the even split; but only
+        // where calls are scarce: what is leased and not spent is forfeit.
+        let block = if at_home {
+            customer.budget * HOME_LEASE
+        } else if self.counter.scarce(self.now, f64::from(self.set.gateways.max(1))) {
+            (customer.past - customer.used).clamp(0.0, customer.budget / customer.doors).floor()
+        } else {
+            0.0
+        };
+        let owed = customer.owed;
+        let amount = needed.max(block).min(customer.budget.max(1.0).ceil()) + owed;
         let name = stable_hash(&key.to_le_bytes(), window);
         customer.calling = true;
         self.counter.calls.level -= 1.0;
-        self.calls.insert(name, Call { customer: key, window, amount, asked: false });
+        self.calls.insert(name, Call { customer: key, window, amount, owed, asked: false });
         let ttl = 2 * (end - self.now) + WINDOW_LEAST;
         out.push(Action::Count { name, amount, ttl });
     }
@@ -396,7 +415,8 @@
             customer.store.level -= (before - customer.total).max(0.0);
             customer.total = total;
             customer.spent = (total >= customer.budget).then_some(call.window);
-            let granted = (customer.budget - before).clamp(0.0, call.amount);
+            customer.owed = (customer.owed - call.owed).max(0.0);
+            let granted = (customer.budget - before - call.owed).clamp(0.0, call.amount - call.owed);
             *customer.escrow.entry(call.window).or_insert(0.0) += granted;
         }
         self.settle(call.customer, out);
@@ -823,6 +843,8 @@
         if window > self.window {
             self.total = 0.0;
             self.granted = 0.0;
+            self.past = if window == self.window + 1 { self.used } else { 0.0 };
+            (self.used, self.owed) = (0.0, 0.0);
             self.window = window;
             self.escrow.retain(|w, _| *w >= window);
         }
@@ -847,6 +869,12 @@
         self.calls.level >= 1.0
     }
 
+    /// Whether calls must be kept for those who need them most; also where none may be made now.
+    fn scarce(&mut self, now: Micros, gateways: f64) -> bool {
+        let few = self.pace < SCARCE.0 * PACE_FIRST / gateways;
+        !self.ready(now) || few && self.calls.level < SCARCE.1 * self.pace * PACE_SPAN
+    }
+
     /// Moves the pace of calls: all gateways together must stay under what the counter can do, as it works
     /// on calls that nobody waits for any more. Could hurt where calls are lost for other reasons.
     fn answered(&mut self, ok: bool, share: f64, gateways: f64) {
@@ -858,7 +886,7 @@
             self.pace *= PACE_CUT.1;
         } else {
             let back = (self.knee - self.pace).max(0.0) * PACE_GROW.1;
-            self.pace += back.max(PACE_GROW.0 * PACE_FIRST / gateways);
+            self.pace += back.max(PACE_GROW.0);
         }
         self.failing = !ok;
         self.pace = self.pace.clamp(PACE_LEAST / gateways, PACE_MOST / gateways);
--- a/src/state.rs
+++ b/src/state.rs
@@ -54,6 +54,11 @@
     pub split: Bucket,
     /// The total last seen on the window's count.
     pub total: f64,
+    /// Units sent on in this window and in the one before.
+    pub used: f64,
+    pub past: f64,
+    /// Units of this window that were spent without a lease, still to be added to the count.
+    pub owed: f64,
     /// Size of the last request.
     pub units: f64,
     /// The last lease call was lost.
@@ -100,6 +105,8 @@
     pub customer: u64,
     pub window: u64,
     pub amount: f64,
+    /// The part of it that was spent before.
+    pub owed: f64,
     /// Its answer could not be read, and the total is being asked for.
     pub asked: bool,
 }
--- a/tests/escrow.rs
+++ b/tests/escrow.rs
@@ -154,3 +154,40 @@
     assert!(offered <= 15 * 450, "{offered} calls");
     assert!(answered >= 15 * 120, "{answered} answered of {offered}");
 }
+
+/// Guards against units that the count never hears of: what was spent while the counter was silent is added with
+/// the next call, and no escrow is taken from it.
+#[test]
+fn what_was_spent_without_a_lease_is_owed_to_the_count() {
+    let mut host = Host::new(settings(), 4);
+    host.mode = CounterMode::Silent;
+    host.ask(1, 0, 0, 4 * S);
+    host.wait(60 * MS);
+    assert_eq!(host.sent(1).len(), 1, "the even split is spent without the counter");
+    host.mode = CounterMode::Answers;
+    for id in 2..12 {
+        host.ask(id, 0, 0, 4 * S);
+        host.wait(20 * MS);
+    }
+    let last = host.calls.last().expect("a call").1;
+    let first = host.calls.iter().position(|c| c.1 == last && c.2 > 1.0).expect("a call that adds a debt");
+    assert!(host.calls[first].2 >= 2.0, "{:?}", host.calls);
+    assert_eq!(host.counts[&last], total_sent(&host) as f64, "all that was sent on is on the count");
+}
+
+/// Guards against a pace that a counter with room for less than a call for three requests can never follow: most
+/// calls were lost, and each took its turn all the same.
+#[test]
+fn a_counter_that_loses_calls_is_asked_ever_less() {
+    let mut host = Host::new(settings(), 4);
+    (host.mode, host.serve) = (CounterMode::Silent, (0..4).collect());
+    for id in 0..2_000 {
+        let customer = format!("choir {}", id % 29);
+        let (class, plan, left, units, doors, first) = (0, 0, 4 * S, 1.0, 2, 0);
+        host.give(Event::Request(Demand { id, class, plan, customer, left, units, doors, first }));
+        host.wait(10 * MS);
+    }
+    let late = host.now - 10 * S;
+    let calls = host.calls.iter().filter(|c| c.0 > late).count();
+    assert!((20..=150).contains(&calls), "{calls} calls in 10 s");
+}
