Clients: one deadline for the first request, room made by age and use, unambiguous requests, ids open once

To blame, clients.rs: 75 s of silence and 10 s a head; `crowded` turned usual clients away at 85%; `room.notify_one` closed any idle connection and was stored where none waited; http.rs `copy_headers` obeyed `Connection: Req-Id`; repeated headers, bodies of GETs, fractions of units and the id of an open request went on. Now: 2.2 s from the connection to its first whole request; to make room the oldest that never asked goes, then the longest idle, each after a last look at what has come; 8 descriptors say 503 where all are busy. Shares of descriptors are derived: a third and 8 for servers, the counter's 24, 16 aside, the rest for clients. Headers go on by an allow-list, those that matter stand once, whole numbers in plain digits, no bare line feeds; 409 for an id that is open. A connection that errs again and again is read more slowly; warnings come once a second at most; timers of requests that are over are dropped; grown buffers go when idle.

--- a/limeway/src/clients.rs
+++ b/limeway/src/clients.rs
@@ -1,11 +1,12 @@
 //! The listener, one task per client connection, and exactly one answer to each request.
 
 use crate::core::{Answer, Core};
-use crate::http::{self, Body, Head, HttpError};
-use crate::servers::{Counted, Forward};
+use crate::http::{self, Body, Framing, Head, HttpError};
+use crate::servers::{self, Counted, Forward};
 use bytes::BytesMut;
 use pondgw::{Demand, Effect, Setup};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -16,21 +17,47 @@
 use tokio::time::{sleep, timeout};
 
 /// Time for which a connection may stand idle.
-const IDLE_MOST: Duration = Duration::from_secs(75);
-/// Time for a request to come whole, from its first byte on; also for an answer to be taken.
-const MESSAGE_MOST: Duration = Duration::from_secs(10);
+const IDLE_MOST: Duration = Duration::from_secs(15);
+/// Time from the start of a connection for its first request to come whole, and from its first byte on for each
+/// later one: who says nothing, or never comes to an end, is told so or closed within 3 s.
+const MESSAGE_MOST: Duration = Duration::from_millis(2_200);
+/// Time for an answer to be taken.
+const ANSWER_MOST: Duration = Duration::from_secs(5);
 /// After an error, what is still on its way is read for so long, lest the answer be lost to a reset.
 const LINGER: Duration = Duration::from_millis(500);
-/// Wait when no connection can be accepted, out of descriptors for one.
+/// Longest wait for room when no connection can be accepted, and when accepting has failed.
 const ACCEPT_WAIT: Duration = Duration::from_millis(20);
 /// Connections waiting to be accepted.
 const BACKLOG: u32 = 1_024;
-/// Share of the connections beyond which requests are turned away, in hundredths: the rest is for saying so.
-const SHED_FROM: usize = 85;
+/// Connections kept for saying that there are too many.
+const SHED: usize = 8;
+/// To make room, a connection that has not asked goes after the first time, an idle one after the second.
+const ROOM_AFTER: (Duration, Duration) = (Duration::from_millis(20), Duration::from_secs(2));
+/// Pause after each request in a row on one connection that is not valid, and at most: who repeats itself at full
+/// speed must not take the thread from others.
+const PAUSE: (Duration, Duration) = (Duration::from_millis(5), Duration::from_millis(200));
 /// Longest wait that a client may state, in milliseconds.
 const DEADLINE_MOST_MS: u64 = 600_000;
 /// Longest id of a request, in bytes.
 const ID_MOST: usize = 128;
+/// Largest buffer that an idle connection keeps, in bytes.
+const BUFFER_KEPT: usize = 4 * 1024;
+/// Headers of a request that go on to servers, beside its length and the time that is left.
+const PASSED_ON: [&str; 13] = [
+    "host",
+    "req-id",
+    "req-kind",
+    "plan",
+    "quota-info",
+    "req-retry",
+    "idempotency-key",
+    "content-type",
+    "content-encoding",
+    "accept",
+    "accept-encoding",
+    "user-agent",
+    "traceparent",
+];
 /// Customers' numbers lie below this.
 const CUSTOMERS: u64 = 1 << 33;
 
@@ -45,12 +72,21 @@
     All,
 }
 
+/// An idle connection: since when, and the way to tell it to go.
+struct Idle {
+    since: Instant,
+    go: Rc<Notify>,
+}
+
 /// The connections of clients.
 pub struct Clients {
     count: Rc<Cell<usize>>,
     most: usize,
-    /// One idle connection may go, to make room.
-    room: Notify,
+    /// Idle connections, in the order in which they may go: those that never asked first, the oldest first.
+    idle: RefCell<BTreeMap<(bool, u64), Idle>>,
+    order: Cell<u64>,
+    /// A connection has ended.
+    ended: Notify,
     /// Which idle connections must go.
     closing: Cell<Closing>,
     close: Notify,
@@ -63,8 +99,10 @@
     pub fn new(most: usize) -> Rc<Self> {
         Rc::new(Clients {
             count: Rc::default(),
-            most,
-            room: Notify::new(),
+            most: most.saturating_sub(SHED).max(1),
+            idle: RefCell::default(),
+            order: Cell::new(0),
+            ended: Notify::new(),
             closing: Cell::new(Closing::None),
             close: Notify::new(),
             accepted: Cell::new(None),
@@ -87,8 +125,47 @@
         self.close.notify_waiters();
     }
 
-    fn crowded(&self) -> bool {
-        self.count.get() * 100 > self.most * SHED_FROM
+    /// Makes room for one more connection. False where all are busy or too young to go.
+    async fn make_room(&self) -> bool {
+        while self.count.get() >= self.most {
+            let first = {
+                let mut idle = self.idle.borrow_mut();
+                let after = |asked: bool| if asked { ROOM_AFTER.1 } else { ROOM_AFTER.0 };
+                let key = idle.iter().find(|(k, i)| i.since.elapsed() >= after(k.0)).map(|(k, _)| *k);
+                key.and_then(|key| idle.remove(&key))
+            };
+            if let Some(first) = &first {
+                first.go.notify_one();
+            }
+            // The one told to go may find that its request has just come.
+            let waited = timeout(ACCEPT_WAIT, self.ended.notified()).await;
+            if first.is_none() && waited.is_err() {
+                return self.count.get() < self.most;
+            }
+        }
+        true
+    }
+}
+
+/// A place among the idle connections, left when dropped.
+struct Place<'a> {
+    clients: &'a Clients,
+    key: (bool, u64),
+    go: Rc<Notify>,
+}
+
+impl<'a> Place<'a> {
+    fn take(clients: &'a Clients, asked: bool) -> Self {
+        let (key, go) = ((asked, clients.order.get()), Rc::new(Notify::new()));
+        clients.order.set(key.1 + 1);
+        clients.idle.borrow_mut().insert(key, Idle { since: Instant::now(), go: go.clone() });
+        Place { clients, key, go }
+    }
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.clients.idle.borrow_mut().remove(&self.key);
     }
 }
 
@@ -103,31 +180,24 @@
 /// Accepts connections, for ever.
 pub async fn run(core: Rc<Core>, clients: Rc<Clients>, listener: TcpListener) {
     loop {
-        if clients.count.get() >= clients.most {
-            clients.room.notify_one();
-            sleep(ACCEPT_WAIT).await;
+        let shed = !clients.make_room().await;
+        if clients.count.get() >= clients.most + SHED {
             continue;
         }
         match listener.accept().await {
             Ok((stream, _)) => {
                 clients.accepted.set(Some(Instant::now()));
                 let counted = Counted::new(&clients.count);
-                let shed = clients.crowded();
-                if shed {
-                    clients.room.notify_one();
-                }
                 let (core, clients) = (core.clone(), clients.clone());
                 tokio::task::spawn_local(async move {
-                    Connection { stream, buffer: BytesMut::new(), out: Vec::new(), fresh: true }
-                        .serve(&core, &clients, shed)
-                        .await;
+                    Connection::new(stream, shed).serve(&core, &clients).await;
                     drop(counted);
+                    clients.ended.notify_waiters();
                 });
             }
             Err(e) => {
                 // Out of descriptors: idle ones go, and trying again at once would only spin.
-                log::warn!("accepting: {e}");
-                clients.room.notify_one();
+                core.seldom.warn(format_args!("accepting: {e}"));
                 core.pools.prune();
                 sleep(ACCEPT_WAIT).await;
             }
@@ -143,22 +213,33 @@
 enum Ask {
     /// Whether this limiter is ready.
     Health,
-    /// A request for the module.
-    Demand(Demand, Forward),
+    /// A request for the module, under the client's own id.
+    Demand(Vec<u8>, Demand, Forward),
 }
 
 struct Connection {
     stream: TcpStream,
     buffer: BytesMut,
     out: Vec<u8>,
+    since: Instant,
+    /// No request has come whole yet.
     fresh: bool,
+    /// Beyond what may be held: it is told so.
+    shed: bool,
+    /// Requests in a row that were not valid.
+    strikes: u32,
 }
 
 /// A request as it was read: its head, the bytes of that, and its body.
 type Message = (Head, BytesMut, Vec<u8>);
 
 impl Connection {
-    async fn serve(mut self, core: &Rc<Core>, clients: &Clients, shed: bool) {
+    fn new(stream: TcpStream, shed: bool) -> Self {
+        let (buffer, out, since) = (BytesMut::new(), Vec::new(), Instant::now());
+        Connection { stream, buffer, out, since, fresh: true, shed, strikes: 0 }
+    }
+
+    async fn serve(mut self, core: &Rc<Core>, clients: &Clients) {
         let _ = self.stream.set_nodelay(true);
         loop {
             let (head, bytes, body) = match self.read(clients).await {
@@ -170,46 +251,71 @@
                 }
             };
             self.fresh = false;
-            let close = !head.keep_alive || core.draining.get() || shed;
-            let open = match read_request(&core.config.setup, &head, &bytes, body) {
+            let close = !head.keep_alive || core.draining.get() || self.shed;
+            let asked = read_request(&core.config.setup, &head, &bytes, body);
+            self.strikes = if asked.is_err() { self.strikes + 1 } else { 0 };
+            let open = match asked {
                 Err(Reject(status, reason)) => self.answer(status, b"", close, reason.as_bytes()).await,
                 Ok(Ask::Health) if core.ready.get() && !core.draining.get() => {
                     self.answer(200, b"", close, b"ready\n").await
                 }
                 Ok(Ask::Health) => self.answer(503, b"", close, b"not ready\n").await,
                 // Too many connections: turned away before the module has heard of it.
-                Ok(Ask::Demand(..)) if shed => self.answer(503, b"Retry-After: 1\r\n", true, b"").await,
-                Ok(Ask::Demand(demand, forward)) => self.request(core, clients, demand, forward, close).await,
+                Ok(Ask::Demand(..)) if self.shed => self.answer(503, b"Retry-After: 1\r\n", true, b"").await,
+                Ok(Ask::Demand(id, demand, forward)) => self.request(core, id, demand, forward, close).await,
             };
             if !open {
                 return;
             }
+            if self.strikes > 0 {
+                sleep((PAUSE.0 * self.strikes).min(PAUSE.1)).await;
+            }
         }
     }
 
     /// Reads a whole request; nothing where the client leaves, or the connection stands idle and must go.
     async fn read(&mut self, clients: &Clients) -> Result<Option<Message>, Reject> {
-        if self.buffer.is_empty() {
-            loop {
-                let go = if self.fresh { Closing::All } else { Closing::Used };
-                let idle = if clients.closing.get() >= go { Duration::ZERO } else { IDLE_MOST };
-                tokio::select! {
-                    biased;
-                    read = self.stream.read_buf(&mut self.buffer) => match read {
-                        Ok(1..) => break,
-                        _ => return Ok(None),
-                    },
-                    () = clients.close.notified() => {}
-                    () = clients.room.notified() => return Ok(None),
-                    () = sleep(idle) => return Ok(None),
-                }
-            }
+        if self.buffer.is_empty() && !self.first_bytes(clients).await {
+            return Ok(None);
         }
-        timeout(MESSAGE_MOST, self.read_message())
+        let left = if self.fresh { MESSAGE_MOST.saturating_sub(self.since.elapsed()) } else { MESSAGE_MOST };
+        timeout(left, self.read_message())
             .await
             .unwrap_or(Err(Reject(408, "the request did not come whole in time\n")))
     }
 
+    /// Waits for the first bytes of a request; false where none will be read any more.
+    async fn first_bytes(&mut self, clients: &Clients) -> bool {
+        // Buffers that have grown are let go while nothing needs them.
+        if self.buffer.capacity() > BUFFER_KEPT {
+            self.buffer = BytesMut::new();
+        }
+        if self.out.capacity() > BUFFER_KEPT {
+            self.out = Vec::new();
+        }
+        let place = Place::take(clients, !self.fresh);
+        let idle = if self.fresh { MESSAGE_MOST.saturating_sub(self.since.elapsed()) } else { IDLE_MOST };
+        let idle = sleep(idle);
+        tokio::pin!(idle);
+        let go = if self.fresh { Closing::All } else { Closing::Used };
+        loop {
+            let closing = clients.closing.get() >= go;
+            tokio::select! {
+                biased;
+                read = self.stream.read_buf(&mut self.buffer) => return matches!(read, Ok(1..)),
+                () = clients.close.notified(), if !closing => continue,
+                () = place.go.notified() => {}
+                () = &mut idle => {}
+                () = std::future::ready(()), if closing => {}
+            }
+            // To be closed, unless a request is on its way: that one would be lost.
+            if servers::quiet(&self.stream) {
+                return false;
+            }
+            return matches!(self.stream.read_buf(&mut self.buffer).await, Ok(1..));
+        }
+    }
+
     async fn read_message(&mut self) -> Result<Option<Message>, Reject> {
         let head = loop {
             match http::request(&self.buffer).map_err(reject)? {
@@ -236,12 +342,15 @@
     async fn request(
         &mut self,
         core: &Rc<Core>,
-        clients: &Clients,
+        name: Vec<u8>,
         demand: Demand,
         forward: Forward,
         close: bool,
     ) -> bool {
-        let (id, mut answer) = core.request(demand, forward);
+        let Some((id, mut answer)) = core.request(&name, demand, forward) else {
+            self.strikes += 1;
+            return self.answer(409, b"", close, b"a request with this Req-Id is open\n").await;
+        };
         let answer = loop {
             let room = self.buffer.len() < http::HEAD_MOST + http::BODY_MOST;
             tokio::select! {
@@ -254,7 +363,7 @@
                 },
             }
         };
-        let close = close || core.draining.get() || clients.crowded();
+        let close = close || core.draining.get();
         match answer {
             Answer::Served(served) => self.answer(200, &served.headers, close, &served.body).await,
             Answer::Refused(0) => self.answer(429, b"", close, b"").await,
@@ -273,7 +382,7 @@
     async fn answer(&mut self, status: u16, headers: &[u8], close: bool, body: &[u8]) -> bool {
         self.out.clear();
         http::write_answer(&mut self.out, status, headers, close, body);
-        let written = timeout(MESSAGE_MOST, self.stream.write_all(&self.out)).await;
+        let written = timeout(ANSWER_MOST, self.stream.write_all(&self.out)).await;
         matches!(written, Ok(Ok(()))) && !close
     }
 
@@ -324,8 +433,10 @@
     if !hex || u64::from_str_radix(customer, 16).map_or(true, |number| number >= CUSTOMERS) {
         return Err(no_path);
     }
-    let header = |name| head.header(bytes, name);
-    if header("req-kind") != Some(kind.as_bytes()) {
+    // Who reads the first of two may not read what a server reads: none of these may stand twice.
+    let header = |name| head.only(bytes, name).map_err(|_| Reject(400, "a header stands twice\n"));
+    header("host")?;
+    if header("req-kind")? != Some(kind.as_bytes()) {
         return Err(Reject(400, "Req-Kind is missing or not the path's class\n"));
     }
     let effect = setup.settings.classes[class].effect;
@@ -333,36 +444,45 @@
     if method != wanted {
         return Err(Reject(405, "not the method of this class\n"));
     }
-    if effect == Effect::Keyed && header("idempotency-key").is_none_or(<[u8]>::is_empty) {
-        return Err(Reject(400, "Idempotency-Key is missing\n"));
+    if effect == Effect::Safe && head.framing != Framing::Length(0) {
+        return Err(Reject(400, "a body where there is none\n"));
     }
-    if text(header("req-id")).is_none_or(|id| id.len() > ID_MOST) {
-        return Err(Reject(400, "Req-Id is missing or too long\n"));
+    let key = header("idempotency-key")?;
+    if effect == Effect::Keyed && key.is_none_or(<[u8]>::is_empty) {
+        return Err(Reject(400, "Idempotency-Key is missing\n"));
     }
-    let plan = text(header("plan")).and_then(|plan| setup.plans.iter().position(|p| p == plan));
+    let id = header("req-id")?.filter(|id| (1..=ID_MOST).contains(&id.len()));
+    let id = id.ok_or(Reject(400, "Req-Id is missing or too long\n"))?;
+    let plan = text(header("plan")?).and_then(|plan| setup.plans.iter().position(|p| p == plan));
     let plan = plan.ok_or(Reject(400, "Plan is missing or unknown\n"))?;
-    let left = text(header("req-deadline-ms")).and_then(|t| t.parse::<u64>().ok()).filter(|ms| *ms > 0);
-    let left = left.ok_or(Reject(400, "Req-Deadline-Ms is missing, nought or no number\n"))?;
-    let info = text(header("quota-info")).and_then(|info| quota_info(setup, info));
+    let left = text(header("req-deadline-ms")?).and_then(whole);
+    let left = left.filter(|ms| (1..=DEADLINE_MOST_MS).contains(ms));
+    let left = left.ok_or(Reject(400, "Req-Deadline-Ms is missing, no whole number or out of range\n"))?;
+    let info = text(header("quota-info")?).and_then(|info| quota_info(setup, info));
     let (units, doors, first) = info.ok_or(Reject(400, "Quota-Info is missing or not valid\n"))?;
     let mut forward = Vec::with_capacity(head.len + 64);
     forward.extend_from_slice(method);
     forward.push(b' ');
     forward.extend_from_slice(target.as_bytes());
     forward.extend_from_slice(b" HTTP/1.1\r\n");
-    head.copy_headers(bytes, &["req-deadline-ms"], &mut forward);
+    head.copy_headers(bytes, &PASSED_ON, &mut forward);
     let demand = Demand {
         id: 0,
         class,
         plan,
         // Limiters must agree on a customer's name, so one spelling stands for all.
         customer: customer.to_ascii_lowercase(),
-        left: left.min(DEADLINE_MOST_MS) * 1_000,
+        left: left * 1_000,
         units,
         doors,
         first,
     };
-    Ok(Ask::Demand(demand, Forward { head: forward, body }))
+    Ok(Ask::Demand(id.to_vec(), demand, Forward { head: forward, body }))
+}
+
+/// A whole number in plain digits, without a sign.
+fn whole(text: &str) -> Option<u64> {
+    text.bytes().all(|b| b.is_ascii_digit()).then(|| text.parse().ok()).flatten()
 }
 
 /// Units, doors and the first door, each given once and within its bounds.
@@ -371,17 +491,17 @@
     for pair in info.split(',') {
         let (name, value) = pair.trim().split_once('=')?;
         let repeated = match name {
-            "units" => units.replace(value.parse::<f64>().ok()?).is_some(),
-            "spread" => spread.replace(value.parse::<u32>().ok()?).is_some(),
-            "first" => first.replace(value.parse::<u32>().ok()?).is_some(),
+            "units" => units.replace(whole(value)?).is_some(),
+            "spread" => spread.replace(u32::try_from(whole(value)?).ok()?).is_some(),
+            "first" => first.replace(u32::try_from(whole(value)?).ok()?).is_some(),
             _ => false,
         };
         if repeated {
             return None;
         }
     }
-    let (units, spread, first) = (units?, spread?, first?);
+    let (units, spread, first) = (units? as f64, spread?, first?);
     let gateways = setup.settings.gateways;
-    let sound = units > 0.0 && units <= setup.settings.max_units && (1..=gateways).contains(&spread);
+    let sound = units >= 1.0 && units <= setup.settings.max_units && (1..=gateways).contains(&spread);
     (sound && first < gateways).then_some((units, spread, first))
 }
--- a/limeway/src/core.rs
+++ b/limeway/src/core.rs
@@ -8,7 +8,8 @@
 use pondgw::*;
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
+use std::fmt;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
 use tokio::sync::{oneshot, Notify};
@@ -19,6 +20,9 @@
 /// Time that the module then has for its final answer.
 const GUARD_WAIT: Micros = 2_000;
 
+/// Timers beyond which, with four for each open request, those of requests that are over are dropped.
+const TIMERS_KEPT: usize = 1_024;
+
 /// The module's clock: Unix microseconds, which limiters agree on, carried on by a clock that never steps.
 pub struct Clock {
     base: Micros,
@@ -63,6 +67,8 @@
 }
 
 struct Open {
+    /// The id that the client gave it.
+    name: Rc<[u8]>,
     /// Where the final answer goes; nothing once it has been given.
     reply: Option<oneshot::Sender<Answer>>,
     forward: Rc<Forward>,
@@ -83,10 +89,31 @@
     events: VecDeque<Event>,
     actions: Vec<Action>,
     open: HashMap<RequestId, Open>,
+    /// Clients' ids of requests that are not answered yet.
+    names: HashSet<Rc<[u8]>>,
     last_id: RequestId,
     timers: BinaryHeap<Reverse<(Micros, Due)>>,
 }
 
+/// Warns once a second at most: whoever reads standard error may read slowly, and a full pipe would hold up the
+/// one thread.
+#[derive(Default)]
+pub struct Seldom {
+    last: Cell<Option<Instant>>,
+    left_out: Cell<u64>,
+}
+
+impl Seldom {
+    /// Warns, or counts what is left out.
+    pub fn warn(&self, text: fmt::Arguments) {
+        if self.last.get().is_some_and(|last| last.elapsed() < Duration::from_secs(1)) {
+            return self.left_out.set(self.left_out.get() + 1);
+        }
+        self.last.set(Some(Instant::now()));
+        log::warn!("{text} ({} warnings before were left out)", self.left_out.take());
+    }
+}
+
 /// What all tasks share.
 pub struct Core {
     /// What the program was told.
@@ -109,6 +136,8 @@
     pub ready: Cell<bool>,
     /// The process has been told to end.
     pub draining: Cell<bool>,
+    /// For what could be told with each request.
+    pub seldom: Seldom,
     state: RefCell<State>,
     timer: Notify,
 }
@@ -133,11 +162,13 @@
             watch: Notify::new(),
             ready: Cell::new(false),
             draining: Cell::new(false),
+            seldom: Seldom::default(),
             state: RefCell::new(State {
                 gateway,
                 events: VecDeque::new(),
                 actions: Vec::new(),
                 open: HashMap::new(),
+                names: HashSet::new(),
                 last_id: 0,
                 timers: BinaryHeap::new(),
             }),
@@ -217,9 +248,9 @@
         let now = self.clock.now();
         let allow = &self.config.setup.settings.permissions;
         let moot = |number: usize, closed: bool| {
-            log::warn!(
+            self.seldom.warn(format_args!(
                 "attempt {number} of request {id} is not sent: the request is over or the site forbids it"
-            );
+            ));
             Event::Outcome(Outcome {
                 id,
                 attempt: number as u32,
@@ -254,33 +285,40 @@
         servers::start(self.clone(), servers::Start { id, number, server, forward, left }, stopped);
     }
 
-    /// A client's request has come whole. Gives its number and where its answer will come.
+    /// A client's request has come whole. Gives its number and where its answer will come; nothing where another
+    /// request of this id is open: nobody could tell their answers apart.
     pub fn request(
         self: &Rc<Self>,
+        name: &[u8],
         mut demand: Demand,
         forward: Forward,
-    ) -> (RequestId, oneshot::Receiver<Answer>) {
+    ) -> Option<(RequestId, oneshot::Receiver<Answer>)> {
         let (reply, answer) = oneshot::channel();
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
+        if state.names.contains(name) {
+            return None;
+        }
+        let name: Rc<[u8]> = name.into();
+        state.names.insert(name.clone());
         // Numbered here and not by the client's own id, which nobody can vouch for being new.
         state.last_id += 1;
         demand.id = state.last_id;
         let deadline = self.clock.now() + demand.left;
-        let open = Open { reply: Some(reply), forward: Rc::new(forward), deadline, attempts: Vec::new() };
+        let open =
+            Open { name, reply: Some(reply), forward: Rc::new(forward), deadline, attempts: Vec::new() };
         state.open.insert(demand.id, open);
         self.set(state, deadline.saturating_sub(GUARD), Due::Guard(demand.id));
         let id = demand.id;
         state.events.push_back(Event::Request(demand));
         self.run(state);
-        (id, answer)
+        Some((id, answer))
     }
 
     /// The client has left; nothing more is owed.
     pub fn gone(self: &Rc<Self>, id: RequestId) {
         let mut state = self.state.borrow_mut();
-        let Some(open) = state.open.get_mut(&id) else { return };
-        if open.reply.take().is_none() {
+        if state.take_reply(id).is_none() {
             return;
         }
         state.tidy(id);
@@ -300,11 +338,11 @@
         log::debug!("request {id} attempt {number} at server {server}: {status:?} after {latency} us");
         if let Some(served) = served {
             // The first good answer goes to the client; a later one finds the request closed.
-            if let Some(reply) = open.reply.take() {
+            if let Some(reply) = state.take_reply(id) {
                 let _ = reply.send(Answer::Served(served));
             }
         }
-        let closed = open.reply.is_none();
+        let closed = state.open.get(&id).is_none_or(|o| o.reply.is_none());
         state.tidy(id);
         let load = Load::default();
         let outcome = Outcome { id, attempt: number, server, status, latency, closed, load };
@@ -318,6 +356,14 @@
     }
 
     fn set(&self, state: &mut State, at: Micros, due: Due) {
+        // Timers of requests that are over would stay until their clients' time is up, which may be minutes.
+        if state.timers.len() > TIMERS_KEPT + 4 * state.open.len() {
+            let open = &state.open;
+            state.timers.retain(|Reverse((_, due))| match due {
+                Due::Module(_) => true,
+                Due::Attempt(id, _) | Due::Guard(id) => open.contains_key(id),
+            });
+        }
         let sooner = state.timers.peek().is_none_or(|Reverse((first, _))| at < *first);
         state.timers.push(Reverse((at, due)));
         if sooner {
@@ -381,7 +427,7 @@
         if stopped {
             return self.set(state, now + GUARD_WAIT, Due::Guard(id));
         }
-        log::warn!("request {id} ends at its deadline without the module's answer");
+        self.seldom.warn(format_args!("request {id} ends at its deadline without the module's answer"));
         state.answer(id, Answer::Overdue);
         state.events.push_back(Event::Gone { id });
         self.run(state);
@@ -390,13 +436,20 @@
 
 impl State {
     fn answer(&mut self, id: RequestId, answer: Answer) {
-        let Some(open) = self.open.get_mut(&id) else { return };
-        if let Some(reply) = open.reply.take() {
+        if let Some(reply) = self.take_reply(id) {
             let _ = reply.send(answer);
         }
         self.tidy(id);
     }
 
+    /// The way to the client, once; from then on the request's id is free.
+    fn take_reply(&mut self, id: RequestId) -> Option<oneshot::Sender<Answer>> {
+        let open = self.open.get_mut(&id)?;
+        let reply = open.reply.take()?;
+        self.names.remove(&open.name);
+        Some(reply)
+    }
+
     /// Forgets a request that is answered and has nothing out.
     fn tidy(&mut self, id: RequestId) {
         let done = |o: &Open| o.reply.is_none() && o.attempts.iter().all(|a| !a.out);
--- a/limeway/src/counter.rs
+++ b/limeway/src/counter.rs
@@ -12,7 +12,7 @@
 
 /// Connections at most: the counter resets those beyond 32, and after a cut still holds as many that were
 /// given up here without its hearing of it.
-const CONNECTIONS_MOST: usize = 16;
+pub const CONNECTIONS_MOST: usize = 24;
 /// Time for which an idle connection is kept: the counter closes one after some 10 s or less, and a call that
 /// crosses this may or may not have been added.
 const IDLE_MOST: Duration = Duration::from_secs(3);
--- a/limeway/src/http.rs
+++ b/limeway/src/http.rs
@@ -149,6 +149,10 @@
     let mut parsed = httparse::Request::new(&mut headers);
     let Some(len) = length(parsed.parse(bytes), bytes.len())? else { return Ok(None) };
     let (Some(method), Some(target)) = (parsed.method, parsed.path) else { return Err(HttpError::Malformed) };
+    // The library takes a bare line feed for the end of a line; a server may not.
+    if bytes[..len].iter().zip(&bytes[1..len]).any(|(a, b)| *b == b'\n' && *a != b'\r') {
+        return Err(HttpError::Malformed);
+    }
     Ok(Some(Head {
         len,
         framing: framing(parsed.headers, false)?,
@@ -187,31 +191,26 @@
         Some(bytes[found.1.clone()].trim_ascii())
     }
 
-    /// Copies the headers that concern the two ends, leaving out those of one connection and those in `less`.
-    pub fn copy_headers(&self, bytes: &[u8], less: &[&str], to: &mut Vec<u8>) {
-        const HOP: [&str; 9] = [
-            "connection",
-            "keep-alive",
-            "proxy-connection",
-            "te",
-            "trailer",
-            "transfer-encoding",
-            "upgrade",
-            "content-length",
-            "expect",
-        ];
-        let named = self.header(bytes, "connection").unwrap_or_default();
+    /// Value of a header that may stand only once, where it does.
+    pub fn only<'a>(&self, bytes: &'a [u8], name: &str) -> Result<Option<&'a [u8]>, HttpError> {
+        let named =
+            |(n, _): &&(Range<usize>, Range<usize>)| bytes[n.clone()].eq_ignore_ascii_case(name.as_bytes());
+        match self.headers.iter().filter(named).count() {
+            0 | 1 => Ok(self.header(bytes, name)),
+            _ => Err(HttpError::Malformed),
+        }
+    }
+
+    /// Copies the headers of these names, and no others: what one side makes of an unknown header is not known.
+    pub fn copy_headers(&self, bytes: &[u8], names: &[&str], to: &mut Vec<u8>) {
         for (name, value) in &self.headers {
             let name = &bytes[name.clone()];
-            let is = |other: &&str| name.eq_ignore_ascii_case(other.as_bytes());
-            let hop = HOP.iter().any(is) || less.iter().any(is);
-            if hop || std::str::from_utf8(name).is_ok_and(|name| lists(named, name)) {
-                continue;
+            if names.iter().any(|n| name.eq_ignore_ascii_case(n.as_bytes())) {
+                to.extend_from_slice(name);
+                to.extend_from_slice(b": ");
+                to.extend_from_slice(&bytes[value.clone()]);
+                to.extend_from_slice(b"\r\n");
             }
-            to.extend_from_slice(name);
-            to.extend_from_slice(b": ");
-            to.extend_from_slice(&bytes[value.clone()]);
-            to.extend_from_slice(b"\r\n");
         }
     }
 }
@@ -307,6 +306,7 @@
         400 => "Bad Request",
         404 => "Not Found",
         405 => "Method Not Allowed",
+        409 => "Conflict",
         408 => "Request Timeout",
         413 => "Content Too Large",
         429 => "Too Many Requests",
--- a/limeway/src/main.rs
+++ b/limeway/src/main.rs
@@ -21,10 +21,12 @@
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{sleep, Instant};
 
-/// Descriptors set aside: standard streams, runtime, listener, datagrams, discovery and the counter.
-const SOCKETS_ASIDE: usize = 56;
-/// Share of the rest that is for clients, in hundredths.
-const CLIENTS_SHARE: usize = 60;
+/// Descriptors set aside: standard streams, runtime and signals, listener, datagrams, discovery (8), those that
+/// are just closing (8), and the counter's.
+const SOCKETS_ASIDE: usize = 16 + counter::CONNECTIONS_MOST;
+/// Connections to servers beyond the open requests: clients hold a third of all descriptors at most for requests,
+/// each of these has one attempt out, and the rest stands idle to be used again.
+const SERVERS_MORE: usize = 8;
 /// Discovery has so long to answer; then what was known must do.
 const READY_MOST: Duration = Duration::from_secs(2);
 /// Time between two looks at idle connections.
@@ -79,10 +81,10 @@
     let limit = config.setup.settings.counter.as_ref().map_or(0, |c| c.limit);
     let counter = config.places.counter.map(|address| counter::Counter::new(address, limit));
     let sockets = config.sockets.saturating_sub(SOCKETS_ASIDE).max(8);
-    let most = sockets * CLIENTS_SHARE / 100;
-    let clients = clients::Clients::new(most);
+    let to_servers = (config.sockets / 3 + SERVERS_MORE).min(sockets / 2);
+    let clients = clients::Clients::new(sockets - to_servers);
     log::info!("limiter {} listens at {}", config.name, config.listen);
-    let core = Core::new(config, counter, peers, sockets - most);
+    let core = Core::new(config, counter, peers, to_servers);
 
     spawn_local(core.clone().run_timers());
     spawn_local(discovery::run(core.clone()));
--- a/limeway/src/servers.rs
+++ b/limeway/src/servers.rs
@@ -110,6 +110,13 @@
     pub keep: bool,
 }
 
+/// Whether neither bytes nor the end have come on a connection, by the system itself.
+pub fn quiet(stream: &TcpStream) -> bool {
+    let mut byte = [MaybeUninit::uninit(); 1];
+    let peeked = socket2::SockRef::from(stream).peek(&mut byte);
+    matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+}
+
 /// A kept connection of ours.
 pub struct Conn {
     stream: TcpStream,
@@ -131,9 +138,7 @@
     /// Whether nothing has come since the last answer, neither bytes nor the end. Asks the system itself:
     /// what the runtime knows of the socket may be a turn old.
     pub fn quiet(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit(); 1];
-        let peeked = socket2::SockRef::from(&self.stream).peek(&mut byte);
-        self.buffer.is_empty() && matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+        self.buffer.is_empty() && quiet(&self.stream)
     }
 
     /// How long it has stood idle.
@@ -355,20 +360,21 @@
     tokio::task::spawn_local(async move {
         let (status, served) = tokio::select! {
             biased;
-            ended = attempt(&core.pools, &start) => ended,
+            ended = attempt(&core, &start) => ended,
             status = stopped => (status.unwrap_or(Status::Cancelled), None),
         };
         core.ended(start.id, start.number, status, served);
     });
 }
 
-async fn attempt(pools: &Pools, start: &Start) -> (Status, Option<Served>) {
+async fn attempt(core: &Core, start: &Start) -> (Status, Option<Served>) {
+    let pools = &core.pools;
     let mut conn = match pools.take(start.server) {
         Some(Ok(conn)) => conn,
         Some(Err(address)) => match timeout(pools.dial_timeout, Conn::open(address, &pools.count)).await {
             Ok(Ok(conn)) => conn,
             Ok(Err(e)) if e.raw_os_error().is_some_and(|code| OWN_LIMITS.contains(&code)) => {
-                log::warn!("no connection to server {}: {e}", start.server);
+                core.seldom.warn(format_args!("no connection to server {}: {e}", start.server));
                 return (Status::Moot, None);
             }
             Ok(Err(e)) => {
@@ -414,12 +420,23 @@
     }
     let served = (status == Status::Ok).then(|| {
         let mut headers = Vec::new();
-        head.copy_headers(&bytes, &["srv-load", "srv-declined"], &mut headers);
+        head.copy_headers(&bytes, &PASSED_BACK, &mut headers);
         Served { headers, body }
     });
     (status, served)
 }
 
+/// Headers of an answer that go to the client: they tell how to read the body, or concern caches.
+const PASSED_BACK: [&str; 7] = [
+    "content-type",
+    "content-encoding",
+    "content-language",
+    "cache-control",
+    "etag",
+    "last-modified",
+    "vary",
+];
+
 /// System errors that speak of this process's own limits, not of the server: EMFILE, ENFILE, EADDRNOTAVAIL.
 const OWN_LIMITS: [i32; 3] = [24, 23, 99];
 
--- a/limeway/tests/requests.rs
+++ b/limeway/tests/requests.rs
@@ -81,6 +81,18 @@
         (400, good.replace("units=1", "units=-1")),
         (400, good.replace("units=1", "units=1e30")),
         (400, good.replace("units=1", "units=1,units=2")),
+        (400, good.replace("units=1", "units=1.5")),
+        (400, good.replace("units=1", "units=0.01")),
+        (400, good.replace("units=1", "units=+1")),
+        (400, good.replace("units=1", "units=inf")),
+        (400, good.replace("Req-Deadline-Ms: 9000", "Req-Deadline-Ms: 900000000")),
+        (400, good.replace("Req-Deadline-Ms: 9000", "Req-Deadline-Ms: 9e3")),
+        (400, good.replace("Req-Id: 1", "Req-Id: 1\r\nReq-Id: 2")),
+        (400, good.replace("Plan: team", "Plan: team\r\nPlan: tiny")),
+        (400, good.replace("Req-Kind: book", "Req-Kind: book\r\nReq-Kind: book")),
+        (400, good.replace("Idempotency-Key: 5c0f", "Idempotency-Key: 5c0f\r\nidempotency-key: 5c10")),
+        (400, good.replace("Plan: team\r\n", "Plan: team\n")),
+        (400, look.replace("\r\n\r\n", "\r\nContent-Length: 2\r\n\r\nhi")),
         (400, good.replace("spread=2", "spread=0")),
         (400, good.replace("spread=2", "spread=3")),
         (400, good.replace("first=0", "first=2")),
@@ -396,3 +408,40 @@
     assert_eq!((answer.status(), answer.body.as_str()), (200, "hi"));
     assert_eq!(limiter.client().ask(&request("once", "many", "team", 30_000)).status(), 502);
 }
+
+/// Guards against headers that name one connection's business, or that a server may read otherwise than we do.
+#[test]
+fn only_known_headers_go_on_and_none_can_be_taken_away() {
+    let (server, counter) = (server(ok), counter());
+    let limiter = Setup::new(&[&server], &counter).start();
+    let more = "Connection: Req-Id, X-Hop\r\nX-Hop: 1\r\nTE: trailers\r\nSrv-Declined: 1\r\nHost:";
+    let ask = request("book", "kept", "team", 9000).replace("Host:", more);
+    assert_eq!(limiter.client().ask(&ask).status(), 200);
+    let (_, seen) = server.requests.recv_timeout(LONG).expect("a request");
+    assert_eq!((seen.header("req-id"), seen.header("idempotency-key")), (Some("kept"), Some("5c0f")));
+    for name in ["connection", "x-hop", "te", "srv-declined"] {
+        assert_eq!(seen.header(name), None, "{name}");
+    }
+}
+
+/// Guards against answers that get mixed up between two requests under one id; once the first is answered, or
+/// its client has left, the id is free.
+#[test]
+fn a_request_with_the_id_of_an_open_one_is_turned_away() {
+    let (go, wait) = channel::<()>();
+    let wait = Mutex::new(wait);
+    let one = server(move |_, _, s| {
+        let _ = wait.lock().expect("no panic while it is held").recv();
+        reply(s, "200 OK", "hi");
+    });
+    let counter = counter();
+    let limiter = Setup::new(&[&one], &counter).start();
+    let (mut first, mut second) = (limiter.client(), limiter.client());
+    first.write(&request("look", "same", "team", 30_000));
+    one.requests.recv_timeout(LONG).expect("an attempt");
+    assert_eq!(second.ask(&request("look", "same", "team", 30_000)).status(), 409);
+    go.send(()).expect("the server waits");
+    assert_eq!(first.read().map(|a| a.status()), Some(200));
+    go.send(()).expect("the server waits");
+    assert_eq!(second.ask(&request("look", "same", "team", 30_000)).status(), 200);
+}
--- a/limeway/tests/service.rs
+++ b/limeway/tests/service.rs
@@ -336,3 +336,52 @@
         assert_ne!(calls[0].0, calls[1].0, "{spoilt}: the connection was used again");
     }
 }
+
+/// Guards against clients that connect and say nothing, or never come to an end: each is told so or closed within
+/// 3 s (told by a wide margin here, as CI may be slow), and one that asks meanwhile is served.
+#[test]
+fn a_crowd_that_says_nothing_is_let_go_and_others_are_served() {
+    let (one, counter) = (server(ok), counter());
+    let mut setup = Setup::new(&[&one], &counter);
+    setup.sockets = 128;
+    let limiter = setup.start();
+    let mut crowd: Vec<TcpStream> =
+        (0..300).map(|_| TcpStream::connect(limiter.address).expect("a connection")).collect();
+    for n in 0..5 {
+        let answer = limiter.client().ask(&request("look", &n.to_string(), "team", 9000));
+        assert_eq!(answer.status(), 200, "while a crowd stands by");
+    }
+    for stream in &mut crowd {
+        stream.set_read_timeout(Some(Duration::from_secs(9))).expect("a time-out");
+        let ended = stream.read(&mut [0; 1]);
+        assert!(!matches!(&ended, Err(e) if e.kind() == std::io::ErrorKind::WouldBlock), "still open");
+    }
+}
+
+#[test]
+fn a_head_without_an_end_gets_an_error_in_time() {
+    let (one, counter) = (server(ok), counter());
+    let limiter = Setup::new(&[&one], &counter).start();
+    for part in ["GET /look", "GET /look/1 HTTP/1.1\r\nX: y\r\n"] {
+        let mut client = limiter.client();
+        client.stream.set_read_timeout(Some(Duration::from_secs(9))).expect("a time-out");
+        client.write(part);
+        assert_eq!(client.read().map(|a| a.status()), Some(408), "{part}");
+    }
+}
+
+/// Guards against closing a useful connection to make room: one that has asked and is used goes on.
+#[test]
+fn a_connection_in_use_outlives_a_crowd() {
+    let (one, counter) = (server(ok), counter());
+    let mut setup = Setup::new(&[&one], &counter);
+    setup.sockets = 128;
+    let limiter = setup.start();
+    let mut kept = limiter.client();
+    assert_eq!(kept.ask(&request("look", "before", "team", 9000)).status(), 200);
+    let crowd: Vec<TcpStream> =
+        (0..150).map(|_| TcpStream::connect(limiter.address).expect("a connection")).collect();
+    assert!(limiter.alive(), "the crowd was accepted before this one");
+    assert_eq!(kept.ask(&request("look", "after", "team", 9000)).status(), 200);
+    drop(crowd);
+}
