Calls that are lost together cut the pace once, and an answer is slow from six tenths of its time-out on

A scratch copy that printed each refusal with the state behind it: of 2,061, 987 had waited in vain for a call (even split spent, no call saved up, pace 6-10 a second a limiter), 1,074 were beyond the store. The counter takes some 26 a second a limiter there. To blame, rules.rs Counter::answered: several calls sent at one pace are lost at once and each cut it by 0.7; and the base answer of 20 ms with one other call before it was 'slow' at 0.4 of 80 ms. Ruled out: servers without room (none of the refusals).

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -25,7 +25,7 @@
 /// Factors on the pace: after a lost call, and after an answer that took more than a share of the time-out.
 const PACE_CUT: (f64, f64) = (0.7, 0.95);
 /// Share of the time-out above which an answer is slow: a line is forming.
-const PACE_SLOW: f64 = 0.4;
+const PACE_SLOW: f64 = 0.6;
 /// Growth with each quick answer: calls a second, and share of the way back to the pace before a loss. As
 /// answers come at the pace itself, the first is its growth in a second.
 const PACE_GROW: (f64, f64) = (0.4, 0.25);
@@ -396,6 +396,8 @@
             // An answer that cannot be read is an answer: it tells of no line.
             self.counter.answered(
                 ok || status == Status::Error,
+                self.now,
+                limit,
                 took as f64 / limit.max(1) as f64,
                 f64::from(self.set.gateways.max(1)),
             );
@@ -877,8 +879,11 @@
 
     /// Moves the pace of calls: all gateways together must stay under what the counter can do, as it works
     /// on calls that nobody waits for any more. Could hurt where calls are lost for other reasons.
-    fn answered(&mut self, ok: bool, share: f64, gateways: f64) {
-        if !ok {
+    fn answered(&mut self, ok: bool, now: Micros, limit: Micros, share: f64, gateways: f64) {
+        if !ok && now < self.cut_at + limit {
+            // Lost with the last one: sent at the pace before that cut.
+        } else if !ok {
+            self.cut_at = now;
             self.pace *= PACE_CUT.0;
             // Of losses in a row only the first tells how much was too much.
             self.knee = if self.failing { self.knee } else { self.pace };
--- a/src/state.rs
+++ b/src/state.rs
@@ -119,6 +119,8 @@
     /// The pace at which the last loss came, cut.
     pub knee: f64,
     pub failing: bool,
+    /// When the pace was last cut for a loss.
+    pub cut_at: Micros,
 }
 
 #[derive(Clone, Copy, PartialEq)]
