End the spiral of servers held to be cold, and let large answers through

A scratch copy that printed each server's state once a second: after 5 s all nine were "cold" with nothing out, 280 requests ready and sends down from 156 to 14 a second. Of 443 errors, 419 were answers of 370 to 390 KB turned down as too long. To blame, rules.rs: any suspicion ended in 14 s of cold, though single connections had fallen silent, and a cold server's share went by the rate of sends, which fell with the shares. http.rs: one bound of 64 KiB for both ways, which each such request met at three servers in turn. Now: cold again only after a refused or broken connection; shares go by what is let through; answers up to 1 MiB, with 250 ms for each pause in one instead of for the whole.

--- a/limeway/src/clients.rs
+++ b/limeway/src/clients.rs
@@ -22,7 +22,7 @@
 /// later one: who says nothing, or never comes to an end, is told so or closed within 3 s.
 const MESSAGE_MOST: Duration = Duration::from_millis(2_200);
 /// Time for an answer to be taken.
-const ANSWER_MOST: Duration = Duration::from_secs(5);
+const ANSWER_MOST: Duration = Duration::from_secs(10);
 /// After an error, what is still on its way is read for so long, lest the answer be lost to a reset.
 const LINGER: Duration = Duration::from_millis(500);
 /// Longest wait for room when no connection can be accepted, and when accepting has failed.
@@ -325,7 +325,7 @@
             }
         };
         let bytes = self.buffer.split_to(head.len);
-        let mut body = Body::new(head.framing);
+        let mut body = Body::new(head.framing, http::BODY_MOST);
         while !body.take(&mut self.buffer).map_err(reject)? {
             if !self.more().await {
                 return Ok(None);
--- a/limeway/src/http.rs
+++ b/limeway/src/http.rs
@@ -6,8 +6,10 @@
 
 /// Longest head of a message, in bytes.
 pub const HEAD_MOST: usize = 16 * 1024;
-/// Longest body of a message, in bytes.
+/// Longest body of a request, in bytes.
 pub const BODY_MOST: usize = 64 * 1024;
+/// Longest body of an answer, in bytes: servers have been seen to send some 400 KB.
+pub const ANSWER_BODY_MOST: usize = 1024 * 1024;
 /// Most headers of a message.
 const HEADERS_MOST: usize = 64;
 /// Longest line that opens a chunk, in bytes; and all trailers together.
@@ -111,7 +113,9 @@
     match (length, chunked) {
         // Two lengths for one body: a way to smuggle a second request past whoever reads the other one.
         (Some(_), true) => Err(HttpError::Malformed),
-        (Some(length), false) if length > BODY_MOST => Err(HttpError::BodyTooLong),
+        (Some(length), false) if length > if answer { ANSWER_BODY_MOST } else { BODY_MOST } => {
+            Err(HttpError::BodyTooLong)
+        }
         (Some(length), false) => Ok(Framing::Length(length)),
         (None, true) => Ok(Framing::Chunked),
         (None, false) => Ok(if answer { Framing::UntilClose } else { Framing::Length(0) }),
@@ -219,6 +223,7 @@
 #[derive(Debug)]
 pub struct Body {
     framing: Framing,
+    most: usize,
     /// What has been gathered.
     pub bytes: Vec<u8>,
     /// Left of the chunk being read; nothing between chunks.
@@ -229,9 +234,9 @@
 }
 
 impl Body {
-    /// A body of this framing.
-    pub fn new(framing: Framing) -> Self {
-        Body { framing, bytes: Vec::new(), chunk: None, trailers: false, trailing: 0 }
+    /// A body of this framing, and of so many bytes at most.
+    pub fn new(framing: Framing, most: usize) -> Self {
+        Body { framing, most, bytes: Vec::new(), chunk: None, trailers: false, trailing: 0 }
     }
 
     /// Takes from the front of `from` what belongs to the body; true once it is whole.
@@ -284,7 +289,7 @@
                 match httparse::parse_chunk_size(from) {
                     Ok(httparse::Status::Complete((len, size))) => {
                         let size = usize::try_from(size).map_err(|_| HttpError::BodyTooLong)?;
-                        if size > BODY_MOST - self.bytes.len() {
+                        if size > self.most - self.bytes.len() {
                             return Err(HttpError::BodyTooLong);
                         }
                         from.advance(len);
--- a/limeway/src/servers.rs
+++ b/limeway/src/servers.rs
@@ -24,7 +24,7 @@
 /// Time for which a connection rests after an answer: what comes behind the answer must show before the next
 /// request is written, or it would be taken for that one's answer.
 const REST: Duration = Duration::from_millis(20);
-/// Time in which an answer that has begun must come whole: servers are near, and bodies hold 64 KiB at most.
+/// Longest pause within an answer that has begun: servers are near. Its length is bounded as well.
 const STALL: Duration = Duration::from_millis(250);
 /// Zones at most.
 const ZONES_MOST: usize = 64;
@@ -169,12 +169,7 @@
             if self.buffer.is_empty() {
                 self.more().await?;
             }
-            // Guards against a head without end and a length that no body fills: whoever has begun to answer
-            // goes on to its end.
-            let Ok(reply) = timeout(STALL, self.read_begun()).await else {
-                return Err(Broken::Spoilt("stalled"));
-            };
-            if let Some(reply) = reply? {
+            if let Some(reply) = self.read_begun().await? {
                 return Ok(reply);
             }
         }
@@ -188,12 +183,18 @@
         }
     }
 
+    /// More of an answer that has begun. Guards against a head without end and a length that no body fills:
+    /// whoever has begun to answer goes on to its end.
+    async fn more_soon(&mut self) -> Result<(), Broken> {
+        timeout(STALL, self.more()).await.unwrap_or(Err(Broken::Spoilt("stalled")))
+    }
+
     /// Reads the answer that has begun; nothing if it was of the kind 1xx.
     async fn read_begun(&mut self) -> Result<Option<Reply>, Broken> {
         let head = loop {
             match http::answer(&self.buffer)? {
                 Some(head) => break head,
-                None => self.more().await?,
+                None => self.more_soon().await?,
             }
         };
         let bytes = self.buffer.split_to(head.len);
@@ -205,9 +206,9 @@
         if open_end && head.status == 200 {
             return Err(Broken::Spoilt("no length"));
         }
-        let mut body = Body::new(head.framing);
+        let mut body = Body::new(head.framing, http::ANSWER_BODY_MOST);
         while !open_end && !body.take(&mut self.buffer)? {
-            self.more().await?;
+            self.more_soon().await?;
         }
         let keep = head.keep_alive && !open_end && head.status >= 200 && self.buffer.is_empty();
         Ok(Some(Reply { head, bytes, body: body.bytes, keep }))
--- a/limeway/tests/requests.rs
+++ b/limeway/tests/requests.rs
@@ -445,3 +445,12 @@
     go.send(()).expect("the server waits");
     assert_eq!(second.ask(&request("look", "same", "team", 30_000)).status(), 200);
 }
+
+/// Guards against taking a large answer for a spoilt one: three servers would run the request, and none serve it.
+#[test]
+fn a_large_answer_comes_back_whole() {
+    let (one, counter) = (server(|_, _, s| reply(s, "200 OK", &"large ".repeat(70_000))), counter());
+    let limiter = Setup::new(&[&one], &counter).start();
+    let answer = limiter.client().ask(&request("look", "1", "team", 30_000));
+    assert_eq!((answer.status(), answer.body.len()), (200, 420_000));
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -274,6 +274,11 @@
                 customer.open += 1.0;
                 request.window = if escrowed && !granted { window } else { 0 };
                 request.stage = Stage::Ready;
+                // The rate of what should go on, not of what does: where all servers count as cold, their
+                // shares would shrink with the sends, and the sends with the shares.
+                let passed = (self.now - self.rate_at) as f64;
+                self.rate = self.rate * (-passed / RATE_SPAN).exp() + 1.0 / (RATE_SPAN * SECOND);
+                self.rate_at = self.now;
                 let patience = request.arrived + self.set.classes[request.class].aim;
                 let alarm = patience.saturating_sub(self.latency[request.class] as u64);
                 set_alarm(&mut self.alarms, request, item.id, alarm);
@@ -649,9 +654,6 @@
     fn send(&mut self, id: RequestId, at: ServerId, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(server) = self.servers[at].as_mut() else { return };
-        let passed = (self.now - self.rate_at) as f64;
-        self.rate = self.rate * (-passed / RATE_SPAN).exp() + 1.0 / (RATE_SPAN * SECOND);
-        self.rate_at = self.now;
         if request.attempts.is_empty() {
             self.retries = (self.retries + RETRIES.0).min(RETRIES.1);
         }
@@ -679,17 +681,23 @@
             if matches!(status, Status::Ok | Status::Error | Status::Full) {
                 server.answered = now;
                 server.eject = EJECT.0;
-                if server.health == Health::Trial {
+                // Cold again only after signs of a restart: one connection that fell silent is none.
+                if server.health == Health::Trial && server.broke {
                     server.chill(now, chance);
                 }
+                server.broke = false;
                 server.health = Health::Up;
             }
             match status {
                 Status::Ok => server.failures = 0,
                 // A full server may have room for another plan or class: its bound is left alone.
-                Status::Reset => server.suspect(now),
+                Status::Reset => {
+                    server.broke = true;
+                    server.suspect(now);
+                }
                 Status::Error | Status::ConnectFailed | Status::Timeout => {
                     server.failures += 1;
+                    server.broke |= status == Status::ConnectFailed;
                     if server.failures >= FAILURES || server.health == Health::Trial {
                         server.suspect(now);
                     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -178,6 +178,8 @@
     pub health: Health,
     pub eject: Micros,
     pub failures: u32,
+    /// It refused or broke a connection since its last answer: it may have restarted.
+    pub broke: bool,
     pub answered: Micros,
     pub outs: BTreeMap<(RequestId, u32), Micros>,
     pub limit: f64,
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -343,3 +343,32 @@
         assert!(host.sent(100 + n).iter().all(|s| *s != at), "nothing goes to what is gone");
     }
 }
+
+/// Guards against a spiral: servers that were suspect because single connections fell silent counted as cold, and
+/// took next to nothing until nearly all was refused. A server that broke a connection may have restarted.
+#[test]
+fn only_a_server_that_broke_a_connection_is_cold_after_its_trial() {
+    for (broke, least, most) in [(false, 2, 8), (true, 0, 1)] {
+        let mut host = Host::new(settings(), 2);
+        host.ask(1, 0, 3, 60 * S);
+        host.wait(5 * MS);
+        let silent = host.sent(1)[0];
+        if broke {
+            host.done(1, 0, silent, Status::Reset);
+        }
+        let trial = (10..600).find(|&id| {
+            host.ask(id, 0, 3, 4 * S);
+            let at = host.sent(id)[0];
+            host.done(id, 0, at, Status::Ok);
+            host.wait(20 * MS);
+            at == silent
+        });
+        assert!(trial.is_some(), "it is tried again");
+        host.done(1, 0, silent, Status::Timeout);
+        for id in 1_000..1_008 {
+            host.ask(id, 0, 3, 4 * S);
+        }
+        let there = (1_000..1_008).filter(|id| host.sent(*id) == [silent]).count();
+        assert!((least..=most).contains(&there), "{there} of 8 go there, broke: {broke}");
+    }
+}
