Take one reset for a failure like others, not for the death of its server

To blame, rules.rs on_outcome: each Reset made its server suspect for 1 s, doubling, and cold for 14 s after that. Now: three failures in a row, as for errors; cold only after refused connections, which is how a dead process shows next.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -691,11 +691,9 @@
             match status {
                 Status::Ok => server.failures = 0,
                 // A full server may have room for another plan or class: its bound is left alone.
-                Status::Reset => {
-                    server.broke = true;
-                    server.suspect(now);
-                }
-                Status::Error | Status::ConnectFailed | Status::Timeout => {
+                // A kept connection may have gone stale, so one reset tells little: a process that died
+                // refuses the next connections, and these never ran.
+                Status::Reset | Status::Error | Status::ConnectFailed | Status::Timeout => {
                     server.failures += 1;
                     server.broke |= status == Status::ConnectFailed;
                     if server.failures >= FAILURES || server.health == Health::Trial {
