One package per concern under crates/; the daemon's socket modules no longer know the core

Change: pondgw, simhost and limeway move to crates/ (git mv). The daemon is a library with a thin main; service.rs holds start, signals and end. servers, counter, discovery and peers take commands and give events (an async call's result, or a callback); conn.rs holds connections, members.rs the list's form, seldom.rs the bounded warnings. Attempts hold their server's number by a guard that is dropped after the module has heard of their end, as before.

--- a/limeway/src/clients.rs
+++ b/crates/limeway/src/clients.rs
@@ -1,8 +1,9 @@
 //! The listener, one task per client connection, and exactly one answer to each request.
 
+use crate::conn::{quiet, Counted};
 use crate::core::{Answer, Core};
 use crate::http::{self, Body, Framing, Head, HttpError};
-use crate::servers::{self, Counted, Forward};
+use crate::servers::Forward;
 use bytes::BytesMut;
 use pondgw::{Demand, Effect, Setup};
 use std::cell::{Cell, RefCell};
@@ -198,7 +199,7 @@
             Err(e) => {
                 // Out of descriptors: idle ones go, and trying again at once would only spin.
                 core.seldom.warn(format_args!("accepting: {e}"));
-                core.pools.prune();
+                core.links.pools.prune();
                 sleep(ACCEPT_WAIT).await;
             }
         }
@@ -309,7 +310,7 @@
                 () = std::future::ready(()), if closing => {}
             }
             // To be closed, unless a request is on its way: that one would be lost.
-            if servers::quiet(&self.stream) {
+            if quiet(&self.stream) {
                 return false;
             }
             return matches!(self.stream.read_buf(&mut self.buffer).await, Ok(1..));
--- a/limeway/src/config.rs
+++ b/crates/limeway/src/config.rs
@@ -1,6 +1,6 @@
 //! The JSON configuration and the environment, checked; each error names its key.
 
-use crate::discovery::List;
+use crate::members::List;
 use pondgw::Setup;
 use serde::Deserialize;
 use std::fmt;
--- /dev/null
+++ b/crates/limeway/src/conn.rs
@@ -0,0 +1,190 @@
+//! Connections of our own to other sides: one HTTP/1.1 message out, one whole answer in.
+
+use crate::http::{self, Body};
+use bytes::BytesMut;
+use std::cell::Cell;
+use std::fmt;
+use std::io;
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Longest pause within an answer that has begun: servers are near. Its length is bounded as well.
+const STALL: Duration = Duration::from_millis(250);
+/// Answers of the kind 1xx ahead of the real one, at most.
+const INTERIM_MOST: u32 = 8;
+/// Largest buffer that an idle connection keeps, in bytes.
+const BUFFER_KEPT: usize = 4 * 1024;
+
+/// Counts what is open for as long as it lives.
+pub struct Counted(Rc<Cell<usize>>);
+
+impl Counted {
+    /// One more.
+    pub fn new(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Counted(count.clone())
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
+/// Why no answer came of a message.
+#[derive(Debug)]
+pub enum Broken {
+    /// The connection ended or broke.
+    Ended(io::Error),
+    /// What came cannot be read as an answer; the connection itself may stay open, but is of no further use.
+    Spoilt(&'static str),
+}
+
+impl From<io::Error> for Broken {
+    fn from(e: io::Error) -> Self {
+        Broken::Ended(e)
+    }
+}
+
+impl From<http::HttpError> for Broken {
+    fn from(e: http::HttpError) -> Self {
+        Broken::Spoilt(e.reason())
+    }
+}
+
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Broken::Ended(e) => write!(f, "connection ended: {e}"),
+            Broken::Spoilt(reason) => write!(f, "spoilt answer: {reason}"),
+        }
+    }
+}
+
+impl std::error::Error for Broken {}
+
+/// A whole answer.
+pub struct Reply {
+    /// Its head, by places in `bytes`.
+    pub head: http::Head,
+    /// What the head was read from.
+    pub bytes: BytesMut,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// The connection may be used again.
+    pub keep: bool,
+}
+
+/// Whether neither bytes nor the end have come on a connection, by the system itself.
+pub fn quiet(stream: &TcpStream) -> bool {
+    let mut byte = [MaybeUninit::uninit(); 1];
+    let peeked = socket2::SockRef::from(stream).peek(&mut byte);
+    matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+}
+
+/// A kept connection of ours.
+pub struct Conn {
+    stream: TcpStream,
+    buffer: BytesMut,
+    since: Instant,
+    to: SocketAddr,
+    _counted: Counted,
+}
+
+impl Conn {
+    /// Opens a connection and counts it.
+    pub async fn open(to: SocketAddr, count: &Rc<Cell<usize>>) -> io::Result<Self> {
+        let _counted = Counted::new(count);
+        let stream = TcpStream::connect(to).await?;
+        stream.set_nodelay(true)?;
+        Ok(Conn { stream, buffer: BytesMut::with_capacity(1024), since: Instant::now(), to, _counted })
+    }
+
+    /// Whether nothing has come since the last answer, neither bytes nor the end. Asks the system itself:
+    /// what the runtime knows of the socket may be a turn old.
+    pub fn quiet(&self) -> bool {
+        self.buffer.is_empty() && quiet(&self.stream)
+    }
+
+    /// Where it leads.
+    pub fn to(&self) -> SocketAddr {
+        self.to
+    }
+
+    /// How long it has stood idle.
+    pub fn idle(&self) -> Duration {
+        self.since.elapsed()
+    }
+
+    /// Marks it as idle from now on; a buffer that has grown is let go.
+    pub fn rest(&mut self) {
+        self.since = Instant::now();
+        if self.buffer.capacity() > BUFFER_KEPT {
+            self.buffer = BytesMut::new();
+        }
+    }
+
+    /// Writes a message; sets `written` once its last byte has been handed over.
+    pub async fn write(&mut self, message: &[u8], written: &Cell<bool>) -> io::Result<()> {
+        self.stream.write_all(message).await?;
+        written.set(true);
+        Ok(())
+    }
+
+    /// Reads one whole answer, past those of the kind 1xx.
+    pub async fn read(&mut self) -> Result<Reply, Broken> {
+        for _ in 0..=INTERIM_MOST {
+            if self.buffer.is_empty() {
+                self.more().await?;
+            }
+            if let Some(reply) = self.read_begun().await? {
+                return Ok(reply);
+            }
+        }
+        Err(Broken::Spoilt("too many interim answers"))
+    }
+
+    async fn more(&mut self) -> Result<(), Broken> {
+        match self.stream.read_buf(&mut self.buffer).await? {
+            0 => Err(Broken::Ended(io::ErrorKind::UnexpectedEof.into())),
+            _ => Ok(()),
+        }
+    }
+
+    /// More of an answer that has begun. Guards against a head without end and a length that no body fills:
+    /// whoever has begun to answer goes on to its end.
+    async fn more_soon(&mut self) -> Result<(), Broken> {
+        timeout(STALL, self.more()).await.unwrap_or(Err(Broken::Spoilt("stalled")))
+    }
+
+    /// Reads the answer that has begun; nothing if it was of the kind 1xx.
+    async fn read_begun(&mut self) -> Result<Option<Reply>, Broken> {
+        let head = loop {
+            match http::answer(&self.buffer)? {
+                Some(head) => break head,
+                None => self.more_soon().await?,
+            }
+        };
+        let bytes = self.buffer.split_to(head.len);
+        if (100..200).contains(&head.status) && head.status != 101 {
+            return Ok(None);
+        }
+        // A body that goes on to the end of its connection may be cut short unseen.
+        let open_end = head.framing == http::Framing::UntilClose;
+        if open_end && head.status == 200 {
+            return Err(Broken::Spoilt("no length"));
+        }
+        let mut body = Body::new(head.framing, http::ANSWER_BODY_MOST);
+        while !open_end && !body.take(&mut self.buffer)? {
+            self.more_soon().await?;
+        }
+        let keep = head.keep_alive && !open_end && head.status >= 200 && self.buffer.is_empty();
+        Ok(Some(Reply { head, bytes, body: body.bytes, keep }))
+    }
+}
--- a/limeway/src/core.rs
+++ b/crates/limeway/src/core.rs
@@ -2,17 +2,20 @@
 //! Holds no policy: what the module asks for is carried out, within what the site permits.
 
 use crate::config::{Config, Places};
-use crate::discovery::List;
-use crate::servers::{self, Forward, Pools, Served};
-use crate::{counter, peers};
+use crate::counter::{Counted, Counter};
+use crate::discovery::{Discovery, News};
+use crate::members::List;
+use crate::peers::Peers;
+use crate::seldom::Seldom;
+use crate::servers::{self, Ended, Forward, Pools, Served};
 use pondgw::*;
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
-use std::fmt;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
 use tokio::sync::{oneshot, Notify};
+use tokio::task::spawn_local;
 
 /// Time before its deadline at which a request's attempts are ended: the module is done some 10 ms earlier,
 /// so this only guards against one that is silent or a process that was held up.
@@ -95,23 +98,16 @@
     timers: BinaryHeap<Reverse<(Micros, Due)>>,
 }
 
-/// Warns once a second at most: whoever reads standard error may read slowly, and a full pipe would hold up the
-/// one thread.
-#[derive(Default)]
-pub struct Seldom {
-    last: Cell<Option<Instant>>,
-    left_out: Cell<u64>,
-}
-
-impl Seldom {
-    /// Warns, or counts what is left out.
-    pub fn warn(&self, text: fmt::Arguments) {
-        if self.last.get().is_some_and(|last| last.elapsed() < Duration::from_secs(1)) {
-            return self.left_out.set(self.left_out.get() + 1);
-        }
-        self.last.set(Some(Instant::now()));
-        log::warn!("{text} ({} warnings before were left out)", self.left_out.take());
-    }
+/// The other sides. They take commands and give events; none of them knows the core.
+pub struct Links {
+    /// Connections to servers.
+    pub pools: Rc<Pools>,
+    /// The counter.
+    pub counter: Option<Rc<Counter>>,
+    /// Other limiters.
+    pub peers: Option<Rc<Peers>>,
+    /// The list of servers.
+    pub discovery: Rc<Discovery>,
 }
 
 /// What all tasks share.
@@ -120,18 +116,10 @@
     pub config: Config,
     /// The module's clock.
     pub clock: Clock,
-    /// Connections to servers.
-    pub pools: Pools,
-    /// Connections to the counter.
-    pub counter: Option<counter::Counter>,
-    /// The way to other limiters.
-    pub peers: Option<peers::Peers>,
+    /// The ways to the other sides.
+    pub links: Links,
     /// Where discovery and the counter are at present.
     pub places: Cell<Places>,
-    /// Discovery has moved.
-    pub moved: Notify,
-    /// Discovery may be watched: at once where it pushes, else when the module asks.
-    pub watch: Notify,
     /// Clients may be sent here.
     pub ready: Cell<bool>,
     /// The process has been told to end.
@@ -144,22 +132,13 @@
 
 impl Core {
     /// The core, with the servers that were known when it started.
-    pub fn new(
-        config: Config,
-        counter: Option<counter::Counter>,
-        peers: Option<peers::Peers>,
-        connections: usize,
-    ) -> Rc<Self> {
+    pub fn new(config: Config, links: Links) -> Rc<Self> {
         let clock = Clock::new();
         let gateway = Gateway::new(config.setup.settings.clone(), config.seed, clock.now());
         let core = Rc::new(Core {
-            pools: Pools::new(&config.setup, connections),
             clock,
-            counter,
-            peers,
+            links,
             places: Cell::new(config.places),
-            moved: Notify::new(),
-            watch: Notify::new(),
             ready: Cell::new(false),
             draining: Cell::new(false),
             seldom: Seldom::default(),
@@ -181,20 +160,41 @@
         core
     }
 
+    /// Starts what brings events in from the other sides, and the timers.
+    pub fn start(self: &Rc<Self>) {
+        spawn_local(self.clone().run_timers());
+        let core = self.clone();
+        spawn_local(async move { core.links.discovery.run(|news| core.news(news)).await });
+        if let Some(peers) = self.links.peers.clone() {
+            let core = self.clone();
+            spawn_local(async move { peers.run(|from, data| core.feed(Event::Peer { from, data })).await });
+        }
+    }
+
     /// Goes over to other addresses of discovery and the counter.
     pub fn move_to(&self, places: Places) {
-        let old = self.places.replace(places);
-        if let (Some(counter), Some(address)) = (&self.counter, places.counter) {
+        self.places.set(places);
+        if let (Some(counter), Some(address)) = (&self.links.counter, places.counter) {
             counter.move_to(address);
         }
-        if old.discovery != places.discovery {
-            self.moved.notify_one();
+        self.links.discovery.move_to(places.discovery);
+    }
+
+    /// Takes what discovery tells.
+    fn news(self: &Rc<Self>, news: News) {
+        match news {
+            News::List(kind, list) => self.learn(kind, &list),
+            News::Same => {}
+            News::Failed => {
+                return self.feed(Event::Servers { kind: ListKind::Failed, entries: Vec::new() });
+            }
         }
+        self.ready.set(true);
     }
 
     /// Takes news of the servers: pools first, so that nothing more goes where it should not.
-    pub fn learn(self: &Rc<Self>, kind: ListKind, list: &List) {
-        let entries = self.pools.learn(kind, list);
+    fn learn(self: &Rc<Self>, kind: ListKind, list: &List) {
+        let entries = self.links.pools.learn(kind, list);
         self.feed(Event::Servers { kind, entries });
     }
 
@@ -228,19 +228,25 @@
             Action::Refuse { id, retry_after } => state.answer(id, Answer::Refused(retry_after)),
             Action::Fail { id } => state.answer(id, Answer::Failed),
             Action::Timer { at, token } => self.set(state, at, Due::Module(token)),
-            Action::Count { name, amount, ttl } => match &self.counter {
-                Some(counter) => counter.call(self, name, amount, ttl),
+            Action::Count { name, amount, ttl } => match &self.links.counter {
+                Some(counter) => {
+                    let (core, counter) = (self.clone(), counter.clone());
+                    spawn_local(async move {
+                        let Counted { status, total, latency } = counter.call(name, amount, ttl).await;
+                        core.feed(Event::Counted { name, status, total, latency });
+                    });
+                }
                 None => {
                     let status = Status::ConnectFailed;
                     state.events.push_back(Event::Counted { name, status, total: 0.0, latency: 0 });
                 }
             },
             Action::Tell { peer, data } => {
-                if let Some(peers) = &self.peers {
+                if let Some(peers) = &self.links.peers {
                     peers.tell(peer, &data);
                 }
             }
-            Action::Watch => self.watch.notify_one(),
+            Action::Watch => self.links.discovery.watch(),
         }
     }
 
@@ -282,7 +288,9 @@
         }
         let left = deadline.saturating_sub(now);
         let left = if timeout > 0 { left.min(timeout) } else { left };
-        servers::start(self.clone(), servers::Start { id, number, server, forward, left }, stopped);
+        let attempt = servers::attempt(&self.links.pools, servers::Start { server, forward, left }, stopped);
+        let core = self.clone();
+        spawn_local(async move { core.ended(id, number, attempt.await) });
     }
 
     /// A client's request has come whole. Gives its number and where its answer will come; nothing where another
@@ -327,7 +335,8 @@
     }
 
     /// An attempt has ended; its connection is closed or back in its pool.
-    pub fn ended(self: &Rc<Self>, id: RequestId, number: u32, status: Status, served: Option<Served>) {
+    fn ended(self: &Rc<Self>, id: RequestId, number: u32, mut ended: Ended) {
+        let (status, served) = (ended.status, ended.served.take());
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
         let Some(open) = state.open.get_mut(&id) else { return };
@@ -372,7 +381,7 @@
     }
 
     /// Runs the one queue of timers, for ever.
-    pub async fn run_timers(self: Rc<Self>) {
+    async fn run_timers(self: Rc<Self>) {
         let sleep = tokio::time::sleep(Duration::ZERO);
         tokio::pin!(sleep);
         loop {
--- a/limeway/src/counter.rs
+++ b/crates/limeway/src/counter.rs
@@ -1,8 +1,7 @@
 //! Calls to the counter.
 
-use crate::core::Core;
-use crate::servers::{Broken, Conn, Reply};
-use pondgw::{Event, Micros, Status};
+use crate::conn::{Broken, Conn, Reply};
+use pondgw::{Micros, Status};
 use std::cell::{Cell, RefCell};
 use std::io::Write;
 use std::net::SocketAddr;
@@ -17,6 +16,17 @@
 /// crosses this may or may not have been added.
 const IDLE_MOST: Duration = Duration::from_secs(3);
 
+/// What came of a call.
+#[derive(Debug, Clone, Copy)]
+pub struct Counted {
+    /// Whether the amount was added.
+    pub status: Status,
+    /// The total after it, with [`Status::Ok`].
+    pub total: f64,
+    /// Time since the call.
+    pub latency: Micros,
+}
+
 /// The counter: one call at a time on a connection, so that a call that is given up takes no other with it.
 pub struct Counter {
     address: Cell<SocketAddr>,
@@ -42,23 +52,19 @@
         }
     }
 
-    /// Makes a call; the module hears of its end. Calls on one name never overlap: the module has one call out
-    /// for a customer at a time, and no two customers share a name.
-    pub fn call(&self, core: &Rc<Core>, name: u64, amount: f64, ttl: Micros) {
-        let core = core.clone();
-        tokio::task::spawn_local(async move {
-            let Some(counter) = &core.counter else { return };
-            let (start, written) = (Instant::now(), Cell::new(false));
-            let ended = timeout(counter.limit, counter.exchange(name, amount, ttl, &written)).await;
-            let (status, total) = match ended {
-                Ok(ended) => ended,
-                Err(_) if written.get() => (Status::Timeout, 0.0),
-                Err(_) => (Status::ConnectFailed, 0.0),
-            };
-            let latency = start.elapsed().as_micros() as Micros;
-            log::debug!("count {name} {amount}: {status:?} {total} after {latency} us");
-            core.feed(Event::Counted { name, status, total, latency });
-        });
+    /// Makes a call. Calls on one name never overlap: the module has one call out for a customer at a time, and no
+    /// two customers share a name.
+    pub async fn call(&self, name: u64, amount: f64, ttl: Micros) -> Counted {
+        let (start, written) = (Instant::now(), Cell::new(false));
+        let ended = timeout(self.limit, self.exchange(name, amount, ttl, &written)).await;
+        let (status, total) = match ended {
+            Ok(ended) => ended,
+            Err(_) if written.get() => (Status::Timeout, 0.0),
+            Err(_) => (Status::ConnectFailed, 0.0),
+        };
+        let latency = start.elapsed().as_micros() as Micros;
+        log::debug!("count {name} {amount}: {status:?} {total} after {latency} us");
+        Counted { status, total, latency }
     }
 
     fn take(&self) -> Option<Conn> {
--- /dev/null
+++ b/crates/limeway/src/main.rs
@@ -0,0 +1,23 @@
+//! limeway: a quota limiter on real sockets. Exit code 1 and one line on standard error where it cannot start.
+#![forbid(unsafe_code)]
+
+use std::fmt::Display;
+use std::process::ExitCode;
+use tokio::task::LocalSet;
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(e) => return fail(format!("runtime: {e}")),
+    };
+    match LocalSet::new().block_on(&runtime, limeway::service::serve()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => fail(e),
+    }
+}
+
+fn fail(reason: impl Display) -> ExitCode {
+    eprintln!("limeway: {reason}");
+    ExitCode::FAILURE
+}
--- a/limeway/src/servers.rs
+++ b/crates/limeway/src/servers.rs
@@ -1,20 +1,15 @@
 //! Connections to servers: pools, attempts, and the outcome of each.
 
-use crate::core::Core;
-use crate::discovery::{Health, List};
-use crate::http::{self, Body};
-use bytes::BytesMut;
-use pondgw::{Entry, Lifecycle, ListKind, Micros, RequestId, ServerId, Setup, Status};
+use crate::conn::{Broken, Conn, Reply};
+use crate::members::{Health, List};
+use crate::seldom::Seldom;
+use pondgw::{Entry, Lifecycle, ListKind, Micros, ServerId, Setup, Status};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::fmt;
-use std::io;
-use std::mem::MaybeUninit;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
@@ -24,14 +19,8 @@
 /// Time for which a connection rests after an answer: what comes behind the answer must show before the next
 /// request is written, or it would be taken for that one's answer.
 const REST: Duration = Duration::from_millis(20);
-/// Longest pause within an answer that has begun: servers are near. Its length is bounded as well.
-const STALL: Duration = Duration::from_millis(250);
 /// Zones at most.
 const ZONES_MOST: usize = 64;
-/// Answers of the kind 1xx ahead of the real one, at most.
-const INTERIM_MOST: u32 = 8;
-/// Largest buffer that an idle connection keeps, in bytes.
-const BUFFER_KEPT: usize = 4 * 1024;
 
 /// A client's request as it goes on to servers.
 #[derive(Debug)]
@@ -51,170 +40,6 @@
     pub body: Vec<u8>,
 }
 
-/// Counts what is open for as long as it lives.
-pub struct Counted(Rc<Cell<usize>>);
-
-impl Counted {
-    /// One more.
-    pub fn new(count: &Rc<Cell<usize>>) -> Self {
-        count.set(count.get() + 1);
-        Counted(count.clone())
-    }
-}
-
-impl Drop for Counted {
-    fn drop(&mut self) {
-        self.0.set(self.0.get().saturating_sub(1));
-    }
-}
-
-/// Why no answer came of a message.
-#[derive(Debug)]
-pub enum Broken {
-    /// The connection ended or broke.
-    Ended(io::Error),
-    /// What came cannot be read as an answer; the connection itself may stay open, but is of no further use.
-    Spoilt(&'static str),
-}
-
-impl From<io::Error> for Broken {
-    fn from(e: io::Error) -> Self {
-        Broken::Ended(e)
-    }
-}
-
-impl From<http::HttpError> for Broken {
-    fn from(e: http::HttpError) -> Self {
-        Broken::Spoilt(e.reason())
-    }
-}
-
-impl fmt::Display for Broken {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Broken::Ended(e) => write!(f, "connection ended: {e}"),
-            Broken::Spoilt(reason) => write!(f, "spoilt answer: {reason}"),
-        }
-    }
-}
-
-impl std::error::Error for Broken {}
-
-/// A whole answer.
-pub struct Reply {
-    /// Its head, by places in `bytes`.
-    pub head: http::Head,
-    /// What the head was read from.
-    pub bytes: BytesMut,
-    /// Its body.
-    pub body: Vec<u8>,
-    /// The connection may be used again.
-    pub keep: bool,
-}
-
-/// Whether neither bytes nor the end have come on a connection, by the system itself.
-pub fn quiet(stream: &TcpStream) -> bool {
-    let mut byte = [MaybeUninit::uninit(); 1];
-    let peeked = socket2::SockRef::from(stream).peek(&mut byte);
-    matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
-}
-
-/// A kept connection of ours.
-pub struct Conn {
-    stream: TcpStream,
-    buffer: BytesMut,
-    since: Instant,
-    to: SocketAddr,
-    _counted: Counted,
-}
-
-impl Conn {
-    /// Opens a connection and counts it.
-    pub async fn open(to: SocketAddr, count: &Rc<Cell<usize>>) -> io::Result<Self> {
-        let _counted = Counted::new(count);
-        let stream = TcpStream::connect(to).await?;
-        stream.set_nodelay(true)?;
-        Ok(Conn { stream, buffer: BytesMut::with_capacity(1024), since: Instant::now(), to, _counted })
-    }
-
-    /// Whether nothing has come since the last answer, neither bytes nor the end. Asks the system itself:
-    /// what the runtime knows of the socket may be a turn old.
-    pub fn quiet(&self) -> bool {
-        self.buffer.is_empty() && quiet(&self.stream)
-    }
-
-    /// How long it has stood idle.
-    pub fn idle(&self) -> Duration {
-        self.since.elapsed()
-    }
-
-    /// Marks it as idle from now on; a buffer that has grown is let go.
-    pub fn rest(&mut self) {
-        self.since = Instant::now();
-        if self.buffer.capacity() > BUFFER_KEPT {
-            self.buffer = BytesMut::new();
-        }
-    }
-
-    /// Writes a message; sets `written` once its last byte has been handed over.
-    pub async fn write(&mut self, message: &[u8], written: &Cell<bool>) -> io::Result<()> {
-        self.stream.write_all(message).await?;
-        written.set(true);
-        Ok(())
-    }
-
-    /// Reads one whole answer, past those of the kind 1xx.
-    pub async fn read(&mut self) -> Result<Reply, Broken> {
-        for _ in 0..=INTERIM_MOST {
-            if self.buffer.is_empty() {
-                self.more().await?;
-            }
-            if let Some(reply) = self.read_begun().await? {
-                return Ok(reply);
-            }
-        }
-        Err(Broken::Spoilt("too many interim answers"))
-    }
-
-    async fn more(&mut self) -> Result<(), Broken> {
-        match self.stream.read_buf(&mut self.buffer).await? {
-            0 => Err(Broken::Ended(io::ErrorKind::UnexpectedEof.into())),
-            _ => Ok(()),
-        }
-    }
-
-    /// More of an answer that has begun. Guards against a head without end and a length that no body fills:
-    /// whoever has begun to answer goes on to its end.
-    async fn more_soon(&mut self) -> Result<(), Broken> {
-        timeout(STALL, self.more()).await.unwrap_or(Err(Broken::Spoilt("stalled")))
-    }
-
-    /// Reads the answer that has begun; nothing if it was of the kind 1xx.
-    async fn read_begun(&mut self) -> Result<Option<Reply>, Broken> {
-        let head = loop {
-            match http::answer(&self.buffer)? {
-                Some(head) => break head,
-                None => self.more_soon().await?,
-            }
-        };
-        let bytes = self.buffer.split_to(head.len);
-        if (100..200).contains(&head.status) && head.status != 101 {
-            return Ok(None);
-        }
-        // A body that goes on to the end of its connection may be cut short unseen.
-        let open_end = head.framing == http::Framing::UntilClose;
-        if open_end && head.status == 200 {
-            return Err(Broken::Spoilt("no length"));
-        }
-        let mut body = Body::new(head.framing, http::ANSWER_BODY_MOST);
-        while !open_end && !body.take(&mut self.buffer)? {
-            self.more_soon().await?;
-        }
-        let keep = head.keep_alive && !open_end && head.status >= 200 && self.buffer.is_empty();
-        Ok(Some(Reply { head, bytes, body: body.bytes, keep }))
-    }
-}
-
 struct Host {
     name: String,
     /// Discovery has removed it, or no longer lists it.
@@ -240,6 +65,7 @@
     most: usize,
     keep: Duration,
     dial_timeout: Duration,
+    seldom: Seldom,
 }
 
 impl Pools {
@@ -254,6 +80,7 @@
             most,
             keep: Duration::from_micros(setup.keepalive) / IDLE_PART,
             dial_timeout: Duration::from_micros(setup.dial_timeout),
+            seldom: Seldom::default(),
         }
     }
 
@@ -357,7 +184,7 @@
 
     fn give_back(&self, server: ServerId, mut conn: Conn) {
         if let Some(host) =
-            self.hosts.borrow_mut().get_mut(server).filter(|h| h.ready && h.address == Some(conn.to))
+            self.hosts.borrow_mut().get_mut(server).filter(|h| h.ready && h.address == Some(conn.to()))
         {
             conn.rest();
             host.idle.push(conn);
@@ -389,10 +216,6 @@
 
 /// An attempt to be made.
 pub struct Start {
-    /// The request.
-    pub id: RequestId,
-    /// Number of the attempt.
-    pub number: u32,
     /// Where it goes.
     pub server: ServerId,
     /// What is sent.
@@ -401,29 +224,59 @@
     pub left: Micros,
 }
 
-/// Makes an attempt and tells the core how it ended. `stopped` ends it before its time: its connection is
-/// closed by the time the core hears of it, so that no further attempt can overlap with it.
-pub fn start(core: Rc<Core>, start: Start, stopped: oneshot::Receiver<Status>) {
-    core.pools.count_out(start.server, true);
-    tokio::task::spawn_local(async move {
+/// How an attempt ended. The server's number stays taken until this is dropped.
+pub struct Ended {
+    /// How.
+    pub status: Status,
+    /// The answer, if it is a good one.
+    pub served: Option<Served>,
+    _out: Out,
+}
+
+/// Counts an attempt as out for as long as it lives: a server's number is not given to another meanwhile.
+struct Out {
+    pools: Rc<Pools>,
+    server: ServerId,
+}
+
+impl Out {
+    fn new(pools: &Rc<Pools>, server: ServerId) -> Self {
+        pools.count_out(server, true);
+        Out { pools: pools.clone(), server }
+    }
+}
+
+impl Drop for Out {
+    fn drop(&mut self) {
+        self.pools.count_out(self.server, false);
+    }
+}
+
+/// Makes an attempt, which counts as out from this call on. `stopped` ends it before its time: its connection is
+/// closed by the time the attempt has ended, so that no further one can overlap with it.
+pub fn attempt(
+    pools: &Rc<Pools>,
+    start: Start,
+    stopped: oneshot::Receiver<Status>,
+) -> impl Future<Output = Ended> + 'static {
+    let (pools, out) = (pools.clone(), Out::new(pools, start.server));
+    async move {
         let (status, served) = tokio::select! {
             biased;
-            ended = attempt(&core, &start) => ended,
+            ended = exchange(&pools, &start) => ended,
             status = stopped => (status.unwrap_or(Status::Cancelled), None),
         };
-        core.ended(start.id, start.number, status, served);
-        core.pools.count_out(start.server, false);
-    });
+        Ended { status, served, _out: out }
+    }
 }
 
-async fn attempt(core: &Core, start: &Start) -> (Status, Option<Served>) {
-    let pools = &core.pools;
+async fn exchange(pools: &Pools, start: &Start) -> (Status, Option<Served>) {
     let mut conn = match pools.take(start.server) {
         Some(Ok(conn)) => conn,
         Some(Err(address)) => match timeout(pools.dial_timeout, Conn::open(address, &pools.count)).await {
             Ok(Ok(conn)) => conn,
             Ok(Err(e)) if e.raw_os_error().is_some_and(|code| OWN_LIMITS.contains(&code)) => {
-                core.seldom.warn(format_args!("no connection to server {}: {e}", start.server));
+                pools.seldom.warn(format_args!("no connection to server {}: {e}", start.server));
                 return (Status::Moot, None);
             }
             Ok(Err(e)) => {
--- a/limeway/src/main.rs
+++ b/crates/limeway/src/service.rs
@@ -1,24 +1,16 @@
-//! limeway: a quota limiter on real sockets, round the decisions of `pondgw`. Start, signals, exit code.
-#![forbid(unsafe_code)]
+//! The service as a whole: start, signals, end.
 
-mod clients;
-mod config;
-mod core;
-mod counter;
-mod discovery;
-mod http;
-mod peers;
-mod servers;
-
-use crate::core::Core;
-use clients::Closing;
-use config::Config;
-use std::fmt::Display;
-use std::process::ExitCode;
+use crate::clients::{self, Clients, Closing};
+use crate::config::Config;
+use crate::core::{Core, Links};
+use crate::counter::{self, Counter};
+use crate::discovery::Discovery;
+use crate::peers::Peers;
+use crate::servers::Pools;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::signal::unix::{signal, Signal, SignalKind};
-use tokio::task::{spawn_local, LocalSet};
+use tokio::task::spawn_local;
 use tokio::time::{sleep, Instant};
 
 /// Descriptors set aside: standard streams, runtime and signals, listener, datagrams, discovery (8), those that
@@ -38,57 +30,44 @@
 /// Time for what has been taken, in all.
 const FINISH_MOST: Duration = Duration::from_millis(9_000);
 
-fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
-    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
-        Ok(runtime) => runtime,
-        Err(e) => return fail(format!("runtime: {e}")),
-    };
-    match LocalSet::new().block_on(&runtime, serve()) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => fail(e),
-    }
-}
-
 fn env(name: &str) -> Option<String> {
     std::env::var(name).ok()
 }
 
-fn fail(reason: impl Display) -> ExitCode {
-    eprintln!("limeway: {reason}");
-    ExitCode::FAILURE
-}
-
 fn listen_for(kind: SignalKind) -> Result<Signal, String> {
     signal(kind).map_err(|e| format!("signals: {e}"))
 }
 
-async fn serve() -> Result<(), String> {
+/// Serves until it is told to end.
+///
+/// # Errors
+/// One line that says why the service cannot start.
+pub async fn serve() -> Result<(), String> {
     // Before all else: a signal that comes early must not find its default action, which ends the process.
     let mut terminate = listen_for(SignalKind::terminate())?;
     let mut interrupt = listen_for(SignalKind::interrupt())?;
     let mut hangup = listen_for(SignalKind::hangup())?;
     let config = Config::load(env).map_err(|e| e.to_string())?;
     let listener = clients::listen(config.listen).map_err(|e| format!("listen: {}: {e}", config.listen))?;
+    let settings = &config.setup.settings;
     let peers = match &config.peers {
-        Some((address, all)) => Some(
-            peers::Peers::bind(*address, all.clone())
+        Some((address, all)) => Some(Rc::new(
+            Peers::bind(*address, all.clone(), settings.me)
                 .await
                 .map_err(|e| format!("peer_listen: {address}: {e}"))?,
-        ),
+        )),
         None => None,
     };
-    let limit = config.setup.settings.counter.as_ref().map_or(0, |c| c.limit);
-    let counter = config.places.counter.map(|address| counter::Counter::new(address, limit));
+    let limit = settings.counter.as_ref().map_or(0, |c| c.limit);
+    let counter = config.places.counter.map(|address| Rc::new(Counter::new(address, limit)));
+    let discovery = Rc::new(Discovery::new(config.places.discovery, settings.ask));
     let sockets = config.sockets.saturating_sub(SOCKETS_ASIDE).max(8);
     let to_servers = (config.sockets / 3 + SERVERS_MORE).min(sockets / 2);
-    let clients = clients::Clients::new(sockets - to_servers);
+    let pools = Rc::new(Pools::new(&config.setup, to_servers));
+    let clients = Clients::new(sockets - to_servers);
     log::info!("limiter {} listens at {}", config.name, config.listen);
-    let core = Core::new(config, counter, peers, to_servers);
-
-    spawn_local(core.clone().run_timers());
-    spawn_local(discovery::run(core.clone()));
-    spawn_local(peers::run(core.clone()));
+    let core = Core::new(config, Links { pools, counter, peers, discovery });
+    core.start();
     spawn_local(housekeeping(core.clone()));
     let accepting = spawn_local(clients::run(core.clone(), clients.clone(), listener));
 
@@ -132,8 +111,8 @@
     let start = Instant::now();
     loop {
         sleep(PRUNE_EVERY).await;
-        core.pools.prune();
-        if let Some(counter) = &core.counter {
+        core.links.pools.prune();
+        if let Some(counter) = &core.links.counter {
             counter.prune();
         }
         if start.elapsed() >= READY_MOST && core.config.known.as_ref().is_some_and(|k| !k.hosts.is_empty()) {
--- a/tests/fleet.rs
+++ b/crates/pondgw/tests/fleet.rs
@@ -135,7 +135,7 @@
         for (n, host) in hosts.iter_mut().enumerate() {
             host.serve = (0..servers).collect();
             // Two requests a second at each gateway: six hundred a second over twenty servers.
-            if (step + n as u64 * 17) % 25 == 0 {
+            if (step + n as u64 * 17).is_multiple_of(25) {
                 id += 1;
                 host.ask(id, 0, 3, 4 * S);
             }
