limeway-kit: rehearse a scenario with the daemon that ships, judged and reported

rehearse, scenarios and judge; progress, table, page with charts, JSON, ledger, comparison of two programs.

--- /dev/null
+++ b/crates/kit/src/fleet.rs
@@ -0,0 +1,250 @@
+//! The limiters' processes: start, signals, unexpected ends, what they use.
+
+use crate::KitError;
+use limeway_standins::clients::Seen;
+use limeway_standins::World;
+use limeway_verdict::ledger::{Change, Micros, Record};
+use rustix::process::{kill_process, Pid, Signal};
+use std::fs::{self, File, OpenOptions};
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::process::{Child, Command};
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout, Instant};
+
+/// Time in which a limiter must be ready.
+const READY_MOST: Duration = Duration::from_secs(20);
+/// Time between two looks at its readiness.
+const READY_EVERY: Duration = Duration::from_millis(20);
+/// After SIGTERM, new connections go on coming for so long.
+const COMING_ON: Duration = Duration::from_millis(300);
+/// SIGKILL follows the longest deadline by so much.
+const KILL_LATER: Duration = Duration::from_millis(1_200);
+/// Lines of a limiter's log that an error quotes.
+const QUOTED: usize = 5;
+
+/// One life of a limiter's process.
+struct Life {
+    pid: Pid,
+    /// It has been told to end, or was killed.
+    expected: Arc<AtomicBool>,
+    /// Becomes true once it has ended.
+    ended: watch::Receiver<bool>,
+}
+
+/// All limiters.
+pub struct Fleet {
+    world: Arc<World>,
+    program: PathBuf,
+    folder: PathBuf,
+    lives: Mutex<Vec<Option<Life>>>,
+    /// A limiter has ended by itself.
+    crashed: watch::Sender<bool>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Fleet {
+    /// A fleet of none yet, whose configurations and logs go into a folder.
+    pub fn new(world: Arc<World>, program: &Path, folder: &Path) -> Arc<Self> {
+        let lives = (0..world.limiters.len()).map(|_| None).collect();
+        Arc::new(Fleet {
+            world,
+            program: program.to_owned(),
+            folder: folder.to_owned(),
+            lives: Mutex::new(lives),
+            crashed: watch::Sender::new(false),
+        })
+    }
+
+    fn change(&self, limiter: u32, change: Change) {
+        self.world.book.add(Record::Limiter { t: self.world.book.now(), limiter, change });
+    }
+
+    /// Where a limiter's log goes.
+    pub fn log(&self, limiter: u32) -> PathBuf {
+        self.folder.join(format!("limiter-{limiter}.log"))
+    }
+
+    /// Starts a limiter and waits until it is ready; from then on the front sends to it.
+    ///
+    /// # Errors
+    /// It cannot be started, ends, or does not get ready in time.
+    pub async fn start(self: &Arc<Self>, limiter: u32) -> Result<(), KitError> {
+        let config = self.folder.join(format!("limiter-{limiter}.json"));
+        let text = self.world.config(limiter).to_string();
+        fs::write(&config, text).map_err(|e| KitError::File(config.display().to_string(), e))?;
+        let path = self.log(limiter);
+        let log = OpenOptions::new().create(true).append(true).open(&path);
+        let log = log.map_err(|e| KitError::File(path.display().to_string(), e))?;
+        let child = self.spawn(&config, log)?;
+        let pid = child.id().and_then(|id| Pid::from_raw(id as i32));
+        let pid = pid.ok_or_else(|| {
+            KitError::Setup(format!("limiter {limiter} ended at once: {}", self.quote(limiter)))
+        })?;
+        self.change(limiter, Change::Started);
+        let (tell, ended) = watch::channel(false);
+        let expected = Arc::new(AtomicBool::new(false));
+        lock(&self.lives)[limiter as usize] =
+            Some(Life { pid, expected: expected.clone(), ended: ended.clone() });
+        tokio::spawn(self.clone().watch(limiter, child, expected, tell));
+        let end = Instant::now() + READY_MOST;
+        while !self.world.clients.healthy(limiter).await {
+            if *ended.borrow() {
+                return Err(KitError::Setup(format!("limiter {limiter} ended: {}", self.quote(limiter))));
+            }
+            if Instant::now() > end {
+                let (within, said) = (READY_MOST.as_secs(), self.quote(limiter));
+                return Err(KitError::Setup(format!(
+                    "limiter {limiter} is not ready within {within} s: {said}"
+                )));
+            }
+            sleep(READY_EVERY).await;
+        }
+        self.change(limiter, Change::Ready);
+        self.world.clients.see(limiter, Seen::Up);
+        Ok(())
+    }
+
+    fn spawn(&self, config: &Path, log: File) -> Result<Child, KitError> {
+        let out = log.try_clone().map_err(|e| KitError::Setup(e.to_string()))?;
+        let mut command = Command::new(&self.program);
+        for name in ["ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY"] {
+            command.env_remove(name);
+        }
+        command
+            .env("ROUTER_CONFIG", config)
+            .stdin(Stdio::null())
+            .stdout(out)
+            .stderr(log)
+            // Ctrl-C is the kit's, which ends its children itself.
+            .process_group(0)
+            .kill_on_drop(true)
+            .spawn()
+            .map_err(|e| KitError::Daemon(format!("{}: {e}", self.program.display())))
+    }
+
+    /// The last lines of a limiter's log.
+    fn quote(&self, limiter: u32) -> String {
+        let text = fs::read_to_string(self.log(limiter)).unwrap_or_default();
+        let lines: Vec<&str> = text.lines().collect();
+        let last = lines[lines.len().saturating_sub(QUOTED)..].join(" | ");
+        if last.is_empty() {
+            "it said nothing".into()
+        } else {
+            last
+        }
+    }
+
+    async fn watch(
+        self: Arc<Self>,
+        limiter: u32,
+        mut child: Child,
+        expected: Arc<AtomicBool>,
+        tell: watch::Sender<bool>,
+    ) {
+        let status = child.wait().await;
+        if expected.load(Ordering::Relaxed) {
+            self.change(limiter, Change::Ended);
+        } else {
+            self.change(limiter, Change::Crashed { code: status.ok().and_then(|s| s.code()) });
+            self.world.limiter_died(limiter);
+            self.crashed.send_replace(true);
+        }
+        tell.send_replace(true);
+    }
+
+    /// Waits until a limiter has ended by itself.
+    pub async fn crash(&self) {
+        let _ = self.crashed.subscribe().wait_for(|crashed| *crashed).await;
+    }
+
+    fn signal(&self, limiter: u32, signal: Signal) -> Option<watch::Receiver<bool>> {
+        let lives = lock(&self.lives);
+        let life = lives.get(limiter as usize)?.as_ref()?;
+        if *life.ended.borrow() {
+            return None;
+        }
+        life.expected.store(true, Ordering::Relaxed);
+        let change = if signal == Signal::KILL { Change::Killed } else { Change::Terminated };
+        self.change(limiter, change);
+        // It may have ended just now, which its watch tells.
+        let _ = kill_process(life.pid, signal);
+        Some(life.ended.clone())
+    }
+
+    /// Kills a limiter outright; the front notices late.
+    pub fn kill(&self, limiter: u32) {
+        if self.signal(limiter, Signal::KILL).is_some() {
+            self.world.limiter_died(limiter);
+        }
+    }
+
+    /// Tells a limiter to end, as at a planned restart, and waits for that; one that does not end is killed.
+    pub async fn terminate(&self, limiter: u32) {
+        let Some(mut ended) = self.signal(limiter, Signal::TERM) else { return };
+        let classes = &self.world.day.scenario.class;
+        let longest = classes.iter().map(|c| c.deadline_seconds).fold(0.0, f64::max);
+        let over = async {
+            let _ = ended.wait_for(|e| *e).await;
+        };
+        tokio::pin!(over);
+        if timeout(COMING_ON, &mut over).await.is_err() {
+            self.world.clients.see(limiter, Seen::Closing);
+            let most = Duration::from_secs_f64(longest) + KILL_LATER;
+            if timeout(most, &mut over).await.is_err() {
+                self.signal(limiter, Signal::KILL);
+                over.await;
+            }
+        }
+        self.world.clients.see(limiter, Seen::Down);
+    }
+
+    /// Kills all that run; their ends are expected.
+    pub fn stop(&self) {
+        for life in lock(&self.lives).iter().flatten().filter(|l| !*l.ended.borrow()) {
+            life.expected.store(true, Ordering::Relaxed);
+            let _ = kill_process(life.pid, Signal::KILL);
+        }
+    }
+
+    /// Writes down what each limiter uses.
+    pub fn measure(&self) {
+        let running: Vec<(u32, Pid)> = (0..)
+            .zip(lock(&self.lives).iter())
+            .filter_map(|(n, l)| Some((n, l.as_ref().filter(|l| !*l.ended.borrow())?.pid)))
+            .collect();
+        for (limiter, pid) in running {
+            if let Some((cpu_us, rss_kb, fds)) = used(pid) {
+                let t = self.world.book.now();
+                self.world.book.add(Record::Usage { t, limiter, cpu_us, rss_kb, fds });
+            }
+        }
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+/// Processor time in microseconds, resident memory in KiB and descriptors of a process; nothing once it is gone.
+fn used(pid: Pid) -> Option<(Micros, u64, u64)> {
+    let folder = PathBuf::from(format!("/proc/{}", pid.as_raw_nonzero()));
+    let mut cpu = 0;
+    for task in fs::read_dir(folder.join("task")).ok()?.flatten() {
+        let times = fs::read_to_string(task.path().join("schedstat")).ok()?;
+        cpu += times.split(' ').next()?.parse::<u64>().ok()? / 1_000;
+    }
+    let status = fs::read_to_string(folder.join("status")).ok()?;
+    let rss = status.lines().find_map(|l| l.strip_prefix("VmRSS:"))?;
+    let rss = rss.trim().trim_end_matches("kB").trim().parse().ok()?;
+    let fds = fs::read_dir(folder.join("fd")).ok()?.count() as u64;
+    Some((cpu, rss, fds))
+}
--- /dev/null
+++ b/crates/kit/src/main.rs
@@ -0,0 +1,246 @@
+//! `limeway-kit`: rehearsals on one machine. Exit code 0 if all five rules pass, 1 if one is broken, 2 if the scenario
+//! or the set-up cannot run, 3 if the run is void.
+#![forbid(unsafe_code)]
+
+use clap::{Args, Parser, Subcommand};
+use indicatif::{ProgressBar, ProgressStyle};
+use limeway_kit::rehearsal::{interrupted, rehearse, Plan, Played, Progress};
+use limeway_kit::{daemon, html, report, KitError};
+use limeway_scenario::{builtin, builtins, draw, Day, Scenario};
+use limeway_verdict::ledger::Record;
+use limeway_verdict::run::Run;
+use limeway_verdict::{judge_run, Verdict};
+use std::fs;
+use std::io::{BufWriter, IsTerminal, Write};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// Exit codes, beside 0.
+const BROKEN: u8 = 1;
+const CANNOT: u8 = 2;
+const VOID: u8 = 3;
+/// Without a terminal, progress is told so often, in seconds.
+const TOLD_EVERY: f64 = 5.0;
+/// Quotas beyond this share of the fleet are noted.
+const QUOTAS_NOTED: f64 = 1.0;
+
+#[derive(Parser)]
+#[command(name = "limeway-kit", version, about = "Rehearses bad days with the limiter that ships")]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Play a scenario and judge it.
+    Rehearse(Rehearse),
+    /// List the built-in scenarios, or print one as a file to start from.
+    Scenarios {
+        /// Print the text of this one.
+        name: Option<String>,
+    },
+    /// Judge a ledger that was written before, by this kit or by others.
+    Judge {
+        /// The ledger.
+        ledger: PathBuf,
+        /// Write the page with charts here.
+        #[arg(long)]
+        html: Option<PathBuf>,
+        /// Write the verdict as JSON here.
+        #[arg(long)]
+        json: Option<PathBuf>,
+    },
+}
+
+#[derive(Args)]
+struct Rehearse {
+    /// A built-in scenario, or a file.
+    #[arg(default_value = "worst-quarter")]
+    scenario: String,
+    /// Seed of the day.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Length of the offered load in seconds; the timeline shrinks or grows with it.
+    #[arg(long)]
+    seconds: Option<f64>,
+    /// Number of limiters.
+    #[arg(long)]
+    limiters: Option<u32>,
+    /// Number of nodes.
+    #[arg(long)]
+    nodes: Option<u32>,
+    /// The limiter's program; built from this checkout where the kit runs through cargo.
+    #[arg(long)]
+    limiter: Option<PathBuf>,
+    /// Play the same day with this program too, and show the difference.
+    #[arg(long)]
+    against: Option<PathBuf>,
+    /// Write the verdict as JSON here.
+    #[arg(long)]
+    json: Option<PathBuf>,
+    /// Write the page with charts here.
+    #[arg(long)]
+    html: Option<PathBuf>,
+    /// Write the ledger as NDJSON here.
+    #[arg(long)]
+    ledger: Option<PathBuf>,
+    /// Keep the limiters' configurations and logs in this folder.
+    #[arg(long)]
+    keep_logs: Option<PathBuf>,
+}
+
+fn main() -> ExitCode {
+    let done = match Cli::parse().command {
+        Command::Rehearse(options) => run(&options),
+        Command::Scenarios { name } => list(name.as_deref()),
+        Command::Judge { ledger, html, json } => judge(&ledger, html.as_deref(), json.as_deref()),
+    };
+    match done {
+        Ok(code) => ExitCode::from(code),
+        Err(e) => {
+            eprintln!("limeway-kit: {e}");
+            ExitCode::from(CANNOT)
+        }
+    }
+}
+
+fn list(name: Option<&str>) -> Result<u8, KitError> {
+    let Some(name) = name else {
+        for (name, text) in builtins() {
+            let scenario = Scenario::parse(text)?;
+            println!("{name:16} {:>4} s  {}", scenario.seconds, scenario.about);
+        }
+        return Ok(0);
+    };
+    match builtin(name) {
+        Some(text) => print!("{text}"),
+        None => return Err(KitError::Setup(format!("no scenario is named '{name}'"))),
+    }
+    Ok(0)
+}
+
+fn write(path: &Path, text: &str) -> Result<(), KitError> {
+    fs::write(path, text).map_err(|e| KitError::File(path.display().to_string(), e))
+}
+
+fn code(verdict: &Verdict) -> u8 {
+    match (&verdict.void, verdict.passes()) {
+        (Some(_), _) => VOID,
+        (None, true) => 0,
+        (None, false) => BROKEN,
+    }
+}
+
+fn judge(ledger: &Path, page: Option<&Path>, json: Option<&Path>) -> Result<u8, KitError> {
+    let text = fs::read_to_string(ledger).map_err(|e| KitError::File(ledger.display().to_string(), e))?;
+    let run = Run::read(text.lines()).map_err(|e| KitError::Setup(e.to_string()))?;
+    let verdict = tell(&run, &[], page, json)?;
+    Ok(code(&verdict))
+}
+
+/// Judges a run, prints and writes what was asked for.
+fn tell(run: &Run, notes: &[String], page: Option<&Path>, json: Option<&Path>) -> Result<Verdict, KitError> {
+    let verdict = judge_run(run);
+    let text = report::text(&verdict, run.closing.as_ref(), notes);
+    print!("{text}");
+    if let Some(path) = json {
+        let text = serde_json::to_string_pretty(&verdict).map_err(|e| KitError::Setup(e.to_string()))?;
+        write(path, &text)?;
+    }
+    if let Some(path) = page {
+        write(path, &html::page(run, &verdict, &text))?;
+    }
+    Ok(verdict)
+}
+
+/// The day that the options ask for.
+fn day(options: &Rehearse) -> Result<Day, KitError> {
+    let text = match builtin(&options.scenario) {
+        Some(text) => text.to_owned(),
+        None => fs::read_to_string(&options.scenario).map_err(|e| {
+            let name = format!("{} (no built-in scenario either; see `scenarios`)", options.scenario);
+            KitError::File(name, e)
+        })?,
+    };
+    let mut scenario = Scenario::parse(&text)?;
+    if let Some(seconds) = options.seconds {
+        let times = seconds / scenario.seconds;
+        scenario.seconds = seconds;
+        for event in &mut scenario.event {
+            event.at *= times;
+            event.seconds *= times;
+        }
+    }
+    scenario.fleet.limiters = options.limiters.unwrap_or(scenario.fleet.limiters);
+    scenario.fleet.nodes = options.nodes.unwrap_or(scenario.fleet.nodes);
+    Ok(draw(&scenario, options.seed)?)
+}
+
+fn run(options: &Rehearse) -> Result<u8, KitError> {
+    let day = day(options)?;
+    let program = daemon::find(options.limiter.as_deref())?;
+    let against = options.against.as_deref().map(|path| daemon::find(Some(path))).transpose()?;
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| KitError::Setup(e.to_string()))?;
+    let mut notes = Vec::new();
+    if day.quotas > QUOTAS_NOTED {
+        let share = day.quotas * 100.0;
+        notes.push(format!("all quotas together come to {share:.0}% of what the fleet can do"));
+    }
+    notes.push(format!("inside the quotas {:.0}% of what the fleet can do is asked for", day.inside * 100.0));
+    let play = |program: &Path, logs: Option<PathBuf>| {
+        let plan = Plan { day: day.clone(), program: program.to_owned(), logs };
+        play(&runtime, plan)
+    };
+    let mine = play(&program, options.keep_logs.clone())?;
+    if let Some(path) = &options.ledger {
+        keep(path, &mine)?;
+    }
+    let verdict = tell(&mine.run(), &notes, options.html.as_deref(), options.json.as_deref())?;
+    let Some(other) = against else { return Ok(code(&verdict)) };
+    let logs = options.keep_logs.as_ref().map(|folder| folder.join("against"));
+    let theirs = tell(&play(&other, logs)?.run(), &notes, None, None)?;
+    print!("{}", report::compare(["this one", "against"], [&verdict, &theirs]));
+    Ok(code(&verdict))
+}
+
+fn keep(path: &Path, played: &Played) -> Result<(), KitError> {
+    let error = |e| KitError::File(path.display().to_string(), e);
+    let mut file = BufWriter::new(fs::File::create(path).map_err(error)?);
+    for line in played.ledger() {
+        writeln!(file, "{line}").map_err(error)?;
+    }
+    file.flush().map_err(error)
+}
+
+/// Plays a day with progress on standard error.
+fn play(runtime: &tokio::runtime::Runtime, plan: Plan) -> Result<Played, KitError> {
+    let length = plan.day.scenario.seconds;
+    let terminal = std::io::stderr().is_terminal();
+    let bar = if terminal { ProgressBar::new(length.ceil() as u64) } else { ProgressBar::hidden() };
+    if let Ok(style) = ProgressStyle::with_template("{bar:24} {pos:>3}/{len} s  {msg}") {
+        bar.set_style(style);
+    }
+    let mut told = f64::NEG_INFINITY;
+    let progress = |p: &Progress| {
+        let [offered, served, refused, other] = p.counts;
+        let on = if p.on.is_empty() { String::new() } else { format!("; {}", p.on.join(", ")) };
+        let line = format!("{offered} offered, {served} served, {refused} refused, {other} other{on}");
+        bar.set_position(p.seconds.min(length) as u64);
+        if !terminal && p.seconds >= told + TOLD_EVERY {
+            told = p.seconds;
+            eprintln!("{:5.1} s  {line}", p.seconds);
+        }
+        bar.set_message(line);
+    };
+    let played = runtime.block_on(rehearse(plan, interrupted(), progress));
+    bar.finish_and_clear();
+    let played = played?;
+    if let Some(Record::Closing(closing)) = played.records.last() {
+        if !closing.complete {
+            eprintln!("broken off: the report covers what has happened until then");
+        }
+    }
+    Ok(played)
+}
--- /dev/null
+++ b/crates/kit/src/rehearsal.rs
@@ -0,0 +1,318 @@
+//! Plays a day: limiters up, load on, timeline, end; gives the ledger.
+
+use crate::fleet::Fleet;
+use crate::KitError;
+use limeway_scenario::{Day, Event, What};
+use limeway_standins::world::{opening, World};
+use limeway_standins::Mode;
+use limeway_verdict::ledger::{Closing, Micros, Opening, Record};
+use limeway_verdict::run::Run;
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::time::{interval, sleep, Instant};
+
+/// Time from the last limiter's readiness to the first arrival.
+const LEAD: Micros = 200_000;
+/// Time between two looks at what limiters use.
+const MEASURE_EVERY: Duration = Duration::from_millis(500);
+/// Time beyond the longest deadline for which the last clients are waited for.
+const LAST_MOST: Duration = Duration::from_secs(5);
+
+/// What is to be played.
+pub struct Plan {
+    /// The day.
+    pub day: Day,
+    /// The limiter's program.
+    pub program: PathBuf,
+    /// Where configurations and logs go; nothing for a folder that goes with the run.
+    pub logs: Option<PathBuf>,
+}
+
+/// How a run stands.
+#[derive(Debug, Clone, Default)]
+pub struct Progress {
+    /// Seconds of the offered load so far.
+    pub seconds: f64,
+    /// Tries sent, answers 200, refusals, and other ends.
+    pub counts: [u64; 4],
+    /// What of the timeline is on.
+    pub on: Vec<String>,
+}
+
+/// What came of a run.
+pub struct Played {
+    /// The ledger's first line.
+    pub opening: Opening,
+    /// The others.
+    pub records: Vec<Record>,
+}
+
+impl Played {
+    /// The ledger as NDJSON.
+    pub fn ledger(&self) -> impl Iterator<Item = String> + '_ {
+        std::iter::once(self.opening.line()).chain(self.records.iter().map(Record::line))
+    }
+
+    /// The run that the ledger tells of.
+    pub fn run(&self) -> Run {
+        Run::gather(self.opening.clone(), self.records.clone())
+    }
+}
+
+/// What of the timeline is on, for the progress.
+#[derive(Default)]
+struct On(Mutex<BTreeMap<String, ()>>);
+
+impl On {
+    fn set(&self, name: &str, on: bool) {
+        let mut names = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if on {
+            names.insert(name.to_owned(), ());
+        } else {
+            names.remove(name);
+        }
+    }
+
+    fn names(&self) -> Vec<String> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).keys().cloned().collect()
+    }
+}
+
+struct Stage {
+    world: Arc<World>,
+    fleet: Arc<Fleet>,
+    on: On,
+    errors: Mutex<Vec<String>>,
+}
+
+/// Plays a day. `stop` ends it early, with what has happened until then; `tell` hears how it stands.
+///
+/// # Errors
+/// It cannot be set up: addresses, the program, a limiter that does not get ready.
+pub async fn rehearse(
+    plan: Plan,
+    stop: impl Future<Output = ()>,
+    mut tell: impl FnMut(&Progress),
+) -> Result<Played, KitError> {
+    let folder = Folder::new(plan.logs.as_deref())?;
+    let opening = opening(&plan.day);
+    let length = plan.day.length;
+    let longest = plan.day.scenario.class.iter().map(|c| c.deadline_seconds).fold(0.0, f64::max);
+    let world = World::start(plan.day).await.map_err(|e| KitError::Setup(format!("stand-ins: {e}")))?;
+    let fleet = Fleet::new(world.clone(), &plan.program, folder.path());
+    tokio::pin!(stop);
+    let mut records = Vec::new();
+    let ready = async {
+        for limiter in 0..world.limiters.len() as u32 {
+            fleet.start(limiter).await?;
+        }
+        Ok::<_, KitError>(())
+    };
+    let stopped = tokio::select! {
+        ready = ready => { ready?; false }
+        () = &mut stop => true,
+    };
+    let stage = Arc::new(Stage {
+        world: world.clone(),
+        fleet: fleet.clone(),
+        on: On::default(),
+        errors: Mutex::default(),
+    });
+    let start = world.book.now() + LEAD;
+    let mut tasks = Vec::new();
+    let mut complete = false;
+    if !stopped {
+        let sending = tokio::spawn(world.clients.clone().run(start));
+        for event in world.day.events.clone() {
+            tasks.push(tokio::spawn(stage.clone().play(event, start)));
+        }
+        let end = world.book.clock.instant(start + length);
+        let last = Instant::from_std(end) + Duration::from_secs_f64(longest) + LAST_MOST;
+        let mut every = interval(MEASURE_EVERY);
+        let mut progress = Progress::default();
+        loop {
+            tokio::select! {
+                biased;
+                () = &mut stop => break,
+                () = fleet.crash() => {
+                    // What clients saw of it still comes; the run is void all the same.
+                    sleep(MEASURE_EVERY).await;
+                    break;
+                }
+                _ = every.tick() => {
+                    fleet.measure();
+                    let news = world.book.take();
+                    progress.count(&news);
+                    progress.seconds = world.book.now().saturating_sub(start) as f64 / 1e6;
+                    progress.on = stage.on.names();
+                    tell(&progress);
+                    records.extend(news);
+                }
+            }
+            let over =
+                sending.is_finished() && world.clients.busy() == 0 && world.book.now() >= start + length;
+            if over || Instant::now() > last {
+                complete = over;
+                break;
+            }
+        }
+        sending.abort();
+        fleet.measure();
+    }
+    tasks.iter().for_each(|t| t.abort());
+    let late = world.clients.lateness();
+    let at = |part: f64| late.get(((late.len() as f64 * part) as usize).min(late.len().saturating_sub(1)));
+    let at = |part: f64| at(part).map_or(0, |l| Micros::from(*l));
+    let planned = world.day.arrivals.len() as u64;
+    let closing = Closing {
+        t: world.book.now(),
+        complete: complete && world.book.lost() == 0,
+        planned,
+        late_p50_us: at(0.5),
+        late_p99_us: at(0.99),
+        late_p999_us: at(0.999),
+        late_max_us: at(1.0),
+    };
+    records.extend(world.book.take());
+    records.push(Record::Closing(closing));
+    fleet.stop();
+    world.stop();
+    let errors = std::mem::take(&mut *stage.errors.lock().unwrap_or_else(PoisonError::into_inner));
+    match errors.into_iter().next() {
+        Some(error) => Err(KitError::Setup(error)),
+        None => Ok(Played { opening, records }),
+    }
+}
+
+impl Progress {
+    fn count(&mut self, news: &[Record]) {
+        for record in news {
+            match record {
+                Record::Arrive { .. } => self.counts[0] += 1,
+                Record::Answer { status: 200, .. } => self.counts[1] += 1,
+                Record::Answer { status: 429 | 503, .. } => self.counts[2] += 1,
+                Record::Answer { .. } | Record::Left { .. } => self.counts[3] += 1,
+                _ => {}
+            }
+        }
+    }
+}
+
+impl Stage {
+    /// Plays one event of the timeline.
+    async fn play(self: Arc<Self>, event: Event, start: Micros) {
+        let world = &self.world;
+        world.book.clock.until(start + event.at).await;
+        let name = event.what.name();
+        self.mark(&name, true);
+        if let Err(e) = self.act(&event).await {
+            let mut errors = self.errors.lock().unwrap_or_else(PoisonError::into_inner);
+            errors.push(format!("{name}: {e}"));
+        }
+        self.mark(&name, false);
+    }
+
+    fn mark(&self, name: &str, on: bool) {
+        let book = &self.world.book;
+        book.add(Record::Trouble { t: book.now(), name: name.to_owned(), on });
+        self.on.set(name, on);
+    }
+
+    async fn act(&self, event: &Event) -> Result<(), KitError> {
+        let (world, fleet) = (&self.world, &self.fleet);
+        let wait = || sleep(Duration::from_micros(event.lasts));
+        let io = |e: std::io::Error| KitError::Setup(e.to_string());
+        match event.what {
+            What::CounterRefuse => self.counter(Mode::Refusing, event).await,
+            What::CounterSilent => self.counter(Mode::Silent, event).await,
+            What::CounterSlow(times) => self.counter(Mode::Slow(times), event).await,
+            What::CounterEmpty => world.counter.forget(),
+            // Drawn into the arrivals already.
+            What::HotCustomers(..) | What::PlanBurst(..) => wait().await,
+            What::RoomCut(room) => {
+                world.cut_room(room, true);
+                wait().await;
+                world.cut_room(room, false);
+            }
+            What::NodeDrain(node) => {
+                world.drain(node);
+                if event.lasts > 0 {
+                    wait().await;
+                    world.undrain(node);
+                }
+            }
+            What::NodeKill(node) => {
+                world.kill(node);
+                if event.lasts > 0 {
+                    wait().await;
+                    world.start_node(node, false).map_err(io)?;
+                }
+            }
+            What::NodeReplace(node) => world.replace(node).await.map_err(io)?,
+            What::NodeSlow(node, times) => {
+                let slow = |times| world.node(node).iter().for_each(|n| n.slow(times));
+                slow(times);
+                wait().await;
+                slow(1.0);
+            }
+            What::LimiterKill(limiter) => {
+                fleet.kill(limiter);
+                wait().await;
+                fleet.start(limiter).await?;
+            }
+            What::LimiterRestart(limiter) => {
+                fleet.terminate(limiter).await;
+                fleet.start(limiter).await?;
+            }
+        }
+        Ok(())
+    }
+
+    async fn counter(&self, mode: Mode, event: &Event) {
+        self.world.counter.set(mode);
+        sleep(Duration::from_micros(event.lasts)).await;
+        self.world.counter.set(Mode::Well);
+    }
+}
+
+/// Where configurations and logs go.
+enum Folder {
+    Kept(PathBuf),
+    Passing(tempfile::TempDir),
+}
+
+impl Folder {
+    fn new(kept: Option<&Path>) -> Result<Self, KitError> {
+        match kept {
+            Some(path) => {
+                let error = |e| KitError::File(path.display().to_string(), e);
+                std::fs::create_dir_all(path).map_err(error)?;
+                Ok(Folder::Kept(path.to_owned()))
+            }
+            None => {
+                let made = tempfile::Builder::new().prefix("limeway-kit-").tempdir();
+                made.map(Folder::Passing).map_err(|e| KitError::File("a temporary folder".into(), e))
+            }
+        }
+    }
+
+    fn path(&self) -> &Path {
+        match self {
+            Folder::Kept(path) => path,
+            Folder::Passing(folder) => folder.path(),
+        }
+    }
+}
+
+/// Waits for Ctrl-C or a request to end.
+pub async fn interrupted() {
+    use tokio::signal::unix::{signal, SignalKind};
+    let Ok(mut terminate) = signal(SignalKind::terminate()) else { return std::future::pending().await };
+    tokio::select! {
+        _ = tokio::signal::ctrl_c() => {}
+        _ = terminate.recv() => {}
+    }
+}
--- /dev/null
+++ b/crates/kit/src/report.rs
@@ -0,0 +1,156 @@
+//! A verdict in words: the table at the end of a run, and the comparison of two.
+
+use comfy_table::presets::NOTHING;
+use comfy_table::{CellAlignment, Table};
+use limeway_verdict::ledger::Closing;
+use limeway_verdict::service::Service;
+use limeway_verdict::Verdict;
+use std::fmt::Write;
+
+/// Breaks of a rule that the table shows; the JSON report holds more.
+const SHOWN: usize = 3;
+
+fn table() -> Table {
+    let mut table = Table::new();
+    table.load_preset(NOTHING);
+    table
+}
+
+fn percent(part: f64) -> String {
+    format!("{:.1}%", part * 100.0)
+}
+
+/// The verdict as text.
+pub fn text(verdict: &Verdict, closing: Option<&Closing>, notes: &[String]) -> String {
+    let mut out = String::new();
+    let s = &verdict.service;
+    let _ = writeln!(out, "\n{}, seed {}", verdict.scenario, verdict.seed);
+    for note in notes {
+        let _ = writeln!(out, "note: {note}");
+    }
+    let mut rules = table();
+    for rule in &verdict.rules {
+        let word = if rule.broken == 0 { "pass" } else { "FAIL" };
+        let count = match rule.broken {
+            0 => format!("judged on {}", rule.of),
+            n => format!("broken {n} times of {}", rule.of),
+        };
+        rules.add_row(vec![format!("rule {}", rule.rule), rule.name.to_owned(), word.to_owned(), count]);
+    }
+    let _ = writeln!(out, "{rules}");
+    for rule in verdict.rules.iter().filter(|r| r.broken > 0) {
+        for seen in rule.breaks.iter().take(SHOWN) {
+            let at = seen.t as f64 / 1e6;
+            let _ = writeln!(out, "  rule {} at {at:.3} s, {}: {}", rule.rule, seen.of, seen.seen);
+        }
+    }
+    let _ = writeln!(out, "\nservice {:.3}", s.figure);
+    let mut parts = table();
+    let row = |parts: &mut Table, name: &str, value: String, note: String| {
+        parts.add_row(vec![format!("  {name}"), value, note]);
+    };
+    row(&mut parts, "whole run", percent(s.whole), String::new());
+    let worst = format!("from {:.0} s on", s.worst_at as f64 / 1e6);
+    row(&mut parts, "worst 10 s", percent(s.worst_window), worst);
+    row(&mut parts, "worst plan", percent(s.worst_plan), String::new());
+    for plan in &s.plans {
+        let note = format!("{} first tries, {} inside the quota", plan.asked, plan.inside);
+        row(&mut parts, &format!("plan {}", plan.name), percent(plan.service), note);
+    }
+    let p = &s.prices;
+    for (name, value) in [
+        ("sent on beyond quotas", p.over_quota),
+        ("calls to the counter", p.counter),
+        ("messages", p.peer),
+        ("wasted work", p.waste),
+        ("late failures", p.late_fail),
+        ("rooms crossed", p.cross_room),
+    ] {
+        row(&mut parts, name, format!("-{}", percent(value)), String::new());
+    }
+    if let Some(column) = parts.column_mut(1) {
+        column.set_cell_alignment(CellAlignment::Right);
+    }
+    let _ = writeln!(out, "{parts}");
+    let e = &s.ends;
+    let _ = writeln!(
+        out,
+        "\n{} first tries: {} served in time, {} late, {} refused, {} failed; {} tries, {} attempts, {} calls to the counter, {} messages",
+        e.asked, e.in_time, e.late, e.refused, e.failed, s.tries, s.attempts, s.counts, s.messages
+    );
+    for cost in &verdict.limiters {
+        let _ = writeln!(
+            out,
+            "limiter {}: {} tries, {:.2} s of CPU ({:.0} us a try), {:.1} MiB, {} descriptors",
+            cost.limiter,
+            cost.tries,
+            cost.cpu_s,
+            cost.cpu_us_per_try,
+            cost.rss_kb as f64 / 1024.0,
+            cost.fds
+        );
+    }
+    if let Some(c) = closing {
+        let ms = |t: u64| t as f64 / 1e3;
+        let _ = writeln!(
+            out,
+            "the kit's own lateness: {:.2} ms p50, {:.2} ms p99, {:.2} ms p99.9, {:.2} ms at most",
+            ms(c.late_p50_us),
+            ms(c.late_p99_us),
+            ms(c.late_p999_us),
+            ms(c.late_max_us)
+        );
+    }
+    match &verdict.void {
+        Some(reason) => {
+            let _ = writeln!(out, "\nVOID: {reason}. This run proves nothing.");
+        }
+        None => {
+            let passed = verdict.rules.iter().filter(|r| r.broken == 0).count();
+            let _ = writeln!(out, "\n{passed} of {} rules pass", verdict.rules.len());
+        }
+    }
+    out
+}
+
+/// A part of service.
+type Part = fn(&Service) -> f64;
+
+/// Two runs of one day side by side.
+pub fn compare(names: [&str; 2], verdicts: [&Verdict; 2]) -> String {
+    let mut table = table();
+    table.set_header(vec!["", names[0], names[1], "difference"]);
+    let [a, b] = verdicts;
+    let rows: [(&str, Part); 9] = [
+        ("service", |s| s.figure),
+        ("whole run", |s| s.whole),
+        ("worst 10 s", |s| s.worst_window),
+        ("worst plan", |s| s.worst_plan),
+        ("sent on beyond quotas", |s| s.prices.over_quota),
+        ("wasted work", |s| s.prices.waste),
+        ("late failures", |s| s.prices.late_fail),
+        ("served in time", |s| s.ends.in_time as f64),
+        ("calls to the counter", |s| s.counts as f64),
+    ];
+    for (name, of) in rows {
+        let (x, y) = (of(&a.service), of(&b.service));
+        table.add_row(vec![name.to_owned(), format!("{x:.3}"), format!("{y:.3}"), format!("{:+.3}", y - x)]);
+    }
+    let cpu = |v: &Verdict| {
+        let tries: usize = v.limiters.iter().map(|l| l.tries).sum();
+        v.limiters.iter().map(|l| l.cpu_s).sum::<f64>() * 1e6 / tries.max(1) as f64
+    };
+    let (x, y) = (cpu(a), cpu(b));
+    table.add_row(vec![
+        "CPU a try, us".to_owned(),
+        format!("{x:.1}"),
+        format!("{y:.1}"),
+        format!("{:+.1}", y - x),
+    ]);
+    for (x, y) in a.rules.iter().zip(&b.rules) {
+        let word = |broken| if broken == 0 { "pass".to_owned() } else { format!("FAIL ({broken})") };
+        let row = vec![format!("rule {}: {}", x.rule, x.name), word(x.broken), word(y.broken), String::new()];
+        table.add_row(row);
+    }
+    format!("\n{table}\n")
+}
