--- a/crates/kit/src/fleet.rs
+++ b/crates/kit/src/fleet.rs
@@ -15,8 +15,8 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout, Instant};
 
-/// Time in which a limiter must be ready.
-const READY_MOST: Duration = Duration::from_secs(20);
+/// Time in which a limiter must be ready, where nothing else is said.
+pub const READY_MOST: Duration = Duration::from_secs(20);
 /// Time between two looks at its readiness.
 const READY_EVERY: Duration = Duration::from_millis(20);
 /// After SIGTERM, new connections go on coming for so long.
@@ -40,6 +40,7 @@
     world: Arc<World>,
     program: PathBuf,
     folder: PathBuf,
+    ready_most: Duration,
     lives: Mutex<Vec<Option<Life>>>,
     /// A limiter has ended by itself.
     crashed: watch::Sender<bool>,
@@ -50,13 +51,15 @@
 }
 
 impl Fleet {
-    /// A fleet of none yet, whose configurations and logs go into a folder.
-    pub fn new(world: Arc<World>, program: &Path, folder: &Path) -> Arc<Self> {
+    /// A fleet of none yet, whose configurations and logs go into a folder, and each of whose limiters must be ready
+    /// within `ready_most`.
+    pub fn new(world: Arc<World>, program: &Path, folder: &Path, ready_most: Duration) -> Arc<Self> {
         let lives = (0..world.limiters.len()).map(|_| None).collect();
         Arc::new(Fleet {
             world,
             program: program.to_owned(),
             folder: folder.to_owned(),
+            ready_most,
             lives: Mutex::new(lives),
             crashed: watch::Sender::new(false),
         })
@@ -93,13 +96,13 @@
         lock(&self.lives)[limiter as usize] =
             Some(Life { pid, expected: expected.clone(), ended: ended.clone() });
         tokio::spawn(self.clone().watch(limiter, child, expected, tell));
-        let end = Instant::now() + READY_MOST;
+        let end = Instant::now() + self.ready_most;
         while !self.world.clients.healthy(limiter).await {
             if *ended.borrow() {
                 return Err(KitError::Setup(format!("limiter {limiter} ended: {}", self.quote(limiter))));
             }
             if Instant::now() > end {
-                let (within, said) = (READY_MOST.as_secs(), self.quote(limiter));
+                let (within, said) = (self.ready_most.as_secs(), self.quote(limiter));
                 return Err(KitError::Setup(format!(
                     "limiter {limiter} is not ready within {within} s: {said}"
                 )));
--- a/crates/kit/src/main.rs
+++ b/crates/kit/src/main.rs
@@ -4,6 +4,7 @@
 
 use clap::{Args, Parser, Subcommand};
 use indicatif::{ProgressBar, ProgressStyle};
+use limeway_kit::fleet::READY_MOST;
 use limeway_kit::rehearsal::{interrupted, rehearse, Plan, Played, Progress};
 use limeway_kit::{daemon, html, report, KitError};
 use limeway_scenario::{builtin, builtins, draw, Day, Scenario};
@@ -190,7 +191,7 @@
     }
     notes.push(format!("inside the quotas {:.0}% of what the fleet can do is asked for", day.inside * 100.0));
     let play = |program: &Path, logs: Option<PathBuf>| {
-        let plan = Plan { day: day.clone(), program: program.to_owned(), logs };
+        let plan = Plan { day: day.clone(), program: program.to_owned(), logs, ready_most: READY_MOST };
         play(&runtime, plan)
     };
     let mine = play(&program, options.keep_logs.clone())?;
--- a/crates/kit/src/rehearsal.rs
+++ b/crates/kit/src/rehearsal.rs
@@ -29,6 +29,8 @@
     pub program: PathBuf,
     /// Where configurations and logs go; nothing for a folder that goes with the run.
     pub logs: Option<PathBuf>,
+    /// Each limiter must be ready within this time.
+    pub ready_most: Duration,
 }
 
 /// How a run stands.
@@ -102,7 +104,7 @@
     let length = plan.day.length;
     let longest = plan.day.scenario.class.iter().map(|c| c.deadline_seconds).fold(0.0, f64::max);
     let world = World::start(plan.day).await.map_err(|e| KitError::Setup(format!("stand-ins: {e}")))?;
-    let fleet = Fleet::new(world.clone(), &plan.program, folder.path());
+    let fleet = Fleet::new(world.clone(), &plan.program, folder.path(), plan.ready_most);
     tokio::pin!(stop);
     let mut records = Vec::new();
     let ready = async {
--- /dev/null
+++ b/crates/kit/tests/common/mod.rs
@@ -0,0 +1,64 @@
+//! Short rehearsals for tests.
+#![allow(dead_code)] // Each test file uses its own part of this.
+
+use limeway_kit::rehearsal::{rehearse, Plan, Played};
+use limeway_kit::{daemon, KitError};
+use limeway_scenario::file::Span;
+use limeway_scenario::{draw, Scenario};
+use limeway_verdict::{judge, Verdict};
+use std::future::Future;
+use std::path::{Path, PathBuf};
+use std::sync::OnceLock;
+use std::time::Duration;
+
+/// The daemon, built once from this checkout.
+pub fn limeway() -> PathBuf {
+    static PROGRAM: OnceLock<PathBuf> = OnceLock::new();
+    let build = || {
+        let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
+        daemon::build(Path::new(&cargo), Path::new(env!("CARGO_MANIFEST_DIR")), false).expect("it builds")
+    };
+    PROGRAM.get_or_init(build).clone()
+}
+
+/// A small scenario: two limiters, six quick nodes, and a timeline.
+pub fn small(seconds: f64, events: &str) -> Scenario {
+    let text = format!(
+        "name = \"small\"\nseconds = {seconds}\n\
+         [fleet]\nlimiters = 2\nnodes = 6\nrooms = 2\ncold_from = 0.2\ncold_seconds = 5\nerror_share = 0\n\
+         [load]\ninside = 0.4\n[discovery]\nlate_seconds = [0, 0.3]\n[clients]\nnotice_seconds = 0.5\nearly = 0\n\
+         {events}"
+    );
+    let mut scenario = Scenario::parse(&text).expect("sound");
+    // Shorter work and deadlines, so that a run ends soon.
+    for class in &mut scenario.class {
+        class.work_ms = Span(class.work_ms.0 / 4.0, class.work_ms.1 / 4.0);
+        class.deadline_seconds /= 2.0;
+        class.aim_seconds /= 2.0;
+    }
+    scenario
+}
+
+/// Plays a scenario with a program.
+pub fn play_until(
+    scenario: &Scenario,
+    program: PathBuf,
+    stop: impl Future<Output = ()>,
+) -> Result<Played, KitError> {
+    let day = draw(scenario, 11).expect("a day");
+    let plan = Plan { day, program, logs: None, ready_most: Duration::from_secs(10) };
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+    runtime.expect("a runtime").block_on(rehearse(plan, stop, |_| {}))
+}
+
+/// Plays a scenario to its end and judges the ledger as it would be read from a file.
+pub fn verdict(scenario: &Scenario, program: PathBuf) -> Verdict {
+    let played = play_until(scenario, program, std::future::pending()).expect("it can be played");
+    let lines: Vec<String> = played.ledger().collect();
+    judge(lines.iter().map(String::as_str)).expect("a ledger")
+}
+
+/// Rules that were broken.
+pub fn broken(verdict: &Verdict) -> Vec<usize> {
+    verdict.rules.iter().filter(|r| r.broken > 0).map(|r| r.rule).collect()
+}
