--- a/crates/kit/src/fleet.rs
+++ b/crates/kit/src/fleet.rs
@@ -223,9 +223,9 @@
             .filter_map(|(n, l)| Some((n, l.as_ref().filter(|l| !*l.ended.borrow())?.pid)))
             .collect();
         for (limiter, pid) in running {
-            if let Some((cpu_us, rss_kb, fds)) = used(pid) {
+            if let Some((cpu_us, system_us, rss_kb, fds)) = used(pid) {
                 let t = self.world.book.now();
-                self.world.book.add(Record::Usage { t, limiter, cpu_us, rss_kb, fds });
+                self.world.book.add(Record::Usage { t, limiter, cpu_us, system_us, rss_kb, fds });
             }
         }
     }
@@ -237,17 +237,24 @@
     }
 }
 
-/// Processor time in microseconds, resident memory in KiB and descriptors of a process; nothing once it is gone.
-fn used(pid: Pid) -> Option<(Micros, u64, u64)> {
+/// Ticks of the system's coarse clock in a second, as /proc words times.
+const TICKS: u64 = 100;
+
+/// Processor time and that of the system in microseconds, resident memory in KiB and descriptors of a process; nothing
+/// once it is gone.
+fn used(pid: Pid) -> Option<(Micros, Micros, u64, u64)> {
     let folder = PathBuf::from(format!("/proc/{}", pid.as_raw_nonzero()));
     let mut cpu = 0;
     for task in fs::read_dir(folder.join("task")).ok()?.flatten() {
         let times = fs::read_to_string(task.path().join("schedstat")).ok()?;
         cpu += times.split(' ').next()?.parse::<u64>().ok()? / 1_000;
     }
+    // The name in brackets may hold spaces; after it, the system's time is the 13th field.
+    let stat = fs::read_to_string(folder.join("stat")).ok()?;
+    let system: u64 = stat.rsplit(')').next()?.split_whitespace().nth(12)?.parse().ok()?;
     let status = fs::read_to_string(folder.join("status")).ok()?;
     let rss = status.lines().find_map(|l| l.strip_prefix("VmRSS:"))?;
     let rss = rss.trim().trim_end_matches("kB").trim().parse().ok()?;
     let fds = fs::read_dir(folder.join("fd")).ok()?.count() as u64;
-    Some((cpu, rss, fds))
+    Some((cpu, system * 1_000_000 / TICKS, rss, fds))
 }
--- a/crates/kit/src/lib.rs
+++ b/crates/kit/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod daemon;
 pub mod fleet;
 pub mod html;
+pub mod measure;
 pub mod rehearsal;
 pub mod report;
 
--- a/crates/kit/src/main.rs
+++ b/crates/kit/src/main.rs
@@ -6,7 +6,7 @@
 use indicatif::{ProgressBar, ProgressStyle};
 use limeway_kit::fleet::READY_MOST;
 use limeway_kit::rehearsal::{interrupted, rehearse, Plan, Played, Progress};
-use limeway_kit::{daemon, html, report, KitError};
+use limeway_kit::{daemon, html, measure, report, KitError};
 use limeway_scenario::{builtin, builtins, draw, Day, Scenario};
 use limeway_verdict::ledger::Record;
 use limeway_verdict::run::Run;
@@ -41,6 +41,27 @@
         /// Print the text of this one.
         name: Option<String>,
     },
+    /// Measure the kit's lateness and a limiter's cost against the rate of requests.
+    Measure {
+        /// First tries a second, one run each.
+        #[arg(long, value_delimiter = ',', default_value = "120,1000,2000,4000")]
+        rates: Vec<f64>,
+        /// Length of each run in seconds.
+        #[arg(long, default_value_t = 15.0)]
+        seconds: f64,
+        /// Number of limiters.
+        #[arg(long, default_value_t = 1)]
+        limiters: u32,
+        /// Seed of the days.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// The limiter's program.
+        #[arg(long)]
+        limiter: Option<PathBuf>,
+        /// Write the points as JSON here.
+        #[arg(long)]
+        json: Option<PathBuf>,
+    },
     /// Judge a ledger that was written before, by this kit or by others.
     Judge {
         /// The ledger.
@@ -95,6 +116,10 @@
     let done = match Cli::parse().command {
         Command::Rehearse(options) => run(&options),
         Command::Scenarios { name } => list(name.as_deref()),
+        Command::Measure { rates, seconds, limiters, seed, limiter, json } => {
+            let options = (seconds, limiters, seed);
+            measure_rates(&rates, options, limiter.as_deref(), json.as_deref())
+        }
         Command::Judge { ledger, html, json } => judge(&ledger, html.as_deref(), json.as_deref()),
     };
     match done {
@@ -106,6 +131,32 @@
     }
 }
 
+fn measure_rates(
+    rates: &[f64],
+    (seconds, limiters, seed): (f64, u32, u64),
+    limiter: Option<&Path>,
+    json: Option<&Path>,
+) -> Result<u8, KitError> {
+    let program = daemon::find(limiter)?;
+    let runtime = runtime()?;
+    let mut points = Vec::new();
+    for rate in rates {
+        eprintln!("{rate} a second, {seconds} s");
+        points.push(runtime.block_on(measure::point(&program, *rate, seconds, limiters, seed))?);
+    }
+    println!("{}", measure::table(&points));
+    if let Some(path) = json {
+        let text = serde_json::to_string_pretty(&points).map_err(|e| KitError::Setup(e.to_string()))?;
+        write(path, &text)?;
+    }
+    Ok(0)
+}
+
+fn runtime() -> Result<tokio::runtime::Runtime, KitError> {
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    runtime.map_err(|e| KitError::Setup(e.to_string()))
+}
+
 fn list(name: Option<&str>) -> Result<u8, KitError> {
     let Some(name) = name else {
         for (name, text) in builtins() {
@@ -182,8 +233,7 @@
     let day = day(options)?;
     let program = daemon::find(options.limiter.as_deref())?;
     let against = options.against.as_deref().map(|path| daemon::find(Some(path))).transpose()?;
-    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
-    let runtime = runtime.map_err(|e| KitError::Setup(e.to_string()))?;
+    let runtime = runtime()?;
     let mut notes = Vec::new();
     if day.quotas > QUOTAS_NOTED {
         let share = day.quotas * 100.0;
--- a/crates/scenario/src/file.rs
+++ b/crates/scenario/src/file.rs
@@ -436,8 +436,9 @@
 pub const EVENTS_MOST: usize = 1_000;
 
 /// The built-in scenarios: name and text.
-const BUILTINS: [(&str, &str); 7] = [
+const BUILTINS: [(&str, &str); 8] = [
     ("worst-quarter", include_str!("../builtin/worst-quarter.toml")),
+    ("overload", include_str!("../builtin/overload.toml")),
     ("quiet", include_str!("../builtin/quiet.toml")),
     ("drain", include_str!("../builtin/drain.toml")),
     ("restarts", include_str!("../builtin/restarts.toml")),
@@ -534,7 +535,7 @@
         span("fleet.handshake_ms", f.handshake_ms, 0.0, 1_000.0)?;
         span("fleet.connections_per_core", f.connections_per_core, 1.0, 10_000.0)?;
         span("fleet.idle_seconds", f.idle_seconds, 0.1, 3_600.0)?;
-        span("load.inside", self.load.inside, 0.001, 3.0)?;
+        span("load.inside", self.load.inside, 1e-6, 3.0)?;
         span("load.ramp_from", self.load.ramp_from, 0.01, 1.0)?;
         number("load.most_excess", self.load.most_excess, 0.0, 10.0)?;
         number("limits.sockets", f64::from(self.limits.sockets), 64.0, 65_536.0)?;
--- a/crates/verdict/src/ledger.rs
+++ b/crates/verdict/src/ledger.rs
@@ -375,6 +375,9 @@
         limiter: u32,
         /// Processor time.
         cpu_us: Micros,
+        /// Of it spent in the system on its behalf.
+        #[serde(default)]
+        system_us: Micros,
         /// Resident memory.
         rss_kb: u64,
         /// Descriptors.
--- a/crates/verdict/src/run.rs
+++ b/crates/verdict/src/run.rs
@@ -67,6 +67,19 @@
     }
 }
 
+/// What one life of a limiter used.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Used {
+    /// Processor time.
+    pub cpu_us: Micros,
+    /// Of it in the system.
+    pub system_us: Micros,
+    /// Resident memory at most, in KiB.
+    pub rss_kb: u64,
+    /// Descriptors at most.
+    pub fds: u64,
+}
+
 /// One life of a limiter's process.
 #[derive(Debug, Clone)]
 pub struct Life {
@@ -74,8 +87,8 @@
     pub limiter: u32,
     /// What happened to it, by time.
     pub changes: Vec<(Micros, Change)>,
-    /// The last that was seen of its use: processor time, memory at most, descriptors at most.
-    pub used: (Micros, u64, u64),
+    /// What it used, as far as was seen.
+    pub used: Used,
 }
 
 /// One life of a node.
@@ -263,8 +276,8 @@
                 }
                 Record::NodeEnd { t, node, fell } => node_ends.push((t, node, fell)),
                 Record::Limiter { t, limiter, change } => changes.push((limiter, t, change)),
-                Record::Usage { t, limiter, cpu_us, rss_kb, fds } => {
-                    uses.push((limiter, t, cpu_us, rss_kb, fds))
+                Record::Usage { t, limiter, cpu_us, system_us, rss_kb, fds } => {
+                    uses.push((limiter, t, Used { cpu_us, system_us, rss_kb, fds }));
                 }
                 Record::Trouble { t, name, on } => run.troubles.push((t, name, on)),
                 Record::Closing(closing) => run.closing = Some(closing),
@@ -306,26 +319,27 @@
         run
     }
 
-    fn gather_lives(
-        &mut self,
-        mut changes: Vec<(u32, Micros, Change)>,
-        uses: Vec<(u32, Micros, Micros, u64, u64)>,
-    ) {
+    fn gather_lives(&mut self, mut changes: Vec<(u32, Micros, Change)>, uses: Vec<(u32, Micros, Used)>) {
         changes.sort_by_key(|c| (c.0, c.1));
         for (limiter, t, change) in changes {
             let new = change == Change::Started || self.lives.last().is_none_or(|l| l.limiter != limiter);
             if new {
-                self.lives.push(Life { limiter, changes: Vec::new(), used: (0, 0, 0) });
+                self.lives.push(Life { limiter, changes: Vec::new(), used: Used::default() });
             }
             if let Some(life) = self.lives.last_mut() {
                 life.changes.push((t, change));
             }
         }
-        for (limiter, t, cpu, rss, fds) in uses {
+        for (limiter, t, used) in uses {
             let life = self.lives.iter_mut().rfind(|l| l.limiter == limiter && l.changes[0].0 <= t);
             if let Some(life) = life {
-                let used = life.used;
-                life.used = (used.0.max(cpu), used.1.max(rss), used.2.max(fds));
+                let was = life.used;
+                life.used = Used {
+                    cpu_us: was.cpu_us.max(used.cpu_us),
+                    system_us: was.system_us.max(used.system_us),
+                    rss_kb: was.rss_kb.max(used.rss_kb),
+                    fds: was.fds.max(used.fds),
+                };
             }
         }
     }
--- a/crates/verdict/src/service.rs
+++ b/crates/verdict/src/service.rs
@@ -99,6 +99,8 @@
     pub tries: usize,
     /// Processor time in seconds.
     pub cpu_s: f64,
+    /// Of it in the system, in seconds.
+    pub system_s: f64,
     /// Processor time a try, in microseconds.
     pub cpu_us_per_try: f64,
     /// Resident memory at most, in KiB.
@@ -309,14 +311,15 @@
         let to = next.map_or(Micros::MAX, |l| l.changes[0].0);
         let tries =
             run.tries.iter().filter(|t| t.limiter == life.limiter && (from..to).contains(&t.t)).count();
-        let (cpu, rss_kb, fds) = life.used;
+        let used = life.used;
         costs.push(Cost {
             limiter: life.limiter,
             tries,
-            cpu_s: cpu as f64 / 1e6,
-            cpu_us_per_try: cpu as f64 / tries.max(1) as f64,
-            rss_kb,
-            fds,
+            cpu_s: used.cpu_us as f64 / 1e6,
+            system_s: used.system_us as f64 / 1e6,
+            cpu_us_per_try: used.cpu_us as f64 / tries.max(1) as f64,
+            rss_kb: used.rss_kb,
+            fds: used.fds,
         });
     }
     costs
