Find out a counter that lost its numbers, enter own adds again, settle; drill in virtual time

Change: limeway-recovery (no I/O) keeps what a limiter added and saw by count. A total below one that was shown is a loss: the known total stands, own adds are entered again before new leases, for 1 s only credit is spent, and the others are told by one message each.

Three tests of the silent counter now let gateways live before the silence, since a fresh one has earned no credit.

--- /dev/null
+++ b/crates/drill/tests/bounds.rs
@@ -0,0 +1,88 @@
+//! Seeded days of each kind stay within what is stated, and each guard is needed: with it taken out, a named seed shows
+//! use beyond a window's budget where there was none.
+
+use limeway_drill::{play, play_with, shrink, Fault, Figures, Guards, Kind, Schedule};
+
+/// Days of each kind here; `limeway-kit drill` plays any number.
+const DAYS: u64 = 30;
+/// Overshoot of one customer in one window at most, as a part of its budget, one largest request a gateway aside.
+const STATED: f64 = 0.2;
+
+#[test]
+fn days_of_all_kinds_stay_within_the_stated_bound_the_ceilings_and_the_ordinary_rules() {
+    for kind in Kind::ALL {
+        let mut all = Figures::default();
+        for seed in 1..=DAYS {
+            let played = play(&Schedule::draw(kind, seed));
+            assert_eq!(played.findings, [], "{} {seed}", kind.name());
+            all.add(&played.figures);
+        }
+        assert!(all.overshoot <= STATED, "{}: {} with seed {}", kind.name(), all.overshoot, all.worst_seed);
+        assert!(all.ceiling <= 1.0, "{}: ceiling {}", kind.name(), all.ceiling);
+        assert!(all.sent_inside * 2 > all.inside, "{}: more is let in than refused", kind.name());
+    }
+}
+
+#[test]
+fn a_calm_day_passes_no_budget_at_all_and_needs_no_message() {
+    let mut all = Figures::default();
+    (1..=DAYS).for_each(|seed| all.add(&play(&Schedule::draw(Kind::Calm, seed)).figures));
+    assert_eq!((all.beyond, all.messages, all.failed), (0.0, 0, 0));
+}
+
+#[test]
+fn the_same_seed_plays_the_same_day() {
+    for kind in [Kind::Mixed, Kind::Restarts] {
+        let day = Schedule::draw(kind, 12);
+        let (a, b) = (play(&day), play(&day));
+        assert_eq!((a.figures, a.notes), (b.figures, b.notes));
+        assert_ne!(play(&Schedule::draw(kind, 13)).figures, play(&day).figures);
+    }
+}
+
+#[test]
+fn each_guard_is_needed() {
+    let all = Guards::ALL;
+    let cases = [
+        ("memory", Guards { memory: false, ..all }, Kind::Mixed, 370),
+        ("debts", Guards { debts: false, ..all }, Kind::ReplacedTwice, 80),
+        ("settling", Guards { settling: false, ..all }, Kind::Replaced, 27),
+        ("news", Guards { news: false, ..all }, Kind::Flapping, 345),
+        ("start", Guards { start: false, ..all }, Kind::Restarts, 90),
+    ];
+    for (name, without, kind, seed) in cases {
+        let day = Schedule::draw(kind, seed);
+        let with = play(&day).figures.overshoot_units;
+        let none = play_with(&day, without).figures.overshoot_units;
+        assert!(with < 0.001 && none >= 2.0, "{name}: {with} units over with it, {none} without");
+    }
+}
+
+#[test]
+fn a_loss_is_told_once_by_each_who_finds_it_and_the_counter_is_well_again() {
+    let mut day = Schedule::draw(Kind::Calm, 3);
+    day.loss = 0.0;
+    day.faults = vec![(6_000_000, Fault::Empty(0))];
+    let notes = play(&day).notes;
+    for gateway in 0..day.gateways {
+        let own: Vec<&str> = notes.iter().filter(|n| n.1 == gateway).map(|n| n.2.as_str()).collect();
+        let settling = own.iter().filter(|n| n.contains("-> settling")).count();
+        assert_eq!(settling, 1, "{own:?}");
+        assert!(own.last().is_some_and(|n| n.ends_with("settling -> well")), "{own:?}");
+        let first = notes.iter().find(|n| n.1 == gateway).map_or(0, |n| n.0);
+        assert!((6_000_000..7_000_000).contains(&first), "found out within a second: {first}");
+    }
+}
+
+#[test]
+fn a_failing_schedule_is_cut_down_to_what_makes_it_fail() {
+    let mut day = Schedule::draw(Kind::ReplacedTwice, 80);
+    day.faults.extend((0..20).map(|n| (n * 500_000, Fault::Cut(9, true))));
+    day.faults.sort_by_key(|f| f.0);
+    let without = Guards { debts: false, ..Guards::ALL };
+    let fails = |day: &Schedule| play_with(day, without).figures.overshoot_units >= 2.0;
+    assert!(fails(&day));
+    let small = shrink(&day, fails);
+    assert!(fails(&small) && small.faults.len() <= 3, "{:?}", small.faults);
+    assert!(small.faults.iter().any(|f| matches!(f.1, Fault::Empty(0))));
+}
--- a/crates/kit/src/bin/rogue.rs
+++ b/crates/kit/src/bin/rogue.rs
@@ -201,7 +201,7 @@
         let body = body.collect().await.map_err(std::io::Error::other)?.to_bytes();
         match self.fault {
             Fault::Loses if unlucky => std::future::pending().await,
-            Fault::Crashes if number > 100 => std::process::exit(7),
+            Fault::Crashes if number > 20 => std::process::exit(7),
             Fault::Invents if unlucky => return Ok(Response::new(Full::new("made up".into()))),
             _ => {}
         }
--- /dev/null
+++ b/crates/kit/src/drill.rs
@@ -0,0 +1,80 @@
+//! Days in virtual time: many at once with their worst, or one again with all that was said.
+
+use comfy_table::presets::ASCII_MARKDOWN;
+use comfy_table::Table;
+use limeway_drill::{play_with, shrink, Figures, Finding, Guards, Kind, Schedule};
+use std::fmt::Write;
+
+/// Figures of many days of one kind, and the first that broke a rule.
+pub fn many(kind: Kind, seeds: std::ops::Range<u64>, guards: Guards) -> (Figures, Option<(u64, Finding)>) {
+    let (mut all, mut first) = (Figures::default(), None);
+    for seed in seeds {
+        let played = play_with(&Schedule::draw(kind, seed), guards);
+        if let (None, Some(finding)) = (&first, played.findings.first()) {
+            first = Some((seed, finding.clone()));
+        }
+        all.add(&played.figures);
+    }
+    (all, first)
+}
+
+/// The figures as a Markdown table.
+pub fn table(rows: &[(Kind, Figures)]) -> String {
+    let mut table = Table::new();
+    table.load_preset(ASCII_MARKDOWN);
+    table.set_header(vec![
+        "kind",
+        "days",
+        "worst overshoot",
+        "in units",
+        "seed",
+        "beyond budgets",
+        "let in",
+        "nearest ceiling",
+        "counts/request",
+        "messages/request",
+        "failed",
+    ]);
+    for (kind, f) in rows {
+        let part = |a: f64, b: f64| a / b.max(1.0);
+        table.add_row(vec![
+            kind.name().to_owned(),
+            f.days.to_string(),
+            format!("{:.1}%", f.overshoot * 100.0),
+            format!("{:.1}", f.overshoot_units),
+            f.worst_seed.to_string(),
+            format!("{:.4}%", 100.0 * part(f.beyond, f.units)),
+            format!("{:.1}%", 100.0 * part(f.sent_inside as f64, f.inside as f64)),
+            format!("{:.2}", f.ceiling),
+            format!("{:.3}", part(f.counts as f64, f.requests as f64)),
+            format!("{:.4}", part(f.messages as f64, f.requests as f64)),
+            f.failed.to_string(),
+        ]);
+    }
+    table.to_string()
+}
+
+/// One day again: its schedule, what gateways said, and what was found; a failing one cut down.
+pub fn one(kind: Kind, seed: u64, guards: Guards) -> (String, bool) {
+    let day = Schedule::draw(kind, seed);
+    let played = play_with(&day, guards);
+    let mut text = String::new();
+    let seconds = |t: u64| t as f64 / 1e6;
+    let _ = writeln!(text, "{} {seed}: {} gateways, {} customers", kind.name(), day.gateways, day.customers);
+    for (t, fault) in &day.faults {
+        let _ = writeln!(text, "{:8.3} s  {fault:?}", seconds(*t));
+    }
+    for (t, gateway, note) in &played.notes {
+        let _ = writeln!(text, "{:8.3} s  gateway {gateway}: {note}", seconds(*t));
+    }
+    for finding in &played.findings {
+        let _ = writeln!(text, "{:8.3} s  FOUND: {}", seconds(finding.t), finding.what);
+    }
+    let failed = !played.findings.is_empty();
+    if failed {
+        let small = shrink(&day, |day| !play_with(day, guards).findings.is_empty());
+        let _ = writeln!(text, "still fails with: {:?}", small.faults);
+    }
+    let _ = writeln!(text, "{}", table(&[(kind, played.figures)]));
+    (text, failed)
+}
--- a/crates/kit/src/lib.rs
+++ b/crates/kit/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 
 pub mod daemon;
+pub mod drill;
 pub mod fleet;
 pub mod html;
 pub mod measure;
--- a/crates/kit/src/main.rs
+++ b/crates/kit/src/main.rs
@@ -4,9 +4,10 @@
 
 use clap::{Args, Parser, Subcommand};
 use indicatif::{ProgressBar, ProgressStyle};
+use limeway_drill::{Guards, Kind};
 use limeway_kit::fleet::READY_MOST;
 use limeway_kit::rehearsal::{interrupted, rehearse, Plan, Played, Progress};
-use limeway_kit::{daemon, html, measure, report, KitError};
+use limeway_kit::{daemon, drill, html, measure, report, KitError};
 use limeway_scenario::{builtin, builtins, draw, Day, Scenario};
 use limeway_verdict::ledger::Record;
 use limeway_verdict::run::Run;
@@ -62,6 +63,21 @@
         #[arg(long)]
         json: Option<PathBuf>,
     },
+    /// Play days in virtual time: gateways, counters that fail, a lossy network.
+    Drill {
+        /// Kind of day, or all of them.
+        #[arg(long)]
+        kind: Option<String>,
+        /// How many days of each kind.
+        #[arg(long, default_value_t = 100)]
+        days: u64,
+        /// The first seed; with `--days 1` and a kind, that day is told in full.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Without the guards against a counter that loses its numbers, for comparison.
+        #[arg(long)]
+        unguarded: bool,
+    },
     /// Judge a ledger that was written before, by this kit or by others.
     Judge {
         /// The ledger.
@@ -120,6 +136,10 @@
             let options = (seconds, limiters, seed);
             measure_rates(&rates, options, limiter.as_deref(), json.as_deref())
         }
+        Command::Drill { kind, days, seed, unguarded } => {
+            let guards = if unguarded { Guards::NONE } else { Guards::ALL };
+            drill_days(kind.as_deref(), days, seed, guards)
+        }
         Command::Judge { ledger, html, json } => judge(&ledger, html.as_deref(), json.as_deref()),
     };
     match done {
@@ -131,6 +151,28 @@
     }
 }
 
+fn drill_days(kind: Option<&str>, days: u64, seed: u64, guards: Guards) -> Result<u8, KitError> {
+    let named = |name| Kind::named(name).ok_or_else(|| KitError::Setup(format!("no kind is named '{name}'")));
+    let kind = kind.map(named).transpose()?;
+    if let (Some(kind), 1) = (kind, days) {
+        let (text, failed) = drill::one(kind, seed, guards);
+        print!("{text}");
+        return Ok(if failed { BROKEN } else { 0 });
+    }
+    let mut rows = Vec::new();
+    let mut code = 0;
+    for kind in kind.map_or(Kind::ALL.to_vec(), |kind| vec![kind]) {
+        let (figures, first) = drill::many(kind, seed..seed.saturating_add(days), guards);
+        if let Some((seed, finding)) = first {
+            eprintln!("{} --seed {seed} --days 1: {}", kind.name(), finding.what);
+            code = BROKEN;
+        }
+        rows.push((kind, figures));
+    }
+    println!("{}", drill::table(&rows));
+    Ok(code)
+}
+
 fn measure_rates(
     rates: &[f64],
     (seconds, limiters, seed): (f64, u32, u64),
--- a/crates/limeway/src/core.rs
+++ b/crates/limeway/src/core.rs
@@ -247,6 +247,7 @@
                 }
             }
             Action::Watch => self.links.discovery.watch(),
+            Action::Note { text } => self.seldom.warn(format_args!("{text}")),
         }
     }
 
--- a/crates/pondgw/src/interface.rs
+++ b/crates/pondgw/src/interface.rs
@@ -356,4 +356,9 @@
     },
     /// Subscribe to discovery's changes.
     Watch,
+    /// Tell the operator something, once.
+    Note {
+        /// What.
+        text: String,
+    },
 }
--- a/crates/pondgw/src/lib.rs
+++ b/crates/pondgw/src/lib.rs
@@ -46,5 +46,6 @@
 mod state;
 
 pub use interface::*;
-pub use rules::Gateway;
+pub use limeway_recovery::Guards;
+pub use rules::{Gateway, Windows};
 pub use setup::{Setup, SetupError};
--- a/crates/pondgw/src/rules.rs
+++ b/crates/pondgw/src/rules.rs
@@ -3,6 +3,7 @@
 
 use crate::interface::*;
 use crate::state::*;
+use limeway_recovery::{Answer, Count, Guards, Recovery, Verdict};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Time between two sweeps while anything is held, in microseconds: fine beside aims of some 100 ms.
@@ -33,6 +34,8 @@
 const PACE_MOST: f64 = 2_000.0;
 /// Shortest time over which unused calls are saved up, in seconds: requests come unevenly.
 const PACE_SPAN: f64 = 0.25;
+/// Debts to a counter that lost its numbers that one sweep looks at: the pace of calls bounds them too.
+const OWING: usize = 16;
 /// Share of its aim that a request waits for the counter or the ceiling before it is refused.
 const PATIENCE: f64 = 0.4;
 /// Time for which an answer of a customer's home is awaited, in microseconds: there and back, and a call.
@@ -94,6 +97,8 @@
     forget: BTreeSet<(Micros, u64)>,
     calls: BTreeMap<u64, Call>,
     counter: Counter,
+    /// What is known of the counter's history.
+    recovery: Recovery,
     /// Questions to homes by the time they are due, and homes that did not answer.
     asks: BTreeSet<(Micros, u64)>,
     absent: BTreeMap<u32, (u32, Micros)>,
@@ -135,6 +140,7 @@
             absent: BTreeMap::new(),
             calls: BTreeMap::new(),
             counter: Counter { calls, pace, knee: pace, ..Counter::default() },
+            recovery: Recovery::new(),
             requests: BTreeMap::new(),
             ready: BTreeSet::new(),
             alarms: BTreeSet::new(),
@@ -149,6 +155,11 @@
         }
     }
 
+    /// The same with some of the guards against a counter that loses its numbers: tests show what each is for.
+    pub fn with_guards(settings: Settings, seed: u64, now: Micros, guards: Guards) -> Self {
+        Gateway { recovery: Recovery::with(guards), ..Self::new(settings, seed, now) }
+    }
+
     /// Takes one event; what is to be done about it is added to `out`.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         self.now = now;
@@ -192,6 +203,10 @@
             self.alarms.remove(&(at, id));
             self.on_alarm(id, out);
         }
+        // Debts to a counter that has lost its numbers go before new leases, also where nothing waits.
+        for key in self.recovery.owing(self.now, OWING) {
+            self.lease(key, out);
+        }
         // From a random place on, so that a counter that takes few calls serves all customers alike.
         let from = self.draw() as usize % self.holding.len().max(1);
         let held: Vec<u64> = self.holding.iter().copied().collect();
@@ -228,8 +243,11 @@
         // where a customer far over its quota comes in through many gateways: each lets one request through.
         // The same where the counter takes fewer calls than there are requests: customers within their even
         // split leave the calls to those beyond it. What is spent so is owed, and added with the next call.
+        // So too while a counter that has lost its numbers is told what it should know.
         let gateways = f64::from(self.set.gateways.max(1));
-        let silent = here && !customer.calling && (customer.lost || self.counter.scarce(self.now, gateways));
+        let settling = self.recovery.settling(self.now, end - customer.length);
+        let scarce = self.counter.scarce(self.now, gateways);
+        let silent = here && !customer.calling && (customer.lost || settling || scarce);
         let limited = plan.rate > 0.0;
         let (mut kept, mut refused) = (VecDeque::new(), Vec::new());
         while let Some(item) = customer.waiting.pop_front() {
@@ -338,10 +356,17 @@
     /// Takes what another gateway says; what makes no sense is passed over.
     fn on_peer(&mut self, from: u32, data: &[u8], out: &mut Vec<Action>) {
         let Some(message) = Message::decode(data).filter(|_| self.set.permissions.peers) else { return };
+        if let Message::Lost { ago } = message {
+            let verdict = self.recovery.hear(self.now, Micros::from(ago));
+            return note(verdict, out);
+        }
         self.absent.remove(&from);
         let (Message::Ask { customer: key, .. }
         | Message::Grant { customer: key, .. }
-        | Message::Deny { customer: key, .. }) = message;
+        | Message::Deny { customer: key, .. }) = message
+        else {
+            return;
+        };
         if let Message::Ask { plan, doors, units, .. } = message {
             if usize::from(plan) >= self.set.plans.len() {
                 return;
@@ -359,7 +384,7 @@
             match message {
                 Message::Grant { units, .. } => customer.granted += f64::from(units),
                 Message::Deny { wait, .. } => customer.denied_until = now + Micros::from(wait),
-                Message::Ask { .. } => {}
+                Message::Ask { .. } | Message::Lost { .. } => {}
             }
         }
         self.settle(key, out);
@@ -372,11 +397,19 @@
         }
         let Some(customer) = self.customers.get_mut(&key) else { return };
         let (window, end) = customer.window_at(self.now);
-        let needed = customer.wanted();
+        let name = stable_hash(&key.to_le_bytes(), window);
+        let (debt, settling) =
+            (self.recovery.debt(name), self.recovery.settling(self.now, end - customer.length));
+        if customer.calling || settling && debt <= 0.0 {
+            return;
+        }
+        let needed = if settling { 0.0 } else { customer.wanted() };
         let at_home = customer.pooled && customer.home.is_none();
         // As the source has it, a lease grows with the use in the last window, up to the even split; but only
         // where calls are scarce: what is leased and not spent is forfeit.
-        let block = if at_home {
+        let block = if settling {
+            0.0
+        } else if at_home {
             customer.budget * HOME_LEASE
         } else if self.counter.scarce(self.now, f64::from(self.set.gateways.max(1))) {
             (customer.past - customer.used).clamp(0.0, customer.budget / customer.doors).floor()
@@ -384,11 +417,10 @@
             0.0
         };
         let owed = customer.owed;
-        let amount = needed.max(block).min(customer.budget.max(1.0).ceil()) + owed;
-        let name = stable_hash(&key.to_le_bytes(), window);
+        let amount = needed.max(block).min(customer.budget.max(1.0).ceil()) + owed + debt;
         customer.calling = true;
         self.counter.calls.level -= 1.0;
-        self.calls.insert(name, Call { customer: key, window, amount, owed, asked: false });
+        self.calls.insert(name, Call { customer: key, window, amount, owed, debt, asked: false });
         let ttl = 2 * (end - self.now) + WINDOW_LEAST;
         out.push(Action::Count { name, amount, ttl });
     }
@@ -417,13 +449,29 @@
         }
         customer.calling = false;
         customer.lost = !ok;
+        let begins = (call.window * customer.length).saturating_sub(customer.phase);
+        let count = Count { name, of: call.customer, begins, ends: begins + customer.length };
+        let answer = match status {
+            Status::Ok => Answer::Total(total),
+            Status::Full | Status::ConnectFailed | Status::Moot => Answer::Refused,
+            _ => Answer::Silent,
+        };
+        let share = took as f64 / limit.max(1) as f64;
+        let heard = self.recovery.answered(self.now, count, (call.amount, call.debt), answer, share);
+        if heard.verdict.is_some_and(|v| v.loss.is_some()) && self.set.permissions.peers {
+            let others = (0..self.set.gateways).filter(|g| *g != self.set.me);
+            out.extend(others.map(|peer| Action::Tell { peer, data: Message::Lost { ago: 0 }.encode() }));
+        }
+        note(heard.verdict, out);
         if ok && call.window == customer.window {
-            let before = total - call.amount;
+            let (before, total) = (heard.before, heard.before + call.amount);
             customer.store.level -= (before - customer.total).max(0.0);
             customer.total = total;
             customer.spent = (total >= customer.budget).then_some(call.window);
             customer.owed = (customer.owed - call.owed).max(0.0);
-            let granted = (customer.budget - before - call.owed).clamp(0.0, call.amount - call.owed);
+            let (known, fresh) = (before + call.owed + call.debt, call.amount - call.owed - call.debt);
+            let granted =
+                if heard.grants { (customer.budget - known).clamp(0.0, fresh.max(0.0)) } else { 0.0 };
             *customer.escrow.entry(call.window).or_insert(0.0) += granted;
         }
         self.settle(call.customer, out);
@@ -587,20 +635,23 @@
     fn know(&mut self, key: u64, plan: usize, doors: u32) -> &mut Customer {
         let (now, born, max_units) = (self.now, self.born, self.set.max_units);
         let peers = self.set.permissions.peers;
+        let earned = self.recovery.guards().start && self.set.counter.is_some();
         let (p, forget) = (&self.set.plans[plan], &mut self.forget);
         let known = self.customers.entry(key).or_insert_with(|| {
-            // A window holds what the quota allows at most within it. Windows of different customers end at
-            // different times, so that the counter sees no rush.
-            let length = (p.burst.max(max_units) / p.rate.max(SECOND) / SECOND) as u64;
-            let length = length.clamp(WINDOW_LEAST, WINDOW_MOST);
+            let Windows { length, phase, budget } = Windows::keyed(p, max_units, key);
             forget.insert((now + REMEMBER, key));
             Customer {
-                phase: key % length,
-                budget: p.rate * length as f64 * SECOND + p.burst,
+                phase,
+                budget,
                 plan,
                 length,
                 store: Bucket { level: f64::MAX, at: now },
-                split: Bucket { level: f64::MAX, at: now },
+                // One that has just started cannot know what it spent before.
+                split: if earned {
+                    Bucket { level: 0.0, at: born }
+                } else {
+                    Bucket { level: f64::MAX, at: now }
+                },
                 ceiling: Bucket { level: 0.0, at: born },
                 units: max_units,
                 ..Customer::default()
@@ -851,6 +902,37 @@
     }
 }
 
+/// The windows in which a customer's use is counted: their length, their shift, and the units of one.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Windows {
+    /// Length, in microseconds.
+    pub length: Micros,
+    /// Window `n` begins at `n * length - phase`.
+    pub phase: Micros,
+    /// Units of one.
+    pub budget: f64,
+}
+
+impl Windows {
+    /// The windows of a customer, by its name and the index of its plan.
+    pub fn of(plan: &Plan, max_units: f64, customer: &str, index: usize) -> Self {
+        Self::keyed(plan, max_units, stable_hash(customer.as_bytes(), index as u64))
+    }
+
+    /// A window holds what the quota allows at most within it. Windows of different customers end at
+    /// different times, so that the counter sees no rush.
+    fn keyed(p: &Plan, max_units: f64, key: u64) -> Self {
+        let length = (p.burst.max(max_units) / p.rate.max(SECOND) / SECOND) as u64;
+        let length = length.clamp(WINDOW_LEAST, WINDOW_MOST);
+        Windows { length, phase: key % length, budget: p.rate * length as f64 * SECOND + p.burst }
+    }
+}
+
+/// Tells the operator of a change of what the counter is held to be.
+fn note(verdict: Option<Verdict>, out: &mut Vec<Action>) {
+    out.extend(verdict.map(|v| Action::Note { text: v.to_string() }));
+}
+
 fn set_alarm(alarms: &mut BTreeSet<(Micros, RequestId)>, request: &mut Request, id: RequestId, at: Micros) {
     alarms.remove(&(request.alarm, id));
     request.alarm = at.min(request.deadline.saturating_sub(MARGIN * SWEEP));
--- a/crates/pondgw/src/state.rs
+++ b/crates/pondgw/src/state.rs
@@ -105,8 +105,9 @@
     pub customer: u64,
     pub window: u64,
     pub amount: f64,
-    /// The part of it that was spent before.
+    /// The part of it that was spent before, and the part that the counter had before it lost its numbers.
     pub owed: f64,
+    pub debt: f64,
     /// Its answer could not be read, and the total is being asked for.
     pub asked: bool,
 }
@@ -200,6 +201,8 @@
     Grant { customer: u64, units: f32 },
     /// Nothing is left for this time.
     Deny { customer: u64, wait: u32 },
+    /// The counter has lost its numbers, so long ago.
+    Lost { ago: u32 },
 }
 
 impl Message {
@@ -214,6 +217,7 @@
             }
             Message::Grant { customer, units } => (1, customer, units.to_le_bytes().to_vec()),
             Message::Deny { customer, wait } => (2, customer, wait.to_le_bytes().to_vec()),
+            Message::Lost { ago } => (3, 0, ago.to_le_bytes().to_vec()),
         };
         let mut bytes = vec![kind];
         bytes.extend(customer.to_le_bytes());
@@ -233,6 +237,7 @@
                 Some(Message::Ask { customer, plan: bytes[13], doors, units })
             }
             (1, 13) if sound => Some(Message::Grant { customer, units }),
+            (3, 13) => Some(Message::Lost { ago: u32::from_le_bytes(figure) }),
             (2, 13) => Some(Message::Deny { customer, wait: u32::from_le_bytes(figure) }),
             _ => None,
         }
--- a/crates/pondgw/tests/escrow.rs
+++ b/crates/pondgw/tests/escrow.rs
@@ -4,6 +4,9 @@
 use common::*;
 use pondgw::*;
 
+/// A life after which a gateway has earned its whole split: one that has just started cannot know what it spent before.
+const AGED: Micros = 30 * S;
+
 /// First attempts sent so far.
 fn total_sent(host: &Host) -> usize {
     host.sends.iter().filter(|s| s.2 == 0).count()
@@ -61,6 +64,7 @@
 #[test]
 fn with_a_silent_counter_it_spends_its_even_split_and_then_refuses() {
     let mut host = Host::new(settings(), 4);
+    host.wait(AGED);
     host.mode = CounterMode::Silent;
     for id in 0..10 {
         host.ask(id, 0, 0, 4 * S);
@@ -71,6 +75,54 @@
     assert_eq!((0..10).filter(|id| host.refused(*id)).count(), 10 - total_sent(&host));
 }
 
+/// Guards against a fresh share for each life: a gateway that is killed and started while the counter is away would
+/// spend its even split anew each time.
+#[test]
+fn one_that_starts_while_the_counter_is_silent_spends_only_what_it_has_earned_since() {
+    let mut host = Host::new(settings(), 4);
+    host.mode = CounterMode::Silent;
+    for id in 0..10 {
+        host.ask(id, 0, 0, 4 * S);
+    }
+    host.wait(S);
+    // Two units a second for the 0.4 s that a request waits.
+    assert!(total_sent(&host) <= 1, "{}", total_sent(&host));
+}
+
+/// Guards against a second grant of what a counter has forgotten: the total that was known stands, the own adds are
+/// entered again, and a window that begins later is leased as ever.
+#[test]
+fn a_counter_that_lost_its_numbers_grants_nothing_twice() {
+    let mut host = Host::new(settings(), 4);
+    host.serve = (0..4).collect();
+    host.wait(AGED);
+    // A window begins with the first call that has a new name.
+    let mut id = 0;
+    let mut ask = |host: &mut Host| {
+        id += 1;
+        host.ask(id, 0, 0, 4 * S);
+        host.wait(300 * MS);
+        host.calls.last().map(|c| c.1)
+    };
+    let first = ask(&mut host);
+    while ask(&mut host) == first {}
+    ask(&mut host);
+    let sent = total_sent(&host);
+    let name = host.calls.last().expect("a call").1;
+    let known = host.counts[&name];
+    assert_eq!(known, 2.0);
+    host.counts.clear();
+    ask(&mut host);
+    ask(&mut host);
+    assert!(host.counts[&name] >= known + 1.0, "{} of {known} is entered again", host.counts[&name]);
+    host.wait(10 * S);
+    for id in 30..34 {
+        host.ask(id, 0, 0, 4 * S);
+        host.wait(50 * MS);
+    }
+    assert!(total_sent(&host) >= sent + 4, "later windows are leased as ever");
+}
+
 #[test]
 fn a_silent_counter_is_ridden_out_on_the_even_split_across_window_edges() {
     let mut host = Host::new(settings(), 4);
@@ -160,6 +212,7 @@
 #[test]
 fn what_was_spent_without_a_lease_is_owed_to_the_count() {
     let mut host = Host::new(settings(), 4);
+    host.wait(AGED);
     host.mode = CounterMode::Silent;
     host.ask(1, 0, 0, 4 * S);
     host.wait(60 * MS);
--- a/crates/pondgw/tests/fleet.rs
+++ b/crates/pondgw/tests/fleet.rs
@@ -312,6 +312,8 @@
 fn with_homes_out_of_reach_and_the_counter_silent_credit_is_the_even_split() {
     let mut hosts = fleet(40);
     for host in &mut hosts {
+        // One that has just started has earned no credit yet.
+        host.wait(30 * S);
         host.mode = CounterMode::Silent;
     }
     play(&mut hosts, 1_000, false, |step, hosts| {
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -226,6 +226,7 @@
                 writeln!(to, "SIGNAL {name} {peer} {}", BASE64_STANDARD.encode(data))
             }
             Action::Watch => writeln!(to, "TRACK {name} 1"),
+            Action::Note { ref text } => writeln!(to, "REMARK {name} {text}"),
         };
         debug_assert!(done.is_ok(), "writing to a string cannot fail");
     }
