--- a/crates/pondgw/src/rules.rs
+++ b/crates/pondgw/src/rules.rs
@@ -155,7 +155,7 @@
         }
     }
 
-    /// The same with some of the guards against a counter that loses its numbers: tests show what each is for.
+    /// The same with some guards against a lost counter only, to test what each is for.
     pub fn with_guards(settings: Settings, seed: u64, now: Micros, guards: Guards) -> Self {
         Gateway { recovery: Recovery::with(guards), ..Self::new(settings, seed, now) }
     }
