Give limiters an address of their own in rehearsals, so that no stand-in takes their ports

Cause: a rehearsal of twelve failed with 'Address already in use': the ports held for limiters were free when they were looked for, and one was then given by the system to a stand-in that asked for any port at the same address.

--- a/crates/kit/tests/command.rs
+++ b/crates/kit/tests/command.rs
@@ -83,6 +83,13 @@
             serde_json::from_str(&std::fs::read_to_string(&json).expect("JSON")).expect("JSON");
         assert_eq!(verdict["rules"].as_array().map(Vec::len), Some(5));
         assert!(folder.path().join("logs/limiter-1.json").is_file());
+        if fault == "none" {
+            let program = path(&program);
+            let args =
+                ["rehearse", path(&scenario), "--limiter", program, "--against", program, "--seed", "3"];
+            let said = text(&run(&args).stdout);
+            assert!(said.contains("difference") && said.contains("rule 5: ceilings are kept"), "{said}");
+        }
         // The same verdict from the ledger alone.
         let again = run(&["judge", &ledger]);
         assert_eq!(again.status.code(), Some(code), "{}", text(&again.stdout));
--- a/crates/kit/tests/rehearsals.rs
+++ b/crates/kit/tests/rehearsals.rs
@@ -3,6 +3,9 @@
 mod common;
 
 use common::*;
+use limeway_kit::fleet::Fleet;
+use limeway_kit::KitError;
+use limeway_standins::World;
 use limeway_verdict::ledger::{Change, Left, Record};
 use limeway_verdict::Verdict;
 
@@ -74,6 +77,21 @@
     assert_eq!(broken(&verdict), [0; 0], "{:?}", verdict.rules);
 }
 
+#[test]
+fn a_port_that_is_taken_is_a_set_up_error_that_quotes_the_limiter() {
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+    let folder = tempfile::tempdir().expect("a folder");
+    let started = runtime.expect("a runtime").block_on(async {
+        let day = limeway_scenario::draw(&small(3.0, ""), 1).expect("a day");
+        let world = World::start(day).await.expect("a world");
+        let _taken = std::net::TcpListener::bind(world.limiters[0]).expect("it was free");
+        let fleet = Fleet::new(world, &limeway(), folder.path(), std::time::Duration::from_secs(10));
+        fleet.start(0).await
+    });
+    let Err(KitError::Setup(reason)) = started else { panic!("it started") };
+    assert!(reason.contains("limiter 0 ended") && reason.contains("listen"), "{reason}");
+}
+
 #[test]
 fn a_cold_fleet_is_warmed_up_and_not_pushed_over() {
     let mut scenario = small(8.0, "");
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -98,12 +98,13 @@
     /// An address or port cannot be had.
     pub async fn start(day: Day) -> io::Result<Arc<Self>> {
         let day = Arc::new(day);
-        let (ip, seed) = (own_ip(), day.seed);
+        // Limiters listen at an address of their own: ports that are free now are not given to a stand-in meanwhile.
+        let (ip, limiter_ip, seed) = (own_ip(), own_ip(), day.seed);
         let book = Arc::new(Book::new(digest(6, seed, b"secret")));
         let count = day.scenario.fleet.limiters;
         let mut taken = BTreeSet::new();
-        let limiters = free_ports(ip, count as usize, &mut taken)?;
-        let peer_listen = free_ports(ip, count as usize, &mut taken)?;
+        let limiters = free_ports(limiter_ip, count as usize, &mut taken)?;
+        let peer_listen = free_ports(limiter_ip, count as usize, &mut taken)?;
         let ways = |many: usize| -> Vec<Vec<Link>> {
             (0..count).map(|_| (0..many).map(|_| Link::default()).collect()).collect()
         };
--- a/crates/standins/tests/promises.rs
+++ b/crates/standins/tests/promises.rs
@@ -194,6 +194,33 @@
     assert!(ask(far, &sent(&world, 3, None, 1_000)).await.starts_with("HTTP/1.1 200"));
 }
 
+#[tokio::test]
+async fn a_node_closes_idle_connections_early_and_holds_only_so_many() {
+    let world = World::start(day(|s| {
+        s.fleet.idle_seconds = Span(0.2, 0.2);
+        s.fleet.connections_per_core = Span(1.0, 1.0);
+    }));
+    let world = world.await.expect("a world");
+    let to = world.node(0).expect("a node").addresses[0];
+    let mut streams = Vec::new();
+    for _ in 0..4 {
+        streams.push(TcpStream::connect(to).await.expect("a connection"));
+    }
+    // Those that are held are busy, so that only their number closes the next one.
+    for (id, stream) in (1..).zip(&mut streams) {
+        stream.write_all(sent(&world, id, None, 1_500_000).as_bytes()).await.expect("written");
+    }
+    until(&world, |r| r.iter().filter(|r| matches!(r, Record::Attempt { .. })).count() == 4).await;
+    let mut fifth = TcpStream::connect(to).await.expect("it comes up, and is closed");
+    let end = timeout(Duration::from_millis(700), fifth.read(&mut [0; 1])).await.expect("closed at once");
+    assert!(matches!(end, Ok(0) | Err(_)));
+    for stream in &mut streams {
+        assert!(read(stream).await.starts_with("HTTP/1.1 200"), "a busy one is not idle");
+        let end = timeout(LONG, stream.read(&mut [0; 1])).await.expect("closed when idle");
+        assert!(matches!(end, Ok(0) | Err(_)));
+    }
+}
+
 fn call(name: &str, add: f64) -> String {
     format!("POST /v1/count/{name}?add={add}&ttl_ms=20000 HTTP/1.1\r\nHost: c\r\nContent-Length: 0\r\n\r\n")
 }
