Windows that began before the clock did: no overflow in the module

Cause: a window's beginning is its end less its length, below 0 in the first window of a clock near 0, as the adapter's tests have it: a panic in debug builds, harmless by its wrapping in release builds.

--- a/crates/pondgw/src/rules.rs
+++ b/crates/pondgw/src/rules.rs
@@ -245,7 +245,7 @@
         // split leave the calls to those beyond it. What is spent so is owed, and added with the next call.
         // So too while a counter that has lost its numbers is told what it should know.
         let gateways = f64::from(self.set.gateways.max(1));
-        let settling = self.recovery.settling(self.now, end - customer.length);
+        let settling = self.recovery.settling(self.now, end.saturating_sub(customer.length));
         let scarce = self.counter.scarce(self.now, gateways);
         let silent = here && !customer.calling && (customer.lost || settling || scarce);
         let limited = plan.rate > 0.0;
@@ -399,7 +399,7 @@
         let (window, end) = customer.window_at(self.now);
         let name = stable_hash(&key.to_le_bytes(), window);
         let (debt, settling) =
-            (self.recovery.debt(name), self.recovery.settling(self.now, end - customer.length));
+            (self.recovery.debt(name), self.recovery.settling(self.now, end.saturating_sub(customer.length)));
         if customer.calling || settling && debt <= 0.0 {
             return;
         }
