--- a/crates/kit/src/fleet.rs
+++ b/crates/kit/src/fleet.rs
@@ -1,6 +1,7 @@
 //! The limiters' processes: start, signals, unexpected ends, what they use.
 
 use crate::KitError;
+use limeway_standins::book::lock;
 use limeway_standins::clients::Seen;
 use limeway_standins::World;
 use limeway_verdict::ledger::{Change, Micros, Record};
@@ -9,7 +10,7 @@
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::process::{Child, Command};
 use tokio::sync::watch;
@@ -46,10 +47,6 @@
     crashed: watch::Sender<bool>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Fleet {
     /// A fleet of none yet, whose configurations and logs go into a folder, and each of whose limiters must be ready
     /// within `ready_most`.
--- a/crates/kit/src/rehearsal.rs
+++ b/crates/kit/src/rehearsal.rs
@@ -3,6 +3,7 @@
 use crate::fleet::Fleet;
 use crate::KitError;
 use limeway_scenario::{Day, Event, What};
+use limeway_standins::book::lock;
 use limeway_standins::world::{opening, World};
 use limeway_standins::Mode;
 use limeway_verdict::ledger::{Closing, Micros, Opening, Record};
@@ -10,7 +11,7 @@
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::path::{Path, PathBuf};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::time::{interval, sleep, Instant};
 
@@ -70,7 +71,7 @@
 
 impl On {
     fn set(&self, name: &str, on: bool) {
-        let mut names = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut names = lock(&self.0);
         if on {
             names.insert(name.to_owned(), ());
         } else {
@@ -79,7 +80,7 @@
     }
 
     fn names(&self) -> Vec<String> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner).keys().cloned().collect()
+        lock(&self.0).keys().cloned().collect()
     }
 }
 
@@ -182,7 +183,7 @@
     records.push(Record::Closing(closing));
     fleet.stop();
     world.stop();
-    let errors = std::mem::take(&mut *stage.errors.lock().unwrap_or_else(PoisonError::into_inner));
+    let errors = std::mem::take(&mut *lock(&stage.errors));
     match errors.into_iter().next() {
         Some(error) => Err(KitError::Setup(error)),
         None => Ok(Played { opening, records }),
@@ -211,7 +212,7 @@
         let name = event.what.name();
         self.mark(&name, true);
         if let Err(e) = self.act(&event).await {
-            let mut errors = self.errors.lock().unwrap_or_else(PoisonError::into_inner);
+            let mut errors = lock(&self.errors);
             errors.push(format!("{name}: {e}"));
         }
         self.mark(&name, false);
--- a/crates/recovery/src/lib.rs
+++ b/crates/recovery/src/lib.rs
@@ -191,6 +191,8 @@
     losses: u32,
     /// When the last loss was seen; nothing before the first.
     lost_at: Option<Micros>,
+    /// When the last window ends that was known at the last loss: later ones owe nothing.
+    owing_until: Micros,
 }
 
 impl Recovery {
@@ -246,8 +248,9 @@
 
     /// Whose counts lack something that this limiter has added, `most` of them.
     pub fn owing(&self, now: Micros, most: usize) -> Vec<u64> {
-        // Debts outlive the time of settling where calls are few, but not the longest window.
-        if self.lost_at.is_none() {
+        // Debts outlive the time of settling where calls are few, but not the windows of then. Guards against a look at
+        // all names with each sweep for good after one loss.
+        if now >= self.owing_until {
             return Vec::new();
         }
         let owes = |k: &&Known| k.ends > now && self.lacks(k) > 0.0;
@@ -315,6 +318,7 @@
     fn lose(&mut self, now: Micros) {
         self.losses += 1;
         self.lost_at = Some(now);
+        self.owing_until = self.ends.last().map_or(0, |e| e.0);
     }
 
     /// Another limiter has found out, some time ago. News of a loss that is known already changes nothing.
--- a/crates/standins/src/book.rs
+++ b/crates/standins/src/book.rs
@@ -12,7 +12,7 @@
 const RECORDS_MOST: usize = 20_000_000;
 
 /// Locks what no code leaves half-changed: a panic elsewhere must not end the whole run.
-pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
