--- a/crates/recovery/src/presence.rs
+++ b/crates/recovery/src/presence.rs
@@ -136,7 +136,7 @@
                 self.probes += 1;
                 self.out = Some(Mark { slot, amount: 0.0, ttl, probe: true });
             }
-        } else if !read && now >= self.again && self.tried.1 < AGAIN.1 {
+        } else if slot > 0 && !read && now >= self.again && self.tried.1 < AGAIN.1 {
             // Before the mark: one that finds its last mark gone has debts to enter first.
             self.tried.1 += 1;
             self.again = now + AGAIN.0;
