Hash a window's name only where it is used; one test of a limiter's bit

Each settling of a customer hashed its window's name, which only a limiter in trouble needs; the name was also built in two places. Whether a limiter's bit is among a slot's marks was written twice.

--- a/crates/pondgw/src/rules.rs
+++ b/crates/pondgw/src/rules.rs
@@ -292,10 +292,9 @@
         let begins = end.saturating_sub(customer.length);
         let settling = self.recovery.settling(self.now, begins);
         let silent = here && !customer.calling && (trouble || settling || customer.lost || scarce);
-        let name = stable_hash(&key.to_le_bytes(), window);
         let limit = self.recovery.limit(self.now, customer.through, begins, customer.budget);
         let share = if trouble && silent {
-            self.recovery.credit(customer.through, name, customer.used(key, window))
+            self.recovery.credit(customer.through, window_name(key, window), customer.used(key, window))
         } else if self.recovery.guards().share && customer.lost && !scarce {
             // A call was lost, others may not be: an even split of what was left when the last one came.
             (limit - customer.total).max(0.0) / customer.doors
@@ -464,7 +463,7 @@
         }
         let Some(customer) = self.customers.get_mut(&key) else { return };
         let (window, end) = customer.window_at(self.now);
-        let name = stable_hash(&key.to_le_bytes(), window);
+        let name = window_name(key, window);
         let begins = end.saturating_sub(customer.length);
         let (debt, settling) = (self.recovery.debt(name), self.recovery.settling(self.now, begins));
         if customer.calling || settling && debt <= 0.0 {
--- a/crates/pondgw/src/state.rs
+++ b/crates/pondgw/src/state.rs
@@ -14,6 +14,11 @@
     hasher.finish() >> 1
 }
 
+/// The name of the count of a customer's window.
+pub(crate) fn window_name(key: u64, window: u64) -> u64 {
+    stable_hash(&key.to_le_bytes(), window)
+}
+
 /// The name of the count on which gateways show themselves in a slot: as hosts see it among the names of windows.
 pub fn presence_name(slot: u64) -> u64 {
     stable_hash(b"presence", slot)
--- a/crates/recovery/src/presence.rs
+++ b/crates/recovery/src/presence.rs
@@ -48,6 +48,16 @@
     Number(u32),
 }
 
+impl Marks {
+    /// Whether a limiter's is among them; nothing where they are only counted.
+    fn has(self, limiter: u32) -> Option<bool> {
+        match self {
+            Marks::Bits(bits) => Some(bits & (1u64 << limiter.min(63)) != 0),
+            Marks::Number(_) => None,
+        }
+    }
+}
+
 /// The marks of one limiter and what it has read of the others'.
 #[derive(Debug, Clone)]
 pub struct Presence {
@@ -204,18 +214,12 @@
 
     /// Whether a limiter has shown itself in the last slot read; nothing where that is not known of single ones.
     pub fn shown(&self, limiter: u32) -> Option<bool> {
-        match self.seen?.1 {
-            Marks::Bits(bits) => Some(bits & (1u64 << limiter.min(63)) != 0),
-            Marks::Number(_) => None,
-        }
+        self.seen?.1.has(limiter)
     }
 
     /// The same for the last two slots read.
     pub fn present(&self, limiter: u32) -> Option<bool> {
-        let before = match self.last {
-            Some((_, Marks::Bits(bits))) => bits & (1u64 << limiter.min(63)) != 0,
-            _ => false,
-        };
+        let before = self.last.and_then(|last| last.1.has(limiter)).unwrap_or(false);
         self.shown(limiter).map(|shown| shown || before)
     }
 
