--- a/crates/operator/src/error.rs
+++ b/crates/operator/src/error.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-/// How unlike a known key may be to be suggested: three letters in ten.
+/// How like a known key must be to be suggested: seven letters in ten.
 const ALIKE_LEAST: f64 = 0.7;
 
 /// Why a file cannot be used.
@@ -45,18 +45,13 @@
         Error { line: None, key: String::new(), reason }
     }
 
-    /// The text is no TOML.
-    pub(crate) fn toml(text: &str, e: &toml::de::Error) -> Self {
-        Error { line: e.span().map(|s| line(text, s.start)), key: String::new(), reason: plain(e.message()) }
-    }
-
     /// About a key at the top of the file.
     pub(crate) fn key(text: &str, key: &str, reason: String) -> Self {
         let at = text.lines().position(|l| l.trim_start().starts_with(key));
         Error { line: at.map(|n| n + 1), key: key.to_owned(), reason }
     }
 
-    /// A value or a key that is not what it should be.
+    /// A value or a key that is not what it should be, or at `.` a text that is no TOML.
     pub(crate) fn at(text: &str, path: &str, e: &toml::de::Error) -> Self {
         let message = plain(e.message());
         let key = if path == "." { "" } else { path };
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -69,7 +69,7 @@
         if text.len() > BYTES_MOST {
             return Err(Error::whole(format!("has {} bytes, and may have {BYTES_MOST}", text.len())));
         }
-        let table = toml::Deserializer::parse(text).map_err(|e| Error::toml(text, &e))?;
+        let table = toml::Deserializer::parse(text).map_err(|e| Error::at(text, ".", &e))?;
         let read: Operator = serde_path_to_error::deserialize(table)
             .map_err(|e| Error::at(text, &e.path().to_string(), e.inner()))?;
         match read.version {
