--- a/crates/recovery/src/lib.rs
+++ b/crates/recovery/src/lib.rs
@@ -34,8 +34,8 @@
 pub const SETTLE: Micros = 1_000_000;
 /// Calls in a row without an answer after which the counter counts as gone, not as having lost one call.
 pub const MISSES: u32 = 3;
-/// Time between two calls without an answer that both count; a refusal always does, as it is proof. Guards against many calls that were lost at one moment, by
-/// a counter that is only crowded, being taken for one that is gone.
+/// Time between two calls without an answer that both count; a refusal always does, as it is proof. Guards against many
+/// calls that were lost at one moment, by a counter that is only crowded, being taken for one that is gone.
 pub const MISS_APART: Micros = 80_000;
 /// Part of a call's time-out that an answer takes, on the mean, from which on the counter is slow.
 pub const SLOW: f64 = 0.4;
