Ask what to lease ahead only where a lease may be made

Seen on rereading: settle looked up the customer a second time and sized a lease ahead with each request, also where a call was out, the customer has no quota, or another limiter is its home, and ahead() then checked two of these again. The check stands in one place now, before the work. The drill names what counts as the ordinary path once.

--- a/crates/drill/src/sim.rs
+++ b/crates/drill/src/sim.rs
@@ -322,16 +322,13 @@
         let Some(first) = faults.next() else { return };
         let last = faults.next_back().unwrap_or(first);
         let Played { figures, notes, .. } = &mut self.played;
+        // A verdict that only says that it is slow bounds nothing.
+        let ordinary = |text: &str| text.ends_with(" -> well") || text.ends_with(" -> slow");
         for gateway in 0..self.day.gateways {
             let own = || notes.iter().filter(|n| n.1 == gateway && n.0 >= first);
-            // A verdict that only says that it is slow bounds nothing.
-            let found = own().find(|n| !n.2.ends_with(" -> well") && !n.2.ends_with(" -> slow"));
-            let Some(found) = found else { continue };
+            let Some(found) = own().find(|n| !ordinary(&n.2)) else { continue };
             figures.found.once(found.0 - first);
-            let back = own()
-                .filter(|n| n.0 >= last)
-                .find(|n| n.2.ends_with(" -> well") || n.2.ends_with(" -> slow"));
-            if let Some(back) = back {
+            if let Some(back) = own().find(|n| n.0 >= last && ordinary(&n.2)) {
                 figures.back.once(back.0 - last);
             }
         }
--- a/crates/pondgw/src/rules.rs
+++ b/crates/pondgw/src/rules.rs
@@ -384,10 +384,10 @@
         if customer.waiting.is_empty() {
             self.holding.remove(&key);
         }
-        let short = wanted > customer.held(window) || self.ahead(key) > 0.0;
-        let Some(customer) = self.customers.get_mut(&key) else { return };
-        if here && short && !customer.calling && limited {
-            self.lease(key, out);
+        if here && limited && !customer.calling {
+            if wanted > customer.held(window) || self.ahead(key) > 0.0 {
+                self.lease(key, out);
+            }
         } else if !here && wanted > customer.granted && customer.asking.is_none() && limited {
             self.ask(key, out);
         }
@@ -480,7 +480,8 @@
         let (window, end) = c.window_at(self.now);
         let begins = end.saturating_sub(c.length);
         let plan = &self.set.plans[c.plan];
-        let whole = c.pooled || plan.rate <= 0.0 || c.calling || window != c.window;
+        // At home whole blocks are leased; what is known of another window tells nothing of this one.
+        let whole = c.pooled || window != c.window;
         // A lost call may have been added, and is then nobody's: no more is put at risk than what waits.
         let sound = self.recovery.state() == State::Well && self.now >= self.counter.cut_at + SOUND;
         if whole || !sound || self.counter.few(f64::from(self.set.gateways.max(1))) {
