--- /dev/null
+++ b/crates/exchange/src/control.rs
@@ -0,0 +1,312 @@
+//! What servers, operators and clients without an address ask: one table of calls, and the machine that answers them.
+
+use crate::clock::now;
+use crate::core::Core;
+use crate::inbound::{Bounds, Inbound, Stop};
+use crate::propose::Declined;
+use limeway_line::http;
+use limeway_numbering::document::{self, Order};
+use limeway_watch::{Phase, Report};
+use miniserde::json::{self, Number, Value};
+use std::cell::Cell;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+/// Connections of callers, at most.
+const CALLERS_MOST: usize = 1_500;
+/// Longest name in a call, in bytes.
+const NAME_MOST: usize = 256;
+/// Longest report of a server, in bytes.
+const REPORT_MOST: usize = 16 * 1024;
+/// Addresses in a resolve answer, at most.
+const ADDRESSES_MOST: usize = 64;
+/// A resolve answer may be kept for so long.
+const TTL: u64 = 2_000_000;
+/// Least pause between a server's reports that is believed of one.
+const COLD_MOST: u64 = 120_000_000;
+
+/// A call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Name {
+    Beat,
+    Leave,
+    Replace,
+    Update,
+    Read,
+    EvacuationStart,
+    EvacuationFinish,
+    Resolve,
+}
+
+/// A row of the table: how a call is made, and what it may hold.
+struct Row {
+    name: Name,
+    method: &'static str,
+    path: &'static str,
+    call: &'static str,
+    body_most: usize,
+}
+
+const fn rpc(name: Name, call: &'static str, body_most: usize) -> Row {
+    Row { name, method: "POST", path: "/-/rpc", call, body_most }
+}
+
+/// All calls of servers, operators and clients.
+const CALLS: [Row; 8] = [
+    rpc(Name::Beat, "instances.heartbeat", REPORT_MOST),
+    rpc(Name::Leave, "instances.deregister", REPORT_MOST),
+    rpc(Name::Replace, "config.replace", document::ORDER_MOST),
+    rpc(Name::Update, "config.update", document::ORDER_MOST),
+    rpc(Name::Read, "config.read", REPORT_MOST),
+    rpc(Name::EvacuationStart, "evacuations.start", REPORT_MOST),
+    rpc(Name::EvacuationFinish, "evacuations.finish", REPORT_MOST),
+    Row { name: Name::Resolve, method: "GET", path: "/-/resolve", call: "", body_most: 0 },
+];
+
+/// An answer: its status, and its body in JSON.
+type Answer = (u16, String);
+
+fn error(status: u16, text: impl std::fmt::Display) -> Answer {
+    (status, format!("{{\"error-message\":{}}}", json::to_string(&text.to_string())))
+}
+
+/// The value of a name in a query; only what is escaped in names of ours is unescaped.
+fn query<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    query.split('&').filter_map(|p| p.split_once('=')).find(|(n, _)| *n == name).map(|(_, v)| v)
+}
+
+/// Takes calls for ever.
+pub async fn listen(core: Rc<Core>, listener: TcpListener) {
+    let count = Rc::new(Cell::new(0usize));
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        if count.get() >= CALLERS_MOST {
+            continue;
+        }
+        let counted = limeway_line::conn::Counted::new(&count);
+        let core = core.clone();
+        tokio::task::spawn_local(async move {
+            let _counted = counted;
+            serve(core, Inbound::new(stream)).await;
+        });
+    }
+}
+
+async fn serve(core: Rc<Core>, mut inbound: Inbound) {
+    let bounds =
+        Bounds { body: document::ORDER_MOST, whole: Duration::from_secs(15), idle: Duration::from_secs(30) };
+    loop {
+        let mut out = Vec::new();
+        let message = match inbound.read(bounds).await {
+            Ok(message) => message,
+            Err(Stop::Closed) => return,
+            Err(Stop::Status(status)) => {
+                http::write_answer(&mut out, status, b"", true, b"");
+                inbound.write(&out).await;
+                return inbound.linger().await;
+            }
+        };
+        let (method, target) = message.line();
+        let (path, rest) = target.split_once('?').unwrap_or((target, ""));
+        let call = query(rest, "call").unwrap_or("");
+        let row = CALLS
+            .iter()
+            .find(|r| r.path == path && r.method == method && (r.call.is_empty() || r.call == call));
+        let (status, body) = match row {
+            None => error(404, "no such call"),
+            Some(row) if message.body.len() > row.body_most => error(413, "body is too long"),
+            Some(row) => answer(&core, row.name, rest, &message.body).await,
+        };
+        let close = !message.head.keep_alive;
+        http::write_answer(&mut out, status, b"Content-Type: application/json\r\n", close, body.as_bytes());
+        if !inbound.write(&out).await || close {
+            return;
+        }
+    }
+}
+
+async fn answer(core: &Rc<Core>, name: Name, rest: &str, body: &[u8]) -> Answer {
+    let of = query(rest, "of").unwrap_or("");
+    if of.len() > NAME_MOST {
+        return error(400, "of: is too long");
+    }
+    match name {
+        Name::Beat => beat(core, of, body).await,
+        Name::Leave => leave(core, of).await,
+        Name::Replace | Name::Update => order(core, body, name == Name::Replace).await,
+        Name::Read => read(core).await,
+        Name::EvacuationStart | Name::EvacuationFinish => {
+            evacuate(core, of, name == Name::EvacuationStart).await
+        }
+        Name::Resolve => resolve(core, rest),
+    }
+}
+
+fn declined(e: &Declined) -> Answer {
+    match e {
+        Declined::Stale => error(412, e),
+        Declined::Invalid(_) => error(400, e),
+        Declined::Unclear | Declined::Unfit => error(503, e),
+    }
+}
+
+async fn order(core: &Rc<Core>, body: &[u8], whole: bool) -> Answer {
+    let order = match Order::read(body, whole) {
+        Ok(order) => order,
+        Err(e) => return error(400, e),
+    };
+    match core.order(order).await {
+        Ok(()) => (200, "{}".into()),
+        Err(e) => declined(&e),
+    }
+}
+
+async fn read(core: &Rc<Core>) -> Answer {
+    // Only a machine that is sure of its state may say what is the newest.
+    let begun = now();
+    for _ in 0..4 {
+        if core.settled.get() >= begun {
+            return (200, core.board.borrow().state.document());
+        }
+        if !core.round().await {
+            tokio::time::sleep(Duration::from_millis(30)).await;
+        }
+    }
+    if core.settled.get() >= begun {
+        return (200, core.board.borrow().state.document());
+    }
+    error(503, "no majority of the core can be had")
+}
+
+async fn evacuate(core: &Rc<Core>, zone: &str, begun: bool) -> Answer {
+    if !core.settings.zones.contains_key(zone) {
+        return error(404, "no such zone");
+    }
+    match core.evacuate(zone, begun).await {
+        Ok(()) => (200, "{}".into()),
+        Err(e) => declined(&e),
+    }
+}
+
+fn report(id: &str, body: &[u8]) -> Result<Report, &'static str> {
+    let text = std::str::from_utf8(body).map_err(|_| "body: is not UTF-8")?;
+    let Ok(Value::Object(fields)) = json::from_str::<Value>(text) else {
+        return Err("body: is no JSON object");
+    };
+    let text = |field: &str| match fields.get(field) {
+        Some(Value::String(text)) if text.len() <= NAME_MOST => Some(text.as_str()),
+        _ => None,
+    };
+    let number = |field: &str| match fields.get(field) {
+        Some(Value::Number(Number::U64(n))) => Some(*n),
+        _ => None,
+    };
+    if id.is_empty() {
+        return Err("of: is missing");
+    }
+    let cold_left = match fields.get("cold-left") {
+        None => 0,
+        Some(_) => text("cold-left").and_then(document::time).ok_or("cold-left: is no time with a unit")?,
+    };
+    Ok(Report {
+        id: id.to_owned(),
+        service: text("target-service").ok_or("target-service: is missing")?.to_owned(),
+        address: text("address")
+            .and_then(|a| a.parse::<SocketAddrV4>().ok())
+            .ok_or("address: is no IPv4 and port")?,
+        zone: text("zone").ok_or("zone: is missing")?.to_owned(),
+        slots: number("capacity-slots").unwrap_or(1).clamp(1, 100_000) as u32,
+        phase: match text("state") {
+            Some("ready") => Phase::Ready,
+            Some("draining") => Phase::Draining,
+            _ => return Err("state: is neither ready nor draining"),
+        },
+        cold_left: cold_left.min(COLD_MOST),
+        count: number("call-count").ok_or("call-count: is missing")?,
+        age: 0,
+        silent: false,
+    })
+}
+
+async fn beat(core: &Rc<Core>, id: &str, body: &[u8]) -> Answer {
+    let report = match report(id, body) {
+        Ok(report) => report,
+        Err(e) => return error(400, e),
+    };
+    let news = core.hear_all(std::slice::from_ref(&report), true);
+    if report.phase == Phase::Ready {
+        if news {
+            let core = core.clone();
+            tokio::task::spawn_local(async move { core.spread(report).await });
+        }
+        return (200, "{}".into());
+    }
+    step(core, report).await
+}
+
+async fn leave(core: &Rc<Core>, id: &str) -> Answer {
+    let known = {
+        let mut board = core.board.borrow_mut();
+        board.watch.end(now(), id).then(|| board.watch.report(now(), id)).flatten()
+    };
+    core.news.notify_waiters();
+    match known {
+        Some(report) => step(core, report).await,
+        // Nothing is known of it, so nothing goes there.
+        None => (200, "{}".into()),
+    }
+}
+
+/// A server leaves: that is acknowledged once a majority of the core knows it.
+async fn step(core: &Rc<Core>, report: Report) -> Answer {
+    if core.spread(report).await {
+        (200, "{}".into())
+    } else {
+        error(503, "no majority of the core can be had")
+    }
+}
+
+fn resolve(core: &Rc<Core>, rest: &str) -> Answer {
+    let (zone, region) = (query(rest, "zone").unwrap_or(""), query(rest, "region").unwrap_or(""));
+    let zones = &core.settings.zones;
+    let roster = core.roster.borrow();
+    let mut all: Vec<(u8, SocketAddrV4)> = roster
+        .live(now())
+        .filter(|(_, _, _, ready)| *ready)
+        .map(|(_, front, at, _)| {
+            let near = at == zone;
+            let region_of = zones.get(at).map_or("", String::as_str);
+            let in_region = region_of == region || zones.get(zone).is_some_and(|r| r == region_of);
+            (
+                if near {
+                    0
+                } else if in_region {
+                    1
+                } else {
+                    2
+                },
+                front,
+            )
+        })
+        .collect();
+    all.sort_unstable();
+    // The client's region, where it has any: one limiter there that is lost leaves others.
+    let best = all.first().map_or(0, |(d, _)| *d);
+    let most = if best <= 1 { 1 } else { 2 };
+    let addresses: Vec<String> = all
+        .iter()
+        .filter(|(d, _)| *d <= most)
+        .take(ADDRESSES_MOST)
+        .map(|(_, a)| format!("\"{a}\""))
+        .collect();
+    if addresses.is_empty() {
+        return error(503, "no limiter is known");
+    }
+    let ttl = TTL.min(core.settings.bounds.ttl_most) / 1_000;
+    (200, format!("{{\"addresses\":[{}],\"ttl\":\"{ttl}ms\"}}", addresses.join(",")))
+}
--- /dev/null
+++ b/crates/exchange/src/inbound.rs
@@ -0,0 +1,155 @@
+//! Connections on which others ask us over HTTP/1.1: reading a whole request within bounds, writing its answer.
+
+use bytes::BytesMut;
+use limeway_line::http::{self, Body, Framing, Head, HttpError};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{timeout, Instant};
+
+/// Longest time for an answer to be taken.
+const ANSWER: Duration = Duration::from_secs(10);
+/// After an error, what is still on its way is read for so long, lest the answer be lost to a reset.
+const LINGER: Duration = Duration::from_millis(300);
+/// Bytes of a buffer that are kept.
+const BUFFER_KEPT: usize = 4 * 1024;
+
+/// What one request may be.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    /// Longest body, in bytes.
+    pub body: usize,
+    /// Longest time from its first byte, or from the start of the connection, to its last.
+    pub whole: Duration,
+    /// Longest rest between two requests.
+    pub idle: Duration,
+}
+
+/// A request as it came.
+pub struct Message {
+    /// Its head, by places in `bytes`.
+    pub head: Head,
+    /// What the head was read from.
+    pub bytes: BytesMut,
+    /// Its body.
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    /// Its method and its target.
+    pub fn line(&self) -> (&str, &str) {
+        let text =
+            |range: &std::ops::Range<usize>| std::str::from_utf8(&self.bytes[range.clone()]).unwrap_or("");
+        (text(&self.head.method), text(&self.head.target))
+    }
+}
+
+/// Why no request comes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stop {
+    /// The other side has closed, or rested too long: nothing is owed.
+    Closed,
+    /// It gets this status, and the connection ends.
+    Status(u16),
+}
+
+/// A connection.
+pub struct Inbound {
+    stream: TcpStream,
+    buffer: BytesMut,
+    fresh: bool,
+}
+
+impl Inbound {
+    /// A new connection.
+    pub fn new(stream: TcpStream) -> Self {
+        let _ = stream.set_nodelay(true);
+        Inbound { stream, buffer: BytesMut::new(), fresh: true }
+    }
+
+    /// Whether the next request, or a part of it, is here already.
+    pub fn begun(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
+    /// Waits for the first byte of the next request. May be given up at any time: nothing is lost.
+    pub async fn ready(&mut self, bounds: Bounds) -> Result<(), Stop> {
+        if self.buffer.is_empty() {
+            if self.buffer.capacity() > BUFFER_KEPT {
+                self.buffer = BytesMut::new();
+            }
+            let wait = if self.fresh { bounds.whole.min(bounds.idle) } else { bounds.idle };
+            match timeout(wait, self.stream.read_buf(&mut self.buffer)).await {
+                Ok(Ok(n)) if n > 0 => {}
+                _ => return Err(Stop::Closed),
+            }
+        }
+        self.fresh = false;
+        Ok(())
+    }
+
+    /// Reads the next request.
+    pub async fn read(&mut self, bounds: Bounds) -> Result<Message, Stop> {
+        self.ready(bounds).await?;
+        let until = Instant::now() + bounds.whole;
+        let status = |e: HttpError| {
+            Stop::Status(match e {
+                HttpError::Malformed => 400,
+                HttpError::HeadTooLong => 431,
+                HttpError::BodyTooLong => 413,
+                HttpError::Coding => 501,
+            })
+        };
+        let head = loop {
+            match http::request_within(&self.buffer, bounds.body).map_err(status)? {
+                Some(head) => break head,
+                None => self.more(until).await?,
+            }
+        };
+        let bytes = self.buffer.split_to(head.len);
+        let waits = head.header(&bytes, "expect").is_some_and(|e| e.eq_ignore_ascii_case(b"100-continue"));
+        let mut body = Body::new(head.framing, bounds.body);
+        if waits && head.framing != Framing::Length(0) && self.buffer.is_empty() {
+            let _ = self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
+        }
+        while !body.take(&mut self.buffer).map_err(status)? {
+            self.more(until).await?;
+        }
+        Ok(Message { head, bytes, body: body.bytes })
+    }
+
+    async fn more(&mut self, until: Instant) -> Result<(), Stop> {
+        match tokio::time::timeout_at(until, self.stream.read_buf(&mut self.buffer)).await {
+            Ok(Ok(n)) if n > 0 => Ok(()),
+            Ok(_) => Err(Stop::Closed),
+            Err(_) => Err(Stop::Status(408)),
+        }
+    }
+
+    /// Ends once the other side has closed its connection.
+    pub async fn gone(&self) {
+        if !self.buffer.is_empty() {
+            return std::future::pending().await;
+        }
+        let mut byte = [0; 1];
+        match self.stream.peek(&mut byte).await {
+            Ok(0) | Err(_) => {}
+            // It has sent more before its answer: whether it is there shows when that is read.
+            Ok(_) => std::future::pending().await,
+        }
+    }
+
+    /// Writes an answer. False if the connection is of no further use.
+    pub async fn write(&mut self, answer: &[u8]) -> bool {
+        matches!(timeout(ANSWER, self.stream.write_all(answer)).await, Ok(Ok(())))
+    }
+
+    /// Ends the connection after an answer that the other side may not have read yet.
+    pub async fn linger(mut self) {
+        let _ = self.stream.shutdown().await;
+        let mut rest = [0; 1024];
+        let _ =
+            timeout(LINGER, async { while matches!(self.stream.read(&mut rest).await, Ok(n) if n > 0) {} })
+                .await;
+    }
+}
--- /dev/null
+++ b/crates/exchange/src/service.rs
@@ -0,0 +1,188 @@
+//! Start, signals and end of a process.
+
+use crate::clock;
+use crate::core::Core;
+use crate::disk::Disk;
+use crate::edge::Edge;
+use crate::inbound::{Bounds, Inbound};
+use crate::switch::{self, Front};
+use crate::{control, link};
+use error_stack::{Report, ResultExt};
+use limeway_ballot::{Acceptor, Node};
+use limeway_jackfield::{Settings, VARIABLE};
+use limeway_line::http;
+use limeway_numbering::State;
+use limeway_tandem::unpack;
+use limeway_vault::Vault;
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::time::{sleep, Instant};
+
+/// Descriptors that are not for clients.
+const FDS_ASIDE: usize = 700;
+/// New connections are taken for this long after SIGTERM, and the rest of the grace goes to what was begun.
+const LEAVING: f64 = 0.55;
+/// What is left of the grace when the process ends in any case.
+const MARGIN: Duration = Duration::from_millis(400);
+
+/// Why a process cannot start.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StartError {
+    /// The settings file cannot be read or is wrong.
+    Settings,
+    /// An address cannot be listened at.
+    Listen(SocketAddr),
+    /// The disk cannot be used.
+    Disk,
+    /// Signals cannot be waited for.
+    Signals,
+}
+
+impl fmt::Display for StartError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            StartError::Settings => f.write_str("the settings cannot be used"),
+            StartError::Listen(address) => write!(f, "cannot listen at {address}"),
+            StartError::Disk => f.write_str("the disk cannot be used"),
+            StartError::Signals => f.write_str("signals cannot be waited for"),
+        }
+    }
+}
+
+impl std::error::Error for StartError {}
+
+/// Reads a settings file.
+pub fn settings(path: &Path) -> Result<Settings, Report<StartError>> {
+    let text = std::fs::read_to_string(path).change_context(StartError::Settings)?;
+    Settings::read(&text).change_context(StartError::Settings)
+}
+
+fn bind(address: SocketAddr) -> Result<TcpListener, Report<StartError>> {
+    link::bind(address).change_context(StartError::Listen(address))
+}
+
+/// Runs the process that the settings describe, until it is told to end.
+pub async fn run(settings: Settings) -> Result<(), Report<StartError>> {
+    clock::seed(Node::from(settings.ip));
+    let mut terminate = signal(SignalKind::terminate()).change_context(StartError::Signals)?;
+    let mut reload = signal(SignalKind::hangup()).change_context(StartError::Signals)?;
+    // A reload must not end the process; what can change in the file is read where it is needed at the next start.
+    tokio::task::spawn_local(async move {
+        while reload.recv().await.is_some() {
+            match std::env::var_os(VARIABLE).map(|p| self::settings(Path::new(&p))) {
+                Some(Err(e)) => log::warn!("settings that have changed cannot be used: {e:?}"),
+                _ => log::info!("settings read again"),
+            }
+        }
+    });
+    let inner = SocketAddr::from((settings.ip, settings.inner.0));
+    if settings.frontend.is_some() {
+        serve_edge(settings, inner, &mut terminate).await
+    } else {
+        serve_core(settings, inner, &mut terminate).await
+    }
+}
+
+async fn serve_core(
+    settings: Settings,
+    inner: SocketAddr,
+    terminate: &mut tokio::signal::unix::Signal,
+) -> Result<(), Report<StartError>> {
+    let (acceptor, state, empty, disk) = match &settings.data {
+        Some(folder) => {
+            let (vault, found) = Vault::open(folder, Node::from(settings.ip), clock::draw())
+                .change_context(StartError::Disk)?;
+            let state: State = unpack(&found.state).unwrap_or_default();
+            let disk = Disk::start(vault).change_context(StartError::Disk)?;
+            (found.acceptor, state, found.empty, disk)
+        }
+        None => (Acceptor::default(), State::default(), true, Disk::none()),
+    };
+    let (control, directory) = (settings.control, settings.directory);
+    let core = Core::new(settings, acceptor, state, empty, disk);
+    let listener = bind(inner)?;
+    let answering = core.clone();
+    tokio::task::spawn_local(link::listen(listener, move |call| answering.clone().answer(call)));
+    for address in [control, directory].into_iter().flatten() {
+        tokio::task::spawn_local(control::listen(core.clone(), bind(address)?));
+    }
+    log::info!(slot = core.board.borrow().state.slot, empty; "core machine starts");
+    tokio::task::spawn_local(core.run());
+    terminate.recv().await;
+    // Calls under way end within it; what was acknowledged is on disk.
+    sleep(Duration::from_millis(300)).await;
+    Ok(())
+}
+
+async fn serve_edge(
+    settings: Settings,
+    inner: SocketAddr,
+    terminate: &mut tokio::signal::unix::Signal,
+) -> Result<(), Report<StartError>> {
+    let (frontend, readiness, grace) = (settings.frontend, settings.readiness, settings.bounds.grace);
+    let front = Front::new(settings.fds.saturating_sub(FDS_ASIDE));
+    let edge = Edge::new(settings);
+    let answering = edge.clone();
+    tokio::task::spawn_local(link::listen(bind(inner)?, move |call| answering.clone().answer(call)));
+    if let Some(address) = readiness {
+        tokio::task::spawn_local(ready(edge.clone(), bind(address)?));
+    }
+    tokio::task::spawn_local(edge.clone().follow());
+    tokio::task::spawn_local(edge.clone().lease());
+    tokio::task::spawn_local(edge.clone().tidy());
+    let mut taking = None;
+    if let Some(address) = frontend {
+        taking = Some(tokio::task::spawn_local(switch::listen(edge.clone(), front.clone(), bind(address)?)));
+    }
+    terminate.recv().await;
+    let (begun, grace) = (Instant::now(), Duration::from_micros(grace));
+    log::info!("told to end");
+    edge.leaving.set(true);
+    edge.hurry.notify_one();
+    front.closing.set(true);
+    front.close.notify_waiters();
+    sleep(grace.mul_f64(LEAVING)).await;
+    if let Some(taking) = taking {
+        taking.abort();
+    }
+    front.close.notify_waiters();
+    while front.busy.get() > 0 && begun.elapsed() < grace.saturating_sub(MARGIN) {
+        sleep(Duration::from_millis(25)).await;
+    }
+    // The last answers are on their way out.
+    sleep(Duration::from_millis(60)).await;
+    Ok(())
+}
+
+/// Tells the platform whether this limiter can serve.
+async fn ready(edge: Rc<Edge>, listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        let edge = edge.clone();
+        tokio::task::spawn_local(async move {
+            let mut inbound = Inbound::new(stream);
+            let bounds = Bounds { body: 1024, whole: Duration::from_secs(2), idle: Duration::from_secs(5) };
+            while let Ok(message) = inbound.read(bounds).await {
+                let status = match message.line() {
+                    ("GET", "/-/readiness") if edge.ready() => 200,
+                    ("GET", "/-/readiness") => 503,
+                    _ => 404,
+                };
+                let close = !message.head.keep_alive;
+                let mut out = Vec::new();
+                http::write_answer(&mut out, status, b"", close, b"");
+                if !inbound.write(&out).await || close {
+                    return;
+                }
+            }
+        });
+    }
+}
--- a/crates/limeway/src/lib.rs
+++ b/crates/limeway/src/lib.rs
@@ -7,12 +7,12 @@
 
 pub mod clients;
 pub mod config;
-pub mod conn;
+pub use limeway_line::conn;
 pub mod core;
 pub mod counter;
 pub mod discovery;
 pub mod history;
-pub mod http;
+pub use limeway_line::http;
 pub mod members;
 pub mod peers;
 pub mod seldom;
--- a/crates/limeway/src/conn.rs
+++ b/crates/line/src/conn.rs
@@ -94,6 +94,7 @@
     buffer: BytesMut,
     since: Instant,
     to: SocketAddr,
+    stall: Duration,
     _counted: Counted,
 }
 
@@ -103,7 +104,19 @@
         let _counted = Counted::new(count);
         let stream = TcpStream::connect(to).await?;
         stream.set_nodelay(true)?;
-        Ok(Conn { stream, buffer: BytesMut::with_capacity(1024), since: Instant::now(), to, _counted })
+        Ok(Conn {
+            stream,
+            buffer: BytesMut::with_capacity(1024),
+            since: Instant::now(),
+            to,
+            stall: STALL,
+            _counted,
+        })
+    }
+
+    /// Waits so long within an answer that has begun, in place of a quarter of a second.
+    pub fn patient(&mut self, stall: Duration) {
+        self.stall = stall;
     }
 
     /// Whether nothing has come since the last answer, neither bytes nor the end. Asks the system itself:
@@ -160,7 +173,7 @@
     /// More of an answer that has begun. Guards against a head without end and a length that no body fills:
     /// whoever has begun to answer goes on to its end.
     async fn more_soon(&mut self) -> Result<(), Broken> {
-        timeout(STALL, self.more()).await.unwrap_or(Err(Broken::Spoilt("stalled")))
+        timeout(self.stall, self.more()).await.unwrap_or(Err(Broken::Spoilt("stalled")))
     }
 
     /// Reads the answer that has begun; nothing if it was of the kind 1xx.
--- a/crates/limeway/src/http.rs
+++ b/crates/line/src/http.rs
@@ -89,7 +89,7 @@
     value.split(|b| *b == b',').any(|part| part.trim_ascii().eq_ignore_ascii_case(token.as_bytes()))
 }
 
-fn framing(headers: &[httparse::Header], answer: bool) -> Result<Framing, HttpError> {
+fn framing(headers: &[httparse::Header], answer: bool, most: usize) -> Result<Framing, HttpError> {
     let mut length: Option<usize> = None;
     let mut chunked = false;
     for header in headers {
@@ -113,9 +113,7 @@
     match (length, chunked) {
         // Two lengths for one body: a way to smuggle a second request past whoever reads the other one.
         (Some(_), true) => Err(HttpError::Malformed),
-        (Some(length), false) if length > if answer { ANSWER_BODY_MOST } else { BODY_MOST } => {
-            Err(HttpError::BodyTooLong)
-        }
+        (Some(length), false) if length > most => Err(HttpError::BodyTooLong),
         (Some(length), false) => Ok(Framing::Length(length)),
         (None, true) => Ok(Framing::Chunked),
         (None, false) => Ok(if answer { Framing::UntilClose } else { Framing::Length(0) }),
@@ -147,8 +145,13 @@
     headers.iter().map(|h| (place(bytes, h.name.as_bytes()), place(bytes, h.value))).collect()
 }
 
-/// Reads a request's head; nothing while it is not whole.
+/// Reads a request's head, for a body of [`BODY_MOST`]; nothing while it is not whole.
 pub fn request(bytes: &[u8]) -> Result<Option<Head>, HttpError> {
+    request_within(bytes, BODY_MOST)
+}
+
+/// Reads a request's head, for a body of so many bytes at most; nothing while it is not whole.
+pub fn request_within(bytes: &[u8], body_most: usize) -> Result<Option<Head>, HttpError> {
     let mut headers = [httparse::EMPTY_HEADER; HEADERS_MOST];
     let mut parsed = httparse::Request::new(&mut headers);
     let Some(len) = length(parsed.parse(bytes), bytes.len())? else { return Ok(None) };
@@ -159,7 +162,7 @@
     }
     Ok(Some(Head {
         len,
-        framing: framing(parsed.headers, false)?,
+        framing: framing(parsed.headers, false, body_most)?,
         keep_alive: keep_alive(parsed.headers, parsed.version.unwrap_or(0)),
         status: 0,
         method: place(bytes, method.as_bytes()),
@@ -175,7 +178,7 @@
     let Some(len) = length(parsed.parse(bytes), bytes.len())? else { return Ok(None) };
     let status = parsed.code.unwrap_or(0);
     let bare = (100..200).contains(&status) || status == 204 || status == 304;
-    let framing = if bare { Framing::Length(0) } else { framing(parsed.headers, true)? };
+    let framing = if bare { Framing::Length(0) } else { framing(parsed.headers, true, ANSWER_BODY_MOST)? };
     Ok(Some(Head {
         len,
         framing,
--- /dev/null
+++ b/crates/numbering/src/state.rs
@@ -0,0 +1,179 @@
+//! The agreed state: what the chosen operations have made, one after the other, alike on every machine.
+
+use crate::document::{self, BadConfig, Item, Items, Kind, Order};
+use crate::plan::Plan;
+use crate::Version;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeSet, VecDeque};
+
+/// Orders that are remembered, so that one that comes again is known.
+const TAKEN_MOST: usize = 1_024;
+/// Zones that can be evacuated at once.
+const ZONES_MOST: usize = 256;
+
+/// One chosen operation.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Op {
+    /// The set of core machines from the next slot on, by their addresses as numbers.
+    Core(Vec<u32>),
+    /// A change of the configuration.
+    Config {
+        /// See [`Order`].
+        version: Version,
+        /// See [`Order`].
+        base: Version,
+        /// See [`Order`].
+        whole: bool,
+        /// See [`Order`].
+        set: Vec<Item>,
+        /// See [`Order`].
+        drop: Vec<(Kind, String)>,
+        /// See [`Order`].
+        digest: u64,
+    },
+    /// Nothing more goes to a zone's servers, or that is taken back.
+    Evacuate {
+        /// The zone.
+        zone: String,
+        /// Begun, or taken back.
+        begun: bool,
+    },
+}
+
+impl From<Order> for Op {
+    fn from(o: Order) -> Self {
+        Op::Config {
+            version: o.version,
+            base: o.base,
+            whole: o.whole,
+            set: o.set,
+            drop: o.drop,
+            digest: o.digest,
+        }
+    }
+}
+
+/// Why an operation cannot be taken on top of a state.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Refusal {
+    /// Another version is in place: its number.
+    Stale(Version),
+    /// The configuration is invalid.
+    Invalid(BadConfig),
+}
+
+/// An order that was taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+struct Taken {
+    version: Version,
+    digest: u64,
+}
+
+/// The agreed state.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct State {
+    /// The last slot in it.
+    pub slot: u64,
+    /// The configuration's version; 0 before the first.
+    pub version: Version,
+    /// The version on which it was built.
+    pub base: Version,
+    items: Vec<(u64, Item)>,
+    next: u64,
+    /// Zones that get nothing, with the slot that said so.
+    pub evacuated: BTreeSet<String>,
+    /// The core machines; empty before they are agreed.
+    pub core: Vec<u32>,
+    taken: VecDeque<Taken>,
+    /// The slot of the last change that took keys away.
+    pub revoked_at: u64,
+}
+
+impl State {
+    /// The items, in the order in which they were first set.
+    pub fn items(&self) -> impl Iterator<Item = &Item> {
+        self.items.iter().map(|(_, item)| item)
+    }
+
+    /// The configuration as it is read back.
+    pub fn document(&self) -> String {
+        document::write(self.version, self.base, self.items())
+    }
+
+    /// Whether this very order has been taken already.
+    pub fn has_taken(&self, order: &Order) -> bool {
+        self.taken.iter().any(|t| t.version == order.version && t.digest == order.digest)
+    }
+
+    /// The snapshot that a change would make. Nothing is changed.
+    pub fn check(&self, order: &Order) -> Result<Plan, Refusal> {
+        if order.base != self.version {
+            return Err(Refusal::Stale(self.version));
+        }
+        if order.version <= self.version {
+            let at = format!("config-version {:08x}", order.version);
+            return Err(Refusal::Invalid(BadConfig::new(at, "does not exceed the current one")));
+        }
+        let after = self.changed(order.whole, &order.set, &order.drop);
+        Plan::of(order.version, after.iter().map(|(_, item)| item)).map_err(Refusal::Invalid)
+    }
+
+    /// The snapshot of what is in place.
+    pub fn plan(&self) -> Result<Plan, BadConfig> {
+        Plan::of(self.version, self.items())
+    }
+
+    fn changed(&self, whole: bool, set: &[Item], drop: &[(Kind, String)]) -> Vec<(u64, Item)> {
+        let mut next = self.next;
+        let mut items = Items::new();
+        if !whole {
+            items.extend(self.items.iter().map(|(at, i)| ((i.kind, i.name.clone()), (*at, i.clone()))));
+        }
+        for (kind, name) in drop {
+            items.remove(&(*kind, name.clone()));
+        }
+        for item in set {
+            let at = items.get(&(item.kind, item.name.clone())).map_or_else(
+                || {
+                    next += 1;
+                    next
+                },
+                |(at, _)| *at,
+            );
+            items.insert((item.kind, item.name.clone()), (at, item.clone()));
+        }
+        let mut items: Vec<_> = items.into_values().collect();
+        items.sort_by_key(|(at, _)| *at);
+        items
+    }
+
+    /// Takes in the operation chosen for the next slot. Whoever proposed it has checked it against this very state.
+    pub fn apply(&mut self, op: &Op) {
+        self.slot += 1;
+        match op {
+            Op::Core(core) => self.core = core.clone(),
+            Op::Config { version, base, whole, set, drop, digest } => {
+                let before = self.plan();
+                self.items = self.changed(*whole, set, drop);
+                self.next = self.items.iter().map(|(at, _)| *at).max().unwrap_or(0);
+                (self.version, self.base) = (*version, *base);
+                self.taken.push_back(Taken { version: *version, digest: *digest });
+                while self.taken.len() > TAKEN_MOST {
+                    self.taken.pop_front();
+                }
+                if let (Ok(before), Ok(after)) = (before, self.plan()) {
+                    if after.takes_away_from(&before) {
+                        self.revoked_at = self.slot;
+                    }
+                }
+            }
+            Op::Evacuate { zone, begun: true } if self.evacuated.len() < ZONES_MOST => {
+                self.evacuated.insert(zone.clone());
+            }
+            Op::Evacuate { begun: true, .. } => {}
+            Op::Evacuate { zone, begun: false } => {
+                self.evacuated.remove(zone);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/roster/src/lib.rs
@@ -0,0 +1,244 @@
+//! Members of the fleet, and the duties cut by key over them.
+//!
+//! - [`Roster`]: a limiter is a member while it renews its lease at the core; what core machines know of members merges;
+//! - [`Votes`] and [`Duties`]: a group of keys is held by whoever has the votes of a majority of the core for it. A vote
+//!   lasts [`TERM`] from when it is given, a holding lasts [`TERM`] from when its votes were **asked** for, so that no two
+//!   machines hold a group at one time. That is the fence: a key changes hands only once the last holder has surely ended.
+//!
+//! A voter that has just started has forgotten its votes. It gives none for [`TERM`], except to whoever says that it holds
+//! the group at this moment: if that is true, no one else can hold it, and a holder that hears the answer after its
+//! holding ended does not use it.
+//!
+//! Free of I/O; times are those of a steady clock.
+#![forbid(unsafe_code)]
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+
+/// A time or a length of time, in microseconds.
+pub type Micros = u64;
+/// A machine, by its IPv4 address as a number.
+pub type Node = u32;
+
+/// Groups that keys are cut into.
+pub const GROUPS: usize = 8;
+/// How long a duty is held after its votes were asked for. Long, as blocks of quota live no longer and have to outlast a
+/// core that is silent for some seconds.
+pub const TERM: Micros = 8_000_000;
+/// A member that has not renewed its lease for so long is none.
+pub const LEASE: Micros = 1_800_000;
+/// Members at once, at most.
+pub const MEMBERS_MOST: usize = 10_000;
+/// A member is remembered for so long after its lease.
+const REMEMBERED: Micros = 30_000_000;
+
+/// The group of a key.
+pub fn group(key: &str) -> usize {
+    (hash(key.as_bytes()) % GROUPS as u64) as usize
+}
+
+/// FNV-1a with a last mix, so that close inputs part.
+pub fn hash(bytes: &[u8]) -> u64 {
+    let mut h =
+        bytes.iter().fold(0xcbf2_9ce4_8422_2325u64, |h, b| (h ^ u64::from(*b)).wrapping_mul(0x100_0000_01b3));
+    h = (h ^ (h >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    h = (h ^ (h >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    h ^ (h >> 33)
+}
+
+/// How highly a node ranks for a key: the highest of all is the key's first choice. When a node goes, only its keys move.
+pub fn rank(key: u64, node: Node) -> u64 {
+    hash(&[key.to_le_bytes().as_slice(), node.to_le_bytes().as_slice()].concat())
+}
+
+/// The first choice for a key.
+pub fn first(key: u64, nodes: impl Iterator<Item = Node>) -> Option<Node> {
+    nodes.max_by_key(|n| rank(key, *n))
+}
+
+/// A member as it shows itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Presence {
+    /// Its machine.
+    #[serde(rename = "n")]
+    pub node: Node,
+    /// Where clients reach it.
+    #[serde(rename = "f")]
+    pub front: SocketAddrV4,
+    /// Its zone.
+    #[serde(rename = "z")]
+    pub zone: String,
+    /// It can serve.
+    #[serde(rename = "r")]
+    pub ready: bool,
+    /// Time since it showed itself.
+    #[serde(rename = "t")]
+    pub age: Micros,
+}
+
+#[derive(Debug, Clone)]
+struct Member {
+    front: SocketAddrV4,
+    zone: String,
+    ready: bool,
+    heard: Micros,
+}
+
+/// The members.
+#[derive(Debug, Clone, Default)]
+pub struct Roster {
+    members: BTreeMap<Node, Member>,
+}
+
+impl Roster {
+    /// A member shows itself, or another machine tells of it. True if that changes who can be sent clients.
+    pub fn hear(&mut self, now: Micros, seen: &Presence) -> bool {
+        let heard = now.saturating_sub(seen.age);
+        let full = self.members.len() >= MEMBERS_MOST;
+        match self.members.get_mut(&seen.node) {
+            Some(member) if member.heard > heard => false,
+            Some(member) => {
+                let changed = member.ready != seen.ready || member.heard + LEASE < now;
+                let (front, zone, ready) = (seen.front, seen.zone.clone(), seen.ready);
+                *member = Member { front, zone, ready, heard };
+                changed
+            }
+            None if full => false,
+            None => {
+                let (front, zone, ready) = (seen.front, seen.zone.clone(), seen.ready);
+                self.members.insert(seen.node, Member { front, zone, ready, heard });
+                true
+            }
+        }
+    }
+
+    /// A member is gone: its connection broke.
+    pub fn lost(&mut self, node: Node) {
+        if let Some(member) = self.members.get_mut(&node) {
+            member.ready = false;
+        }
+    }
+
+    /// Forgets members long gone.
+    pub fn sweep(&mut self, now: Micros) {
+        self.members.retain(|_, m| now.saturating_sub(m.heard) < LEASE + REMEMBERED);
+    }
+
+    /// Members whose lease holds: node, address for clients, zone, whether it can serve.
+    pub fn live(&self, now: Micros) -> impl Iterator<Item = (Node, SocketAddrV4, &str, bool)> {
+        let held = move |m: &Member| now.saturating_sub(m.heard) <= LEASE;
+        self.members
+            .iter()
+            .filter(move |(_, m)| held(m))
+            .map(|(n, m)| (*n, m.front, m.zone.as_str(), m.ready))
+    }
+
+    /// All that are known, for another machine.
+    pub fn told(&self, now: Micros) -> Vec<Presence> {
+        let presence = |(node, m): (&Node, &Member)| Presence {
+            node: *node,
+            front: m.front,
+            zone: m.zone.clone(),
+            ready: m.ready,
+            age: now.saturating_sub(m.heard),
+        };
+        self.members.iter().filter(|(_, m)| now.saturating_sub(m.heard) <= LEASE).map(presence).collect()
+    }
+}
+
+/// A claim to a group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// The group.
+    pub group: usize,
+    /// The life of the process that claims: a new one has forgotten what an earlier one granted.
+    pub boot: u64,
+    /// Whoever claims it holds it at this moment.
+    pub holds: bool,
+}
+
+/// A vote: to which life of which machine, and until when.
+#[derive(Debug, Clone, Copy)]
+struct Vote {
+    node: Node,
+    boot: u64,
+    until: Micros,
+}
+
+/// One core machine's votes on who holds which group.
+#[derive(Debug, Clone)]
+pub struct Votes {
+    /// New claims get no vote before then.
+    from: Micros,
+    given: [Option<Vote>; GROUPS],
+}
+
+impl Votes {
+    /// A voter that starts now; `forgotten` unless there can be no earlier votes at all.
+    pub fn new(now: Micros, forgotten: bool) -> Self {
+        Votes { from: if forgotten { now + TERM } else { 0 }, given: [None; GROUPS] }
+    }
+
+    /// Is asked for a vote.
+    pub fn claim(&mut self, now: Micros, node: Node, claim: Claim) -> bool {
+        let Some(given) = self.given.get_mut(claim.group) else { return false };
+        let free = match given {
+            Some(vote) => (vote.node == node && vote.boot == claim.boot) || vote.until < now,
+            None => now >= self.from || claim.holds,
+        };
+        if free {
+            *given = Some(Vote { node, boot: claim.boot, until: now + TERM });
+        }
+        free
+    }
+
+    /// Who may hold a group at this moment, as far as this voter knows.
+    pub fn holder(&self, now: Micros, group: usize) -> Option<Node> {
+        self.given.get(group).copied().flatten().filter(|v| v.until >= now).map(|v| v.node)
+    }
+}
+
+/// What one machine holds.
+#[derive(Debug, Clone, Default)]
+pub struct Duties {
+    until: [Micros; GROUPS],
+}
+
+impl Duties {
+    /// Until when it holds a group.
+    pub fn until(&self, group: usize) -> Micros {
+        self.until.get(group).copied().unwrap_or(0)
+    }
+
+    /// Whether it holds a group.
+    pub fn holds(&self, now: Micros, group: usize) -> bool {
+        self.until(group) > now
+    }
+
+    /// What to claim: what is held, and what this machine is the first choice for and nobody holds.
+    pub fn claims(&self, now: Micros, me: Node, boot: u64, live: &[Node], votes: &Votes) -> Vec<Claim> {
+        let mut claims = Vec::new();
+        for group in 0..GROUPS {
+            let holds = self.holds(now, group);
+            let free = votes.holder(now, group).is_none_or(|n| n == me);
+            if holds || (free && first(group as u64, live.iter().copied()) == Some(me)) {
+                claims.push(Claim { group, boot, holds });
+            }
+        }
+        claims
+    }
+
+    /// A majority has voted for a claim that was asked for at `asked`. True if the group is newly held.
+    pub fn won(&mut self, now: Micros, asked: Micros, claim: Claim) -> bool {
+        let held = self.holds(now, claim.group);
+        // What was asked as a holder counts for a holder only: a voter that forgot its votes took the word for it.
+        if claim.holds && !held {
+            return false;
+        }
+        if let Some(until) = self.until.get_mut(claim.group) {
+            *until = (*until).max(asked + TERM);
+        }
+        !held && self.holds(now, claim.group)
+    }
+}
--- /dev/null
+++ b/crates/toll/src/escrow.rs
@@ -0,0 +1,270 @@
+//! A limiter's side: the units that it holds of each tenant.
+
+use crate::{Ask, Grant, Micros, Node, Phase, Span, SKEW};
+use std::collections::HashMap;
+
+/// Part of a new window's use in the running mean.
+const FRESH: f64 = 0.4;
+/// Windows without a request after which a tenant is forgotten.
+const IDLE: u64 = 8;
+/// Blocks are leased anew when less than this part of a full life is left to them.
+const RENEW: Micros = 4_500_000;
+/// Tenants known at once, at most.
+const TENANTS_MOST: usize = 50_000;
+/// An ask that has had no answer is made again after so long.
+const LOST: Micros = 350_000;
+
+/// Where a count's windows stand, on this machine's clock.
+#[derive(Debug, Clone, Copy)]
+struct Edge {
+    term: u64,
+    window: u64,
+    /// The window's end, never later than it truly is, nor earlier by more than [`SKEW`].
+    end: Micros,
+    length: Micros,
+}
+
+impl Edge {
+    fn window(&self, now: Micros) -> u64 {
+        if now < self.end {
+            self.window
+        } else {
+            self.window + 1 + (now - self.end) / self.length
+        }
+    }
+
+    fn left(&self, now: Micros) -> Micros {
+        if now < self.end {
+            self.end - now
+        } else {
+            self.length - (now - self.end) % self.length
+        }
+    }
+}
+
+#[derive(Debug, Clone, Default)]
+struct Hold {
+    holder: Node,
+    term: u64,
+    units: u32,
+    budget: u32,
+    until: Micros,
+    window: u64,
+    spent: u32,
+    extra: u32,
+    /// Requests of this window, admitted or not.
+    asked: u32,
+    mean: f64,
+    idle: u64,
+    /// An ask is under way since then.
+    asking: Option<Micros>,
+    /// The count had nothing left in this window.
+    dry: Option<u64>,
+    /// What was asked for as `want` last: another figure is worth a call.
+    told: u32,
+    waiting: u32,
+}
+
+/// What becomes of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Take {
+    /// It has its unit.
+    Yes,
+    /// The count has to be asked first.
+    Wait,
+    /// The window has nothing left; the next one begins after so long.
+    Dry(Micros),
+}
+
+/// All that a limiter holds.
+#[derive(Debug, Clone)]
+pub struct Escrow {
+    length: Micros,
+    edges: HashMap<Node, Edge>,
+    holds: HashMap<String, Hold>,
+}
+
+impl Hold {
+    /// Goes on to a window.
+    fn roll(&mut self, window: u64) {
+        if window <= self.window {
+            return;
+        }
+        let passed = (window - self.window).min(16);
+        for at in 0..passed {
+            let used = if at == 0 { f64::from(self.asked) } else { 0.0 };
+            self.mean += FRESH * (used - self.mean);
+        }
+        self.idle = if self.asked > 0 { passed - 1 } else { self.idle + passed };
+        (self.window, self.spent, self.extra, self.asked) = (window, 0, 0, 0);
+    }
+
+    /// Units of this window, under the budget that is in force.
+    fn worth(&self, now: Micros, span: Span) -> u32 {
+        let block = if self.until > now { self.units } else { 0 };
+        // A limit that was lowered binds blocks of before as well.
+        let block = if span.budget < self.budget {
+            (u64::from(block) * u64::from(span.budget) / u64::from(self.budget.max(1))) as u32
+        } else {
+            block
+        };
+        block + self.extra
+    }
+
+    fn ask(&self, tenant: &str, now: Micros) -> Ask {
+        let sure = self.mean.max(f64::from(self.asked.min(self.spent)) * 0.5);
+        let (mut base, mut want) = (sure.floor() as u32, (sure * 1.3 + sure.sqrt() + 0.2).floor() as u32);
+        if self.idle > 2 || self.until <= now && self.asked == 0 && self.idle > 0 {
+            (base, want) = (0, 0);
+        }
+        Ask { tenant: tenant.to_owned(), base, want: want.max(base), extra: self.waiting }
+    }
+}
+
+impl Escrow {
+    /// An empty one, for windows of this length.
+    pub fn new(length: Micros) -> Self {
+        Escrow { length: length.max(1), edges: HashMap::new(), holds: HashMap::new() }
+    }
+
+    /// Takes a unit for a request of a tenant whose count `holder` holds.
+    pub fn take(&mut self, now: Micros, tenant: &str, holder: Option<Node>, span: Span) -> Take {
+        if !self.holds.contains_key(tenant) {
+            if self.holds.len() >= TENANTS_MOST {
+                return Take::Dry(self.length);
+            }
+            self.holds.insert(tenant.to_owned(), Hold::default());
+        }
+        let (edges, length) = (&self.edges, self.length);
+        let Some(hold) = self.holds.get_mut(tenant) else { return Take::Dry(length) };
+        let edge = edges.get(&hold.holder).filter(|e| e.term == hold.term && hold.term != 0);
+        if let Some(edge) = edge {
+            hold.roll(edge.window(now));
+        }
+        hold.asked = hold.asked.saturating_add(1);
+        if edge.is_some() && hold.spent < hold.worth(now, span) {
+            hold.spent += 1;
+            return Take::Yes;
+        }
+        match edge {
+            Some(edge) if hold.dry == Some(hold.window) => Take::Dry(edge.left(now)),
+            _ if holder.is_none() => Take::Dry(length),
+            _ => {
+                hold.waiting += 1;
+                Take::Wait
+            }
+        }
+    }
+
+    /// A request that was told to wait takes its unit, or gives up waiting.
+    pub fn waited(&mut self, now: Micros, tenant: &str, span: Span) -> Take {
+        let (edges, length) = (&self.edges, self.length);
+        let Some(hold) = self.holds.get_mut(tenant) else { return Take::Dry(length) };
+        hold.waiting = hold.waiting.saturating_sub(1);
+        let Some(edge) = edges.get(&hold.holder).filter(|e| e.term == hold.term && hold.term != 0) else {
+            return Take::Dry(length);
+        };
+        hold.roll(edge.window(now));
+        if hold.spent < hold.worth(now, span) {
+            hold.spent += 1;
+            Take::Yes
+        } else {
+            Take::Dry(edge.left(now))
+        }
+    }
+
+    /// What to ask of whom now. `holder` tells who holds a tenant's count. Whatever is asked for less than is held is given
+    /// up here at once, so that the count may grant it elsewhere as soon as it hears.
+    pub fn asks(&mut self, now: Micros, holder: impl Fn(&str) -> Option<Node>) -> Vec<(Node, Vec<Ask>)> {
+        let mut all: HashMap<Node, Vec<Ask>> = HashMap::new();
+        for (tenant, hold) in &mut self.holds {
+            let Some(node) = holder(tenant) else { continue };
+            if hold.asking.is_some_and(|at| now < at + LOST) {
+                continue;
+            }
+            if let Some(edge) = self.edges.get(&hold.holder).filter(|e| e.term == hold.term) {
+                hold.roll(edge.window(now));
+            }
+            let ask = hold.ask(tenant, now);
+            let due = hold.until.saturating_sub(now) < RENEW && ask.want > 0;
+            let moved = ask.want.abs_diff(hold.told) as f64 > 1.0 + 0.25 * f64::from(hold.told);
+            let lower = ask.want == 0 && hold.units > 0;
+            if !(hold.waiting > 0 || due || moved || lower) {
+                continue;
+            }
+            hold.units = hold.units.min(ask.want.max(ask.base));
+            hold.asking = Some(now);
+            hold.told = ask.want;
+            all.entry(node).or_default().push(ask);
+        }
+        self.holds
+            .retain(|_, h| h.idle < IDLE || h.waiting > 0 || h.asking.is_some_and(|at| now < at + LOST));
+        all.into_iter().collect()
+    }
+
+    /// A count has answered what was asked at `asked`. False if the answer was too long under way to be used.
+    pub fn granted(
+        &mut self,
+        now: Micros,
+        asked: Micros,
+        holder: Node,
+        phase: Phase,
+        grants: &[Grant],
+    ) -> bool {
+        let slow = now.saturating_sub(asked) > SKEW;
+        let end = asked + phase.left;
+        if !slow {
+            let length = self.length;
+            let fresh = Edge { term: phase.term, window: phase.window, end, length };
+            let edge = self.edges.entry(holder).or_insert(fresh);
+            // Of two ends, both never late, the later one is the closer.
+            if edge.term != phase.term || fresh.window > edge.window || end > edge.end {
+                *edge = fresh;
+            }
+        }
+        let here = self.edges.get(&holder).filter(|e| e.term == phase.term).map(|e| e.window(now));
+        for grant in grants {
+            let Some(hold) = self.holds.get_mut(&grant.tenant) else { continue };
+            hold.asking = None;
+            let Some(here) = here.filter(|_| !slow) else { continue };
+            if (hold.holder, hold.term) != (holder, phase.term) {
+                (hold.holder, hold.term, hold.window) = (holder, phase.term, here);
+                (hold.spent, hold.extra, hold.until) = (0, 0, 0);
+            }
+            hold.roll(here);
+            (hold.units, hold.budget, hold.until) = (grant.units, grant.budget, asked + phase.holds);
+            // What was granted for a window that has passed is forfeit.
+            if phase.window == hold.window {
+                hold.extra += grant.extra;
+                if hold.waiting > 0 && grant.extra < hold.waiting && hold.spent >= hold.units + hold.extra {
+                    hold.dry = Some(hold.window);
+                }
+            }
+        }
+        !slow
+    }
+
+    /// Whether an ask for a tenant is under way.
+    pub fn asking(&self, tenant: &str) -> bool {
+        self.holds.get(tenant).is_some_and(|h| h.asking.is_some())
+    }
+
+    /// An ask was lost.
+    pub fn lost(&mut self, asks: &[Ask]) {
+        for ask in asks {
+            if let Some(hold) = self.holds.get_mut(&ask.tenant) {
+                hold.asking = None;
+            }
+        }
+    }
+
+    /// Tenants known here.
+    pub fn len(&self) -> usize {
+        self.holds.len()
+    }
+
+    /// Whether none is.
+    pub fn is_empty(&self) -> bool {
+        self.holds.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/toll/src/lib.rs
@@ -0,0 +1,119 @@
+//! Quotas of tenants over all limiters.
+//!
+//! The design in this system: a quota is a budget per fixed window; a limiter leases a **block** of it from the tenant's
+//! count, so many units for each of the coming windows, spends them locally and forfeits what a window leaves at its edge.
+//! Without units and without a count it refuses.
+//!
+//! - [`Span`]: how long a window is and what it holds, so that no span of `quota-window`, wherever it begins, can touch
+//!   more than the rule allows;
+//! - [`count::Count`]: the holder's side, for the tenants whose count it holds;
+//! - [`escrow::Escrow`]: a limiter's side.
+//!
+//! Free of I/O; times are those of each machine's own steady clock.
+#![forbid(unsafe_code)]
+
+use serde::{Deserialize, Serialize};
+
+pub mod count;
+pub mod escrow;
+
+/// A time or a length of time, in microseconds.
+pub type Micros = u64;
+/// A machine, by its IPv4 address as a number.
+pub type Node = u32;
+
+/// Windows that any span of `quota-window` touches, at most.
+pub const TOUCHED: u64 = 5;
+/// By how much a limiter may hold that a window of the count begins too early: half of an answer's way, and more. Answers
+/// that took longer are not used.
+pub const SKEW: Micros = 200_000;
+/// Part of the bound that is used; the rest covers rounding and repeats.
+const USED: f64 = 0.97;
+
+/// The windows of a tenant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Span {
+    /// Length of a window.
+    pub length: Micros,
+    /// Units that one holds; one is a request.
+    pub budget: u32,
+}
+
+/// The figures of the quota rule.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Rule {
+    /// Any span of this length counts.
+    pub window: Micros,
+    /// Part by which a quota may be passed.
+    pub overshoot: f64,
+    /// Requests by which it may be passed beside that.
+    pub slack: f64,
+}
+
+impl Rule {
+    /// Length of the windows: [`TOUCHED`] of them, seen [`SKEW`] too early, cover any span of the rule.
+    pub fn length(&self) -> Micros {
+        (self.window + SKEW) / (TOUCHED - 1) + 1
+    }
+
+    /// The windows of a tenant; nothing for one without a limit.
+    pub fn span(&self, rate: f64, burst: f64) -> Option<Span> {
+        if rate <= 0.0 {
+            return None;
+        }
+        let most = (rate * self.window as f64 / 1e6 + burst) * (1.0 + self.overshoot) + self.slack;
+        let budget = (USED * most / TOUCHED as f64).floor().clamp(1.0, 1e9) as u32;
+        Some(Span { length: self.length(), budget })
+    }
+}
+
+/// What a limiter asks of a tenant's count.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ask {
+    /// The tenant.
+    #[serde(rename = "t")]
+    pub tenant: String,
+    /// Units for each window that are surely used; what was leased beyond is given back.
+    #[serde(rename = "b")]
+    pub base: u32,
+    /// Units for each window that would be good to have.
+    #[serde(rename = "w")]
+    pub want: u32,
+    /// Units for the present window alone.
+    #[serde(rename = "e")]
+    pub extra: u32,
+}
+
+/// A count's answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// The tenant.
+    #[serde(rename = "t")]
+    pub tenant: String,
+    /// Units for each window, in place of those of the grant before.
+    #[serde(rename = "u")]
+    pub units: u32,
+    /// Units for the present window alone, on top of what it got before.
+    #[serde(rename = "e")]
+    pub extra: u32,
+    /// What a window held when this was granted.
+    #[serde(rename = "b")]
+    pub budget: u32,
+}
+
+/// Where a count's windows stand.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Phase {
+    /// The life of the count: another one has other windows.
+    #[serde(rename = "t")]
+    pub term: u64,
+    /// The present window's number.
+    #[serde(rename = "n")]
+    pub window: u64,
+    /// What is left of it.
+    #[serde(rename = "l")]
+    pub left: Micros,
+    /// For how much longer blocks hold that are granted now.
+    #[serde(rename = "h")]
+    pub holds: Micros,
+}
