Let blocks of quota outlive the holder of their count; agree on limiters by ballot

Change: limiters that may hold blocks are agreed state; a new holder asks them what they hold and keeps back what those could hold that have not told; a new life of a process frees its votes; a voter that started votes again once all core machines have told what they hold. Windows at a limiter never begin closer than their length when the count changes.

--- a/crates/exchange/src/core.rs
+++ b/crates/exchange/src/core.rs
@@ -7,10 +7,10 @@
 use limeway_ballot::{Acceptor, Node, Recovery, Slot, Told, Word};
 use limeway_jackfield::Settings;
 use limeway_numbering::{Plan, State};
-use limeway_roster::{Duties, Presence, Roster, Votes};
+use limeway_roster::{Duties, Presence, Roster, Votes, GROUPS};
 use limeway_tandem::{pack, Board, Feed, Poll};
 use limeway_toll::count::Count;
-use limeway_toll::{Ask, Grant, Rule};
+use limeway_toll::{Answer, Request, Rule};
 use limeway_watch::{Heard, Report};
 use serde_bytes::ByteBuf;
 use std::cell::{Cell, RefCell};
@@ -31,6 +31,8 @@
 const SHOWN: Micros = 2_500_000;
 /// Servers that missed their reports for so many times the pause between two are held to be silent.
 const MISSED: u64 = 3;
+/// A limiter that has been away for so long holds no quota, whoever granted it.
+const FORGOTTEN: Micros = 120_000_000;
 /// Core machines at most.
 const CORE_MOST: usize = 9;
 
@@ -54,9 +56,10 @@
     direct: RefCell<BTreeMap<Node, Presence>>,
     votes: RefCell<Votes>,
     duties: RefCell<Duties>,
-    /// From when a group may be granted of here.
-    usable: RefCell<[Micros; limeway_roster::GROUPS]>,
-    count: RefCell<Count>,
+    /// The counts of the groups that are held here.
+    counts: RefCell<[Option<Count>; GROUPS]>,
+    /// Members not heard of, since when.
+    away: RefCell<BTreeMap<Node, Micros>>,
     /// The life of this process.
     pub boot: u64,
     /// Beats to be told in the next round.
@@ -90,7 +93,6 @@
         board.jump(state);
         let board_plan = board.state.plan().unwrap_or_default();
         let founder = empty && settings.first_start;
-        let rule = Self::rule(&settings);
         let links = Links::new(settings.inner.0);
         Rc::new(Core {
             me,
@@ -102,8 +104,8 @@
             direct: RefCell::default(),
             votes: RefCell::new(Votes::new(start, !founder)),
             duties: RefCell::default(),
-            usable: RefCell::default(),
-            count: RefCell::new(Count::new(start, boot, rule.length())),
+            counts: RefCell::default(),
+            away: RefCell::default(),
             boot,
             beats: RefCell::default(),
             shown: RefCell::default(),
@@ -329,6 +331,8 @@
             slot: acceptor.applied,
             pending: acceptor.open.accepted.is_some(),
             votes: acceptor.votes,
+            boot: self.boot,
+            held: self.duties.borrow().held(t),
             given: claims,
             servers: if ping.all { self.board.borrow().watch.all(t) } else { Vec::new() },
         }
@@ -379,8 +383,8 @@
         let mut board = self.board.borrow_mut();
         let mut news = board.set_members(members);
         let votes = self.votes.borrow();
-        for group in 0..limeway_roster::GROUPS {
-            let holder = votes.holder(t, group).unwrap_or(0);
+        for group in 0..GROUPS {
+            let holder = votes.holder(t, group).unwrap_or((0, 0));
             news |= board.holders[group] != holder;
             board.holders[group] = holder;
         }
@@ -420,29 +424,35 @@
         self.board.borrow().feed(end, &poll, end - t)
     }
 
-    fn grant(&self, node: Node, asks: &[Ask]) -> Reply {
+    fn grant(&self, node: Node, requests: &[Request]) -> Reply {
         let t = now();
-        let (duties, usable, mut count) =
-            (self.duties.borrow(), self.usable.borrow(), self.count.borrow_mut());
-        let rule = Self::rule(&self.settings);
-        let mut until = Micros::MAX;
-        let mut grants: Vec<Grant> = Vec::new();
-        let plan = self.plan.borrow();
-        for ask in asks {
-            let group = limeway_roster::group(&ask.tenant);
-            if !duties.holds(t, group) || usable[group] > t {
-                continue;
+        // Who is not agreed to be a limiter would not be asked by the next holder of a count.
+        if !self.board.borrow().state.doors.contains(&node) {
+            return Reply::Grants(Vec::new());
+        }
+        let (duties, mut counts) = (self.duties.borrow(), self.counts.borrow_mut());
+        let (rule, plan) = (Self::rule(&self.settings), self.plan.borrow());
+        let mut answers = Vec::new();
+        for request in requests.iter().filter(|r| r.group < GROUPS) {
+            let group = request.group;
+            let Some(count) = counts[group].as_mut().filter(|_| duties.holds(t, group)) else { continue };
+            if let Some(blocks) = &request.holds {
+                count.tell(t, node, blocks);
             }
-            let Some(span) = plan.tenants.get(&ask.tenant).and_then(|t| rule.span(t.rate, t.burst)) else {
+            if count.start() > t {
                 continue;
-            };
-            until = until.min(duties.until(group));
-            grants.push(count.ask(t, duties.until(group), node, ask, span));
-        }
-        if grants.is_empty() {
-            until = t;
+            }
+            let unknown = !count.knows(node);
+            let mut grants = Vec::new();
+            for ask in request.asks.iter().filter(|a| !unknown && limeway_roster::group(&a.tenant) == group) {
+                let tenant = plan.tenants.get(&ask.tenant);
+                if let Some(span) = tenant.and_then(|t| rule.span(t.rate, t.burst)) {
+                    grants.push(count.ask(t, t + limeway_toll::BLOCK, node, ask, span));
+                }
+            }
+            answers.push(Answer { group, phase: count.phase(t), unknown, grants });
         }
-        Reply::Grants(count.phase(t, until), grants)
+        Reply::Grants(answers)
     }
 
     /// One round to the others: what is the newest state, who is there, who holds what. Returns whether a majority answered
@@ -460,6 +470,7 @@
         } else {
             Vec::new()
         };
+        let held = self.duties.borrow().held(asked);
         let beats: Vec<Report> = {
             let ids = std::mem::take(&mut *self.beats.borrow_mut());
             let board = self.board.borrow();
@@ -477,6 +488,8 @@
             slot: self.board.borrow().state.slot,
             beats: beats.clone(),
             members: members.clone(),
+            boot: self.boot,
+            held: held.clone(),
             claims: claims.clone(),
             all,
         };
@@ -510,6 +523,11 @@
                 continue;
             };
             self.missed.borrow_mut().remove(&node);
+            {
+                let mut votes = self.votes.borrow_mut();
+                votes.hear(now(), node, pong.boot, &pong.held);
+                votes.complete(&others);
+            }
             self.hear_all(&pong.servers, false);
             if pong.votes {
                 words += 1;
@@ -561,11 +579,12 @@
         let length = Self::rule(&self.settings).length();
         for claim in claims.iter().filter(|c| given.get(&c.group).copied().unwrap_or(0) >= majority) {
             if self.duties.borrow_mut().won(t, asked, *claim) {
-                // A whole window of nothing between the last holder's windows and these; the very first holder of all has
-                // no one before it.
-                let from =
-                    if self.founder && t - self.started < limeway_roster::TERM { t } else { t + 2 * length };
-                self.usable.borrow_mut()[claim.group] = from;
+                // The very first holder of all has no one before it; any other begins a whole window after the last one.
+                let first = self.founder && t - self.started < limeway_roster::TERM;
+                let start = if first { t } else { t + length };
+                let term = self.boot ^ t.rotate_left(32);
+                let doors = &self.board.borrow().state.doors;
+                self.counts.borrow_mut()[claim.group] = Some(Count::new(start, term, length, doors, first));
                 log::info!(group = claim.group; "holds a duty");
             }
         }
@@ -591,12 +610,57 @@
             self.found().await;
             self.board.borrow_mut().watch.sweep(now(), MISSED * self.settings.heartbeat + 700_000);
             self.roster.borrow_mut().sweep(now());
-            self.count.borrow_mut().sweep(now());
+            self.sweep_counts();
+            self.doors().await;
             self.refresh();
             tokio::time::sleep(ROUND).await;
         }
     }
 
+    fn sweep_counts(&self) {
+        let (t, duties) = (now(), self.duties.borrow());
+        let doors = self.board.borrow().state.doors.len();
+        for (group, slot) in self.counts.borrow_mut().iter_mut().enumerate() {
+            if !duties.holds(t, group) {
+                *slot = None;
+            } else if let Some(count) = slot {
+                count.set_doors(doors);
+                count.sweep(t);
+            }
+        }
+    }
+
+    /// Agrees on the limiters that may hold quota: those that have come, and those that have been away for long.
+    async fn doors(self: &Rc<Self>) {
+        let t = now();
+        let live: BTreeSet<Node> = self.roster.borrow().live(t).map(|(n, ..)| n).collect();
+        let state_doors = self.board.borrow().state.doors.clone();
+        let add: Vec<Node> = live.difference(&state_doors).copied().collect();
+        let drop: Vec<Node> = {
+            let mut away = self.away.borrow_mut();
+            away.retain(|n, _| state_doors.contains(n) && !live.contains(n));
+            for node in state_doors.difference(&live) {
+                away.entry(*node).or_insert(t);
+            }
+            away.iter().filter(|(_, since)| t - **since > FORGOTTEN).map(|(n, _)| *n).collect()
+        };
+        // One machine does it, or all would outbid each other.
+        let first = self.board.borrow().state.core.iter().copied().filter(|n| *n == self.me || self.shows(*n)).min();
+        if (add.is_empty() && drop.is_empty()) || first != Some(self.me) {
+            return;
+        }
+        let op = limeway_numbering::Op::Doors { add, drop };
+        let fits = move |state: &State| state.doors == state_doors;
+        if let Err(e) = self.propose(&op, fits).await {
+            log::debug!("limiters: {e:?}");
+        }
+    }
+
+    /// Whether another core machine has shown itself lately.
+    fn shows(&self, node: Node) -> bool {
+        self.shown.borrow().get(&node).is_some_and(|(_, last, _)| now() - last < 1_500_000)
+    }
+
     /// Agrees on the set of core machines: the first one, and those that have come since.
     async fn found(self: &Rc<Self>) {
         let t = now();
--- a/crates/exchange/src/edge.rs
+++ b/crates/exchange/src/edge.rs
@@ -355,14 +355,16 @@
         self.table.borrow().get(service)?.iter().find(|p| &*p.id == id).map(|p| p.address)
     }
 
-    fn holder(&self, tenant: &str) -> Option<Node> {
-        self.board.borrow().holders.get(limeway_roster::group(tenant)).copied().filter(|n| *n != 0)
+    fn holders(&self) -> Vec<Option<(Node, u64)>> {
+        self.board.borrow().holders.iter().map(|h| Some(*h).filter(|(n, _)| *n != 0)).collect()
     }
 
     /// A unit of a tenant's quota for one request. An error tells when the next window begins.
     pub async fn unit(&self, tenant: &str, rate: f64, burst: f64) -> Result<(), Micros> {
         let Some(span) = self.rule.span(rate, burst) else { return Ok(()) };
-        match self.escrow.borrow_mut().take(now(), tenant, self.holder(tenant), span) {
+        let group = limeway_roster::group(tenant);
+        let holder = self.holders().get(group).copied().flatten();
+        match self.escrow.borrow_mut().take(now(), tenant, group, holder, span) {
             Take::Yes => return Ok(()),
             Take::Dry(left) => return Err(left),
             Take::Wait => {}
@@ -388,22 +390,29 @@
     /// Leases units, for ever.
     pub async fn lease(self: Rc<Self>) {
         loop {
-            let asks = self.escrow.borrow_mut().asks(now(), |tenant| self.holder(tenant));
-            for (node, asks) in asks {
-                let edge = self.clone();
+            let holders = self.holders();
+            let requests = self.escrow.borrow_mut().asks(now(), &holders);
+            for (node, requests) in requests {
+                let (edge, holders) = (self.clone(), holders.clone());
                 tokio::task::spawn_local(async move {
                     let asked = now();
-                    let call = Call::Ask(edge.me, asks);
+                    let call = Call::Ask(edge.me, requests);
                     let answer = edge.links.to(node).call(&call, COUNT_WAIT).await;
-                    let Call::Ask(_, asks) = call else { return };
-                    match answer {
-                        Ok(Reply::Grants(phase, grants)) => {
-                            let mut escrow = edge.escrow.borrow_mut();
-                            escrow.granted(now(), asked, node, phase, &grants);
-                            escrow.lost(&asks);
+                    let Call::Ask(_, requests) = call else { return };
+                    let mut escrow = edge.escrow.borrow_mut();
+                    if let Ok(Reply::Grants(answers)) = answer {
+                        for answer in &answers {
+                            let request = requests.iter().find(|r| r.group == answer.group);
+                            let holder = holders.get(answer.group).copied().flatten();
+                            if let (Some(request), Some(holder)) = (request, holder) {
+                                escrow.granted(now(), asked, holder, request, answer);
+                            }
                         }
-                        _ => edge.escrow.borrow_mut().lost(&asks),
                     }
+                    for request in &requests {
+                        escrow.lost(&request.asks);
+                    }
+                    drop(escrow);
                     edge.granted.notify_waiters();
                 });
             }
--- a/crates/exchange/src/messages.rs
+++ b/crates/exchange/src/messages.rs
@@ -1,9 +1,9 @@
 //! What processes of the system say to each other.
 
 use limeway_ballot::{Ballot, Incarnation, Node, Slot, Told, Word};
-use limeway_roster::{Claim, Presence};
+use limeway_roster::{Claim, Held, Presence};
 use limeway_tandem::{Feed, Poll, Steps};
-use limeway_toll::{Ask, Grant, Phase};
+use limeway_toll::{Answer, Request};
 use limeway_watch::Report;
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
@@ -28,7 +28,7 @@
     /// A limiter wants news.
     Poll(Poll),
     /// A limiter wants units.
-    Ask(Node, Vec<Ask>),
+    Ask(Node, Vec<Request>),
 }
 
 /// An answer.
@@ -45,7 +45,7 @@
     /// To [`Call::Poll`].
     Feed(Box<Feed>),
     /// To [`Call::Ask`]; what is not granted here is left out.
-    Grants(Phase, Vec<Grant>),
+    Grants(Vec<Answer>),
     /// Done.
     Done,
     /// This process does not serve such calls.
@@ -73,6 +73,12 @@
     /// Members that renew their lease there.
     #[serde(rename = "m")]
     pub members: Vec<Presence>,
+    /// The life of its process.
+    #[serde(rename = "o")]
+    pub boot: u64,
+    /// Duties that it holds.
+    #[serde(rename = "h")]
+    pub held: Vec<Held>,
     /// Duties that it claims.
     #[serde(rename = "d")]
     pub claims: Vec<Claim>,
@@ -93,6 +99,12 @@
     /// It votes.
     #[serde(rename = "v")]
     pub votes: bool,
+    /// The life of its process.
+    #[serde(rename = "o")]
+    pub boot: u64,
+    /// Duties that it holds.
+    #[serde(rename = "h")]
+    pub held: Vec<Held>,
     /// The groups of duties that it votes for.
     #[serde(rename = "d")]
     pub given: Vec<usize>,
--- a/crates/numbering/src/state.rs
+++ b/crates/numbering/src/state.rs
@@ -11,6 +11,9 @@
 /// Zones that can be evacuated at once.
 const ZONES_MOST: usize = 256;
 
+/// Limiters that may hold blocks at once, at most.
+const DOORS_MOST: usize = 10_000;
+
 /// One chosen operation.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Op {
@@ -31,6 +34,13 @@
         /// See [`Order`].
         digest: u64,
     },
+    /// Limiters that may be granted quota from now on, and those that have been away too long to hold any.
+    Doors {
+        /// Taken in.
+        add: Vec<u32>,
+        /// Taken out.
+        drop: Vec<u32>,
+    },
     /// Nothing more goes to a zone's servers, or that is taken back.
     Evacuate {
         /// The zone.
@@ -84,6 +94,8 @@
     pub evacuated: BTreeSet<String>,
     /// The core machines; empty before they are agreed.
     pub core: Vec<u32>,
+    /// The limiters that may hold blocks of quotas: a new holder of a count knows whom it has to ask.
+    pub doors: BTreeSet<u32>,
     taken: VecDeque<Taken>,
     /// The slot of the last change that took keys away.
     pub revoked_at: u64,
@@ -167,6 +179,10 @@
                     }
                 }
             }
+            Op::Doors { add, drop } => {
+                self.doors.retain(|d| !drop.contains(d));
+                self.doors.extend(add.iter().take(DOORS_MOST.saturating_sub(self.doors.len())));
+            }
             Op::Evacuate { zone, begun: true } if self.evacuated.len() < ZONES_MOST => {
                 self.evacuated.insert(zone.clone());
             }
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -5,15 +5,16 @@
 //!   lasts [`TERM`] from when it is given, a holding lasts [`TERM`] from when its votes were **asked** for, so that no two
 //!   machines hold a group at one time. That is the fence: a key changes hands only once the last holder has surely ended.
 //!
-//! A voter that has just started has forgotten its votes. It gives none for [`TERM`], except to whoever says that it holds
-//! the group at this moment: if that is true, no one else can hold it, and a holder that hears the answer after its
-//! holding ended does not use it.
+//! A voter that has just started has forgotten its votes. It gives none for [`TERM`], or until every core machine has told
+//! it what it holds: only they hold groups, and none that does would keep it back. To whoever says that it holds a group
+//! at this moment it gives its vote at once: if that is true, no one else can hold it, and a holder that hears the answer
+//! after its holding ended does not use it. A process that is seen in a new life holds nothing of its earlier one.
 //!
 //! Free of I/O; times are those of a steady clock.
 #![forbid(unsafe_code)]
 
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 
 /// A time or a length of time, in microseconds.
@@ -166,18 +167,60 @@
     until: Micros,
 }
 
+/// A group that a machine holds, as it tells others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Held {
+    /// The group.
+    #[serde(rename = "g")]
+    pub group: usize,
+    /// For how much longer.
+    #[serde(rename = "l")]
+    pub left: Micros,
+}
+
+/// Answers to claims come within this time or are not used: a voter that starts listens for holders only after it.
+pub const CLAIM: Micros = 600_000;
+
 /// One core machine's votes on who holds which group.
 #[derive(Debug, Clone)]
 pub struct Votes {
-    /// New claims get no vote before then.
+    started: Micros,
+    /// New claims get no vote before then, unless all have been heard.
     from: Micros,
+    heard: BTreeSet<Node>,
     given: [Option<Vote>; GROUPS],
 }
 
 impl Votes {
     /// A voter that starts now; `forgotten` unless there can be no earlier votes at all.
     pub fn new(now: Micros, forgotten: bool) -> Self {
-        Votes { from: if forgotten { now + TERM } else { 0 }, given: [None; GROUPS] }
+        let from = if forgotten { now + TERM } else { 0 };
+        Votes { started: now, from, heard: BTreeSet::new(), given: [None; GROUPS] }
+    }
+
+    /// A core machine tells, in this life of its process, what it holds. Any earlier life has ended.
+    pub fn hear(&mut self, now: Micros, node: Node, boot: u64, held: &[Held]) {
+        for given in &mut self.given {
+            if given.is_some_and(|v| v.node == node && v.boot != boot) {
+                *given = None;
+            }
+        }
+        for held in held {
+            if let Some(given @ None) = self.given.get_mut(held.group) {
+                *given = Some(Vote { node, boot, until: now + held.left });
+            }
+        }
+        // What is asked for with a vote of this voter's earlier life has been answered by then.
+        if now >= self.started + CLAIM {
+            self.heard.insert(node);
+        }
+    }
+
+    /// All of these have told what they hold: this voter knows again what it may have voted for.
+    pub fn complete(&mut self, others: &[Node]) {
+        if others.iter().all(|n| self.heard.contains(n)) {
+            self.from = 0;
+        }
     }
 
     /// Is asked for a vote.
@@ -193,9 +236,9 @@
         free
     }
 
-    /// Who may hold a group at this moment, as far as this voter knows.
-    pub fn holder(&self, now: Micros, group: usize) -> Option<Node> {
-        self.given.get(group).copied().flatten().filter(|v| v.until >= now).map(|v| v.node)
+    /// Who may hold a group at this moment, as far as this voter knows: the machine and the life of its process.
+    pub fn holder(&self, now: Micros, group: usize) -> Option<(Node, u64)> {
+        self.given.get(group).copied().flatten().filter(|v| v.until >= now).map(|v| (v.node, v.boot))
     }
 }
 
@@ -216,12 +259,17 @@
         self.until(group) > now
     }
 
+    /// All that it holds, for others.
+    pub fn held(&self, now: Micros) -> Vec<Held> {
+        (0..GROUPS).filter(|g| self.holds(now, *g)).map(|group| Held { group, left: self.until(group) - now }).collect()
+    }
+
     /// What to claim: what is held, and what this machine is the first choice for and nobody holds.
     pub fn claims(&self, now: Micros, me: Node, boot: u64, live: &[Node], votes: &Votes) -> Vec<Claim> {
         let mut claims = Vec::new();
         for group in 0..GROUPS {
             let holds = self.holds(now, group);
-            let free = votes.holder(now, group).is_none_or(|n| n == me);
+            let free = votes.holder(now, group).is_none_or(|n| n == (me, boot));
             if holds || (free && first(group as u64, live.iter().copied()) == Some(me)) {
                 claims.push(Claim { group, boot, holds });
             }
@@ -233,7 +281,7 @@
     pub fn won(&mut self, now: Micros, asked: Micros, claim: Claim) -> bool {
         let held = self.holds(now, claim.group);
         // What was asked as a holder counts for a holder only: a voter that forgot its votes took the word for it.
-        if claim.holds && !held {
+        if claim.holds && !held || now.saturating_sub(asked) > CLAIM {
             return false;
         }
         if let Some(until) = self.until.get_mut(claim.group) {
--- a/crates/tandem/src/lib.rs
+++ b/crates/tandem/src/lib.rs
@@ -63,6 +63,9 @@
 /// A member, as limiters know it: its machine and its zone.
 pub type Member = (Node, String);
 
+/// Who holds a group: the machine, 0 for nobody, and the life of its process.
+pub type Holder = (Node, u64);
+
 /// What a poll is answered.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Feed {
@@ -87,9 +90,9 @@
     /// The servers told are all that there are.
     #[serde(rename = "f")]
     pub full: bool,
-    /// Who holds each group of duties; 0 for nobody.
+    /// Who holds each group of duties.
     #[serde(rename = "d")]
-    pub holders: Vec<Node>,
+    pub holders: Vec<Holder>,
     /// See [`Poll::members`].
     #[serde(rename = "r")]
     pub members_change: u64,
@@ -112,8 +115,8 @@
     /// The live members.
     members: Vec<Member>,
     members_change: u64,
-    /// Who holds each group; 0 for nobody.
-    pub holders: [Node; GROUPS],
+    /// Who holds each group.
+    pub holders: [Holder; GROUPS],
     /// When this process was last sure of `state`; 0 for never.
     pub sure: Micros,
 }
@@ -155,7 +158,7 @@
             watch: Watch::default(),
             members: Vec::new(),
             members_change: 0,
-            holders: [0; GROUPS],
+            holders: [(0, 0); GROUPS],
             sure: 0,
         }
     }
@@ -271,7 +274,7 @@
         if let Some(members) = feed.members {
             changed.members |= self.set_members(members);
         }
-        let mut holders = [0; GROUPS];
+        let mut holders = [(0, 0); GROUPS];
         holders.iter_mut().zip(feed.holders).for_each(|(to, from)| *to = from);
         changed.members |= holders != self.holders;
         self.holders = holders;
--- a/crates/toll/src/count.rs
+++ b/crates/toll/src/count.rs
@@ -1,12 +1,14 @@
 //! The count of a group of tenants: what each limiter has been granted of each window.
 
-use crate::{Ask, Grant, Micros, Node, Phase, Span};
-use std::collections::{BTreeMap, HashMap};
+use crate::{Ask, Block, Grant, Micros, Node, Phase, Span, BLOCK};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Limiters that one tenant's budget is granted to at once, at most.
-const PARTS_MOST: usize = 4_096;
+const PARTS_MOST: usize = 10_000;
 /// Part of a budget that stays free of what is merely good to have.
-const SPARE: f64 = 0.35;
+const SPARE: f64 = 0.3;
+/// One limiter holds at most so many times its even part of a budget; what an unknown one could hold is bounded by it.
+const EVEN: u32 = 3;
 
 /// What one limiter was granted of a tenant.
 #[derive(Debug, Clone, Copy)]
@@ -25,40 +27,82 @@
     window: u64,
 }
 
-/// The count, from when its duty was won: no block of an earlier holder lives then.
+/// The count of one group of tenants, in one holding of it.
 #[derive(Debug, Clone)]
 pub struct Count {
     start: Micros,
     term: u64,
     length: Micros,
     tenants: HashMap<String, Tally>,
+    /// Limiters that have told what they hold of earlier counts.
+    known: BTreeSet<Node>,
+    /// Those that have not, and what they hold lives until then at most.
+    unknown: BTreeMap<Node, Micros>,
+    doors: usize,
 }
 
 impl Count {
-    /// A count whose windows begin now.
-    pub fn new(now: Micros, term: u64, length: Micros) -> Self {
-        Count { start: now, term, length: length.max(1), tenants: HashMap::new() }
+    /// A count whose windows begin at `start`. `doors` may hold blocks of earlier counts, none if there was none before.
+    pub fn new(start: Micros, term: u64, length: Micros, doors: &BTreeSet<Node>, first: bool) -> Self {
+        let unknown = if first { BTreeMap::new() } else { doors.iter().map(|d| (*d, start + BLOCK)).collect() };
+        Count {
+            start,
+            term,
+            length: length.max(1),
+            tenants: HashMap::new(),
+            known: BTreeSet::new(),
+            unknown,
+            doors: doors.len(),
+        }
+    }
+
+    /// From when on it grants.
+    pub fn start(&self) -> Micros {
+        self.start
     }
 
     fn window(&self, now: Micros) -> u64 {
         now.saturating_sub(self.start) / self.length
     }
 
-    /// Where the windows stand; `until` is when the duty ends.
-    pub fn phase(&self, now: Micros, until: Micros) -> Phase {
+    /// Where the windows stand.
+    pub fn phase(&self, now: Micros) -> Phase {
         let into = now.saturating_sub(self.start) % self.length;
-        Phase {
-            term: self.term,
-            window: self.window(now),
-            left: self.length - into,
-            holds: until.saturating_sub(now),
+        Phase { term: self.term, window: self.window(now), left: self.length - into }
+    }
+
+    /// Whether a limiter has told what it holds.
+    pub fn knows(&self, node: Node) -> bool {
+        self.known.contains(&node)
+    }
+
+    /// How many may be granted quota now.
+    pub fn set_doors(&mut self, doors: usize) {
+        self.doors = doors;
+    }
+
+    /// A limiter tells what it holds of earlier counts, or that it holds nothing.
+    pub fn tell(&mut self, now: Micros, node: Node, blocks: &[Block]) {
+        self.known.insert(node);
+        self.unknown.remove(&node);
+        let window = self.window(now);
+        for tally in self.tenants.values_mut() {
+            // A new life of its process has forgotten what this count granted it.
+            tally.parts.remove(&node);
+        }
+        for block in blocks.iter().filter(|b| b.units > 0) {
+            let tally = self.tenants.entry(block.tenant.clone()).or_default();
+            let until = now + block.left.min(BLOCK);
+            tally.parts.insert(node, Part { units: block.units, until, peak: block.units, window });
         }
     }
 
-    /// Grants what a window has left. `until` is when the duty ends: no block outlives it.
+    /// Grants what a window has left. No block outlives `until`.
     pub fn ask(&mut self, now: Micros, until: Micros, from: Node, ask: &Ask, span: Span) -> Grant {
         let window = self.window(now);
         let (start, length) = (self.start, self.length);
+        self.unknown.retain(|_, until| *until > now);
+        let (unknown, doors) = (self.unknown.len() as u32, self.doors.max(1) as u32);
         let tally = self.tenants.entry(ask.tenant.clone()).or_default();
         if tally.window != window {
             (tally.window, tally.extra) = (window, 0);
@@ -74,26 +118,28 @@
         };
         let own = tally.parts.get(&from).copied();
         let spent = own.map_or(0, |p| p.peak);
+        let most_each = (EVEN * budget / doors).max(1);
+        // What those that have not told could hold, and others are not known to.
+        let kept = unknown.saturating_mul(most_each).min(budget);
         // Free for blocks: in the windows to come, and in this one.
-        let later = budget.saturating_sub(others(&|p| p.units));
-        let here = budget.saturating_sub(others(&|p| p.peak) + tally.extra);
-        let most = later.min(here);
-        let spare = (later as f64 - SPARE * f64::from(budget)).max(0.0) as u32;
+        let later = budget.saturating_sub(others(&|p| p.units) + kept);
+        let here = budget.saturating_sub(others(&|p| p.peak) + tally.extra + kept);
+        let most = later.min(here).min(most_each);
+        let spare = (f64::from(later) - SPARE * f64::from(budget)).max(0.0) as u32;
         let held = own.map_or(0, |p| p.units);
-        // What is held already is not made smaller than what is asked for as surely used.
         let mut units = ask.base.max(ask.want.min(spare)).min(most);
         if tally.parts.len() >= PARTS_MOST && held == 0 {
             units = 0;
         }
         let peak = spent.max(units);
-        let free = budget.saturating_sub(others(&|p| p.peak) + tally.extra + peak);
+        let free = budget.saturating_sub(others(&|p| p.peak) + tally.extra + peak + kept);
         // An extra unit counts for what the block does not give.
         let need = ask.extra.saturating_sub(units.saturating_sub(held));
         let extra = need.min(free);
         tally.extra += extra;
         if units > 0 || spent > 0 {
-            let part = Part { units, until, peak, window };
-            tally.parts.insert(from, part);
+            let until = until.min(now + BLOCK);
+            tally.parts.insert(from, Part { units, until, peak, window });
         } else {
             tally.parts.remove(&from);
         }
@@ -105,8 +151,7 @@
         let window = self.window(now);
         let (start, length) = (self.start, self.length);
         self.tenants.retain(|_, t| {
-            t.window + 1 >= window
-                || t.parts.values().any(|p| p.until.saturating_sub(start) / length >= window)
+            t.window + 1 >= window || t.parts.values().any(|p| p.until.saturating_sub(start) / length >= window)
         });
     }
 
--- a/crates/toll/src/escrow.rs
+++ b/crates/toll/src/escrow.rs
@@ -1,6 +1,6 @@
 //! A limiter's side: the units that it holds of each tenant.
 
-use crate::{Ask, Grant, Micros, Node, Phase, Span, SKEW};
+use crate::{Answer, Ask, Block, Micros, Node, Request, Span, BLOCK, SKEW};
 use std::collections::HashMap;
 
 /// Part of a new window's use in the running mean.
@@ -42,9 +42,13 @@
     }
 }
 
+/// The holder of a group's count: its machine and the life of its process.
+pub type Holder = (Node, u64);
+
 #[derive(Debug, Clone, Default)]
 struct Hold {
     holder: Node,
+    group: usize,
     term: u64,
     units: u32,
     budget: u32,
@@ -80,8 +84,11 @@
 #[derive(Debug, Clone)]
 pub struct Escrow {
     length: Micros,
-    edges: HashMap<Node, Edge>,
+    edges: HashMap<(Node, usize), Edge>,
     holds: HashMap<String, Hold>,
+    /// Which holder has been told what is held of a group, and when that was last tried.
+    told: HashMap<usize, Holder>,
+    telling: HashMap<usize, Micros>,
 }
 
 impl Hold {
@@ -124,20 +131,26 @@
 impl Escrow {
     /// An empty one, for windows of this length.
     pub fn new(length: Micros) -> Self {
-        Escrow { length: length.max(1), edges: HashMap::new(), holds: HashMap::new() }
+        Escrow {
+            length: length.max(1),
+            edges: HashMap::new(),
+            holds: HashMap::new(),
+            told: HashMap::new(),
+            telling: HashMap::new(),
+        }
     }
 
     /// Takes a unit for a request of a tenant whose count `holder` holds.
-    pub fn take(&mut self, now: Micros, tenant: &str, holder: Option<Node>, span: Span) -> Take {
+    pub fn take(&mut self, now: Micros, tenant: &str, group: usize, holder: Option<Holder>, span: Span) -> Take {
         if !self.holds.contains_key(tenant) {
             if self.holds.len() >= TENANTS_MOST {
                 return Take::Dry(self.length);
             }
-            self.holds.insert(tenant.to_owned(), Hold::default());
+            self.holds.insert(tenant.to_owned(), Hold { group, ..Hold::default() });
         }
         let (edges, length) = (&self.edges, self.length);
         let Some(hold) = self.holds.get_mut(tenant) else { return Take::Dry(length) };
-        let edge = edges.get(&hold.holder).filter(|e| e.term == hold.term && hold.term != 0);
+        let edge = edges.get(&(hold.holder, hold.group)).filter(|e| e.term == hold.term && hold.term != 0);
         if let Some(edge) = edge {
             hold.roll(edge.window(now));
         }
@@ -161,7 +174,7 @@
         let (edges, length) = (&self.edges, self.length);
         let Some(hold) = self.holds.get_mut(tenant) else { return Take::Dry(length) };
         hold.waiting = hold.waiting.saturating_sub(1);
-        let Some(edge) = edges.get(&hold.holder).filter(|e| e.term == hold.term && hold.term != 0) else {
+        let Some(edge) = edges.get(&(hold.holder, hold.group)).filter(|e| e.term == hold.term && hold.term != 0) else {
             return Take::Dry(length);
         };
         hold.roll(edge.window(now));
@@ -173,21 +186,24 @@
         }
     }
 
-    /// What to ask of whom now. `holder` tells who holds a tenant's count. Whatever is asked for less than is held is given
-    /// up here at once, so that the count may grant it elsewhere as soon as it hears.
-    pub fn asks(&mut self, now: Micros, holder: impl Fn(&str) -> Option<Node>) -> Vec<(Node, Vec<Ask>)> {
-        let mut all: HashMap<Node, Vec<Ask>> = HashMap::new();
+    /// What to ask of whom now. `holders` tells who holds each group's count. Whatever is asked for less than is held is
+    /// given up here at once, so that the count may grant it elsewhere as soon as it hears. A holder that has not been told
+    /// what is held here is told.
+    pub fn asks(&mut self, now: Micros, holders: &[Option<Holder>]) -> Vec<(Node, Vec<Request>)> {
+        let mut groups: HashMap<usize, Vec<Ask>> = HashMap::new();
         for (tenant, hold) in &mut self.holds {
-            let Some(node) = holder(tenant) else { continue };
+            if holders.get(hold.group).copied().flatten().is_none() {
+                continue;
+            }
             if hold.asking.is_some_and(|at| now < at + LOST) {
                 continue;
             }
-            if let Some(edge) = self.edges.get(&hold.holder).filter(|e| e.term == hold.term) {
+            if let Some(edge) = self.edges.get(&(hold.holder, hold.group)).filter(|e| e.term == hold.term) {
                 hold.roll(edge.window(now));
             }
             let ask = hold.ask(tenant, now);
             let due = hold.until.saturating_sub(now) < RENEW && ask.want > 0;
-            let moved = ask.want.abs_diff(hold.told) as f64 > 1.0 + 0.25 * f64::from(hold.told);
+            let moved = f64::from(ask.want.abs_diff(hold.told)) > 1.0 + 0.25 * f64::from(hold.told);
             let lower = ask.want == 0 && hold.units > 0;
             if !(hold.waiting > 0 || due || moved || lower) {
                 continue;
@@ -195,44 +211,73 @@
             hold.units = hold.units.min(ask.want.max(ask.base));
             hold.asking = Some(now);
             hold.told = ask.want;
-            all.entry(node).or_default().push(ask);
+            groups.entry(hold.group).or_default().push(ask);
         }
-        self.holds
-            .retain(|_, h| h.idle < IDLE || h.waiting > 0 || h.asking.is_some_and(|at| now < at + LOST));
+        for (group, holder) in holders.iter().enumerate() {
+            let told = self.told.get(&group);
+            if holder.is_some_and(|h| told != Some(&h)) && self.telling.get(&group).is_none_or(|at| now > at + LOST) {
+                groups.entry(group).or_default();
+            }
+        }
+        let mut all: HashMap<Node, Vec<Request>> = HashMap::new();
+        for (group, asks) in groups {
+            let Some(holder) = holders[group] else { continue };
+            let holds = (self.told.get(&group) != Some(&holder)).then(|| self.blocks(now, group));
+            if holds.is_some() {
+                self.telling.insert(group, now);
+            }
+            all.entry(holder.0).or_default().push(Request { group, asks, holds });
+        }
+        self.holds.retain(|_, h| h.idle < IDLE || h.waiting > 0 || h.asking.is_some_and(|at| now < at + LOST));
         all.into_iter().collect()
     }
 
-    /// A count has answered what was asked at `asked`. False if the answer was too long under way to be used.
-    pub fn granted(
-        &mut self,
-        now: Micros,
-        asked: Micros,
-        holder: Node,
-        phase: Phase,
-        grants: &[Grant],
-    ) -> bool {
-        let slow = now.saturating_sub(asked) > SKEW;
+    fn blocks(&self, now: Micros, group: usize) -> Vec<Block> {
+        let live = self.holds.iter().filter(|(_, h)| h.group == group && h.units > 0 && h.until > now);
+        live.map(|(t, h)| Block { tenant: t.clone(), units: h.units, left: h.until - now }).collect()
+    }
+
+    /// A holder has answered what was asked at `asked`; `holder` is who it was asked as. Answers that were too long under
+    /// way are not used.
+    pub fn granted(&mut self, now: Micros, asked: Micros, holder: Holder, request: &Request, answer: &Answer) {
+        let (group, phase) = (request.group, answer.phase);
+        if answer.unknown {
+            self.told.remove(&group);
+            self.telling.remove(&group);
+            return;
+        }
+        if request.holds.is_some() {
+            self.told.insert(group, holder);
+        }
+        if now.saturating_sub(asked) > SKEW {
+            return;
+        }
         let end = asked + phase.left;
-        if !slow {
-            let length = self.length;
-            let fresh = Edge { term: phase.term, window: phase.window, end, length };
-            let edge = self.edges.entry(holder).or_insert(fresh);
-            // Of two ends, both never late, the later one is the closer.
-            if edge.term != phase.term || fresh.window > edge.window || end > edge.end {
-                *edge = fresh;
-            }
+        let fresh = Edge { term: phase.term, window: phase.window, end, length: self.length };
+        let old = self.edges.insert((holder.0, group), fresh);
+        // Of two ends, both never late, the later one is the closer.
+        if let Some(old) = old.filter(|o| o.term == phase.term && o.window >= fresh.window && o.end >= end) {
+            self.edges.insert((holder.0, group), old);
         }
-        let here = self.edges.get(&holder).filter(|e| e.term == phase.term).map(|e| e.window(now));
-        for grant in grants {
+        let Some(edge) = self.edges.get(&(holder.0, group)).copied() else { return };
+        for grant in &answer.grants {
+            let before = self.holds.get(&grant.tenant).and_then(|h| self.edges.get(&(h.holder, h.group)).copied());
             let Some(hold) = self.holds.get_mut(&grant.tenant) else { continue };
             hold.asking = None;
-            let Some(here) = here.filter(|_| !slow) else { continue };
-            if (hold.holder, hold.term) != (holder, phase.term) {
-                (hold.holder, hold.term, hold.window) = (holder, phase.term, here);
-                (hold.spent, hold.extra, hold.until) = (0, 0, 0);
+            if (hold.holder, hold.term) != (holder.0, phase.term) {
+                // Another count has other windows. The one under way here goes on until the last count's window would
+                // have ended: windows never begin closer to each other than their length.
+                match before.filter(|b| hold.term != 0 && b.term == hold.term) {
+                    Some(before) => {
+                        hold.roll(before.window(now));
+                        hold.window = edge.window(now + before.left(now).saturating_sub(1));
+                    }
+                    None => (hold.window, hold.spent, hold.extra) = (edge.window(now), 0, 0),
+                }
+                (hold.holder, hold.term) = (holder.0, phase.term);
             }
-            hold.roll(here);
-            (hold.units, hold.budget, hold.until) = (grant.units, grant.budget, asked + phase.holds);
+            hold.roll(edge.window(now));
+            (hold.units, hold.budget, hold.until) = (grant.units, grant.budget, asked + BLOCK);
             // What was granted for a window that has passed is forfeit.
             if phase.window == hold.window {
                 hold.extra += grant.extra;
@@ -241,7 +286,6 @@
                 }
             }
         }
-        !slow
     }
 
     /// Whether an ask for a tenant is under way.
--- a/crates/toll/src/lib.rs
+++ b/crates/toll/src/lib.rs
@@ -9,6 +9,10 @@
 //! - [`count::Count`]: the holder's side, for the tenants whose count it holds;
 //! - [`escrow::Escrow`]: a limiter's side.
 //!
+//! **A new holder** of a count does not know what its forerunner granted. It asks all limiters that may hold blocks, which
+//! are agreed by ballots; until one has told, the most that it could hold is kept back, and after [`BLOCK`] nothing of it
+//! lives. Its windows begin one whole window after the last holder surely ended.
+//!
 //! Free of I/O; times are those of each machine's own steady clock.
 #![forbid(unsafe_code)]
 
@@ -84,7 +88,35 @@
     pub extra: u32,
 }
 
-/// A count's answer.
+/// A block that a limiter holds, for a count that does not know it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Block {
+    /// The tenant.
+    #[serde(rename = "t")]
+    pub tenant: String,
+    /// Units for each window.
+    #[serde(rename = "u")]
+    pub units: u32,
+    /// For how much longer.
+    #[serde(rename = "l")]
+    pub left: Micros,
+}
+
+/// What a limiter asks of the holder of a group of tenants.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Request {
+    /// The group.
+    #[serde(rename = "g")]
+    pub group: usize,
+    /// What it asks.
+    #[serde(rename = "a")]
+    pub asks: Vec<Ask>,
+    /// All blocks of the group that it holds, where it has not told this holder yet.
+    #[serde(rename = "i")]
+    pub holds: Option<Vec<Block>>,
+}
+
+/// A count's answer for one tenant.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Grant {
     /// The tenant.
@@ -113,7 +145,24 @@
     /// What is left of it.
     #[serde(rename = "l")]
     pub left: Micros,
-    /// For how much longer blocks hold that are granted now.
-    #[serde(rename = "h")]
-    pub holds: Micros,
 }
+
+/// A holder's answer for a group.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// The group.
+    #[serde(rename = "g")]
+    pub group: usize,
+    /// Its windows.
+    #[serde(rename = "p")]
+    pub phase: Phase,
+    /// It does not know what this limiter holds: it has to be told before it grants anything.
+    #[serde(rename = "u")]
+    pub unknown: bool,
+    /// What is granted.
+    #[serde(rename = "a")]
+    pub grants: Vec<Grant>,
+}
+
+/// How long a block lives. Long, as it has to outlast a core that is silent for some seconds.
+pub const BLOCK: Micros = 8_000_000;
