--- a/crates/exchange/src/control.rs
+++ b/crates/exchange/src/control.rs
@@ -2,6 +2,7 @@
 
 use crate::clock::now;
 use crate::core::Core;
+use crate::directory::{self, query};
 use crate::inbound::{Bounds, Inbound, Stop};
 use crate::propose::Declined;
 use limeway_line::http;
@@ -20,11 +21,7 @@
 const NAME_MOST: usize = 256;
 /// Longest report of a server, in bytes.
 const REPORT_MOST: usize = 16 * 1024;
-/// Addresses in a resolve answer, at most.
-const ADDRESSES_MOST: usize = 64;
-/// A resolve answer may be kept for so long.
-const TTL: u64 = 2_000_000;
-/// Least pause between a server's reports that is believed of one.
+/// Longest time that a server may say that it stays cold.
 const COLD_MOST: u64 = 120_000_000;
 
 /// A call.
@@ -72,11 +69,6 @@
     (status, format!("{{\"error-message\":{}}}", json::to_string(&text.to_string())))
 }
 
-/// The value of a name in a query; only what is escaped in names of ours is unescaped.
-fn query<'a>(query: &'a str, name: &str) -> Option<&'a str> {
-    query.split('&').filter_map(|p| p.split_once('=')).find(|(n, _)| *n == name).map(|(_, v)| v)
-}
-
 /// Takes calls for ever.
 pub async fn listen(core: Rc<Core>, listener: TcpListener) {
     let count = Rc::new(Cell::new(0usize));
@@ -272,41 +264,10 @@
 }
 
 fn resolve(core: &Rc<Core>, rest: &str) -> Answer {
-    let (zone, region) = (query(rest, "zone").unwrap_or(""), query(rest, "region").unwrap_or(""));
-    let zones = &core.settings.zones;
     let roster = core.roster.borrow();
-    let mut all: Vec<(u8, SocketAddrV4)> = roster
-        .live(now())
-        .filter(|(_, _, _, ready)| *ready)
-        .map(|(_, front, at, _)| {
-            let near = at == zone;
-            let region_of = zones.get(at).map_or("", String::as_str);
-            let in_region = region_of == region || zones.get(zone).is_some_and(|r| r == region_of);
-            (
-                if near {
-                    0
-                } else if in_region {
-                    1
-                } else {
-                    2
-                },
-                front,
-            )
-        })
-        .collect();
-    all.sort_unstable();
-    // The client's region, where it has any: one limiter there that is lost leaves others.
-    let best = all.first().map_or(0, |(d, _)| *d);
-    let most = if best <= 1 { 1 } else { 2 };
-    let addresses: Vec<String> = all
-        .iter()
-        .filter(|(d, _)| *d <= most)
-        .take(ADDRESSES_MOST)
-        .map(|(_, a)| format!("\"{a}\""))
-        .collect();
-    if addresses.is_empty() {
-        return error(503, "no limiter is known");
+    let ready = roster.live(now()).filter(|(_, _, _, ready)| *ready).map(|(_, front, zone, _)| (zone, front));
+    match directory::resolve(&core.settings, ready, rest) {
+        Some(body) => (200, body),
+        None => error(503, "no limiter is known"),
     }
-    let ttl = TTL.min(core.settings.bounds.ttl_most) / 1_000;
-    (200, format!("{{\"addresses\":[{}],\"ttl\":\"{ttl}ms\"}}", addresses.join(",")))
 }
--- a/crates/exchange/src/edge.rs
+++ b/crates/exchange/src/edge.rs
@@ -11,7 +11,7 @@
 use limeway_selector::{cold_share, Candidate, Near, Selector, Tries};
 use limeway_tandem::{tree, Board, Feed, Poll};
 use limeway_toll::escrow::{Escrow, Take};
-use limeway_toll::{Rule, Span};
+use limeway_toll::Rule;
 use limeway_watch::Phase;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
@@ -33,6 +33,8 @@
 const REVOKE_MARGIN: Micros = 250_000;
 /// A count's answer is waited for this long; later ones are not used.
 const COUNT_WAIT: Duration = Duration::from_millis(320);
+/// A request waits for its unit for so long.
+const UNIT_WAIT: Duration = Duration::from_millis(450);
 /// Pause between two looks at what is to be leased.
 const LEASING: Duration = Duration::from_millis(250);
 /// Limiters that may send to one cold server, at most.
@@ -369,24 +371,29 @@
             Take::Dry(left) => return Err(left),
             Take::Wait => {}
         }
-        let _ = timeout(COUNT_WAIT, async {
+        let until = tokio::time::Instant::now() + UNIT_WAIT;
+        loop {
             let granted = self.granted.notified();
             self.short.notify_one();
-            granted.await;
-        })
-        .await;
-        // The notice may be of another tenant's grant; a second one is waited for once.
-        if self.escrow.borrow().asking(tenant) {
-            let _ = timeout(COUNT_WAIT, self.granted.notified()).await;
-        }
-        let span: Span = span;
-        match self.escrow.borrow_mut().waited(now(), tenant, span) {
-            Take::Yes => Ok(()),
-            Take::Dry(left) => Err(left),
-            Take::Wait => Err(self.rule.length()),
+            let late = tokio::time::timeout_at(until, granted).await.is_err();
+            match self.escrow.borrow_mut().waited(now(), tenant, span, late) {
+                Take::Yes => return Ok(()),
+                Take::Dry(left) => return Err(left),
+                // The grant was another's, or went to those who waited longer.
+                Take::Wait => {}
+            }
         }
     }
 
+    /// Answers where a client should go.
+    pub fn resolve(&self, rest: &str) -> Option<String> {
+        let board = self.board.borrow();
+        let port = self.settings.frontend.map_or(0, |f| f.port());
+        // All machines have the same ports.
+        let fronts = board.members().iter().map(|(n, zone)| (zone.as_str(), SocketAddrV4::new((*n).into(), port)));
+        crate::directory::resolve(&self.settings, fronts, rest)
+    }
+
     /// Leases units, for ever.
     pub async fn lease(self: Rc<Self>) {
         loop {
--- a/crates/exchange/src/main.rs
+++ b/crates/exchange/src/main.rs
@@ -5,6 +5,7 @@
 mod clock;
 mod control;
 mod core;
+mod directory;
 mod disk;
 mod edge;
 mod inbound;
--- a/crates/exchange/src/service.rs
+++ b/crates/exchange/src/service.rs
@@ -14,6 +14,7 @@
 use limeway_numbering::State;
 use limeway_tandem::unpack;
 use limeway_vault::Vault;
+use std::cell::Cell;
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -25,6 +26,8 @@
 
 /// Descriptors that are not for clients.
 const FDS_ASIDE: usize = 700;
+/// Connections of those who ask where to go, or whether this limiter is ready, at most.
+const ASKERS_MOST: usize = 400;
 /// New connections are taken for this long after SIGTERM, and the rest of the grace goes to what was begun.
 const LEAVING: f64 = 0.55;
 /// What is left of the grace when the process ends in any case.
@@ -125,12 +128,16 @@
     terminate: &mut tokio::signal::unix::Signal,
 ) -> Result<(), Report<StartError>> {
     let (frontend, readiness, grace) = (settings.frontend, settings.readiness, settings.bounds.grace);
+    let directory = settings.directory;
     let front = Front::new(settings.fds.saturating_sub(FDS_ASIDE));
     let edge = Edge::new(settings);
     let answering = edge.clone();
     tokio::task::spawn_local(link::listen(bind(inner)?, move |call| answering.clone().answer(call)));
     if let Some(address) = readiness {
-        tokio::task::spawn_local(ready(edge.clone(), bind(address)?));
+        tokio::task::spawn_local(ask(edge.clone(), bind(address)?));
+    }
+    if let Some(address) = directory {
+        tokio::task::spawn_local(ask(edge.clone(), bind(address)?));
     }
     tokio::task::spawn_local(edge.clone().follow());
     tokio::task::spawn_local(edge.clone().lease());
@@ -159,26 +166,35 @@
     Ok(())
 }
 
-/// Tells the platform whether this limiter can serve.
-async fn ready(edge: Rc<Edge>, listener: TcpListener) {
+/// Tells the platform whether this limiter can serve, and clients where to go.
+async fn ask(edge: Rc<Edge>, listener: TcpListener) {
+    let open = Rc::new(Cell::new(0usize));
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             sleep(Duration::from_millis(50)).await;
             continue;
         };
+        if open.get() >= ASKERS_MOST {
+            continue;
+        }
+        let counted = limeway_line::conn::Counted::new(&open);
         let edge = edge.clone();
         tokio::task::spawn_local(async move {
+            let _counted = counted;
             let mut inbound = Inbound::new(stream);
             let bounds = Bounds { body: 1024, whole: Duration::from_secs(2), idle: Duration::from_secs(5) };
             while let Ok(message) = inbound.read(bounds).await {
-                let status = match message.line() {
-                    ("GET", "/-/readiness") if edge.ready() => 200,
-                    ("GET", "/-/readiness") => 503,
-                    _ => 404,
+                let (method, target) = message.line();
+                let (path, rest) = target.split_once('?').unwrap_or((target, ""));
+                let (status, body) = match (method, path) {
+                    ("GET", "/-/readiness") if edge.ready() => (200, String::new()),
+                    ("GET", "/-/readiness") => (503, String::new()),
+                    ("GET", "/-/resolve") => edge.resolve(rest).map_or((503, String::new()), |body| (200, body)),
+                    _ => (404, String::new()),
                 };
                 let close = !message.head.keep_alive;
                 let mut out = Vec::new();
-                http::write_answer(&mut out, status, b"", close, b"");
+                http::write_answer(&mut out, status, b"Content-Type: application/json\r\n", close, body.as_bytes());
                 if !inbound.write(&out).await || close {
                     return;
                 }
--- a/crates/toll/src/escrow.rs
+++ b/crates/toll/src/escrow.rs
@@ -169,21 +169,25 @@
         }
     }
 
-    /// A request that was told to wait takes its unit, or gives up waiting.
-    pub fn waited(&mut self, now: Micros, tenant: &str, span: Span) -> Take {
+    /// A request that was told to wait takes its unit, or waits on; when it is late it gives up.
+    pub fn waited(&mut self, now: Micros, tenant: &str, span: Span, late: bool) -> Take {
         let (edges, length) = (&self.edges, self.length);
         let Some(hold) = self.holds.get_mut(tenant) else { return Take::Dry(length) };
-        hold.waiting = hold.waiting.saturating_sub(1);
-        let Some(edge) = edges.get(&(hold.holder, hold.group)).filter(|e| e.term == hold.term && hold.term != 0) else {
-            return Take::Dry(length);
-        };
-        hold.roll(edge.window(now));
-        if hold.spent < hold.worth(now, span) {
-            hold.spent += 1;
-            Take::Yes
-        } else {
-            Take::Dry(edge.left(now))
+        let edge = edges.get(&(hold.holder, hold.group)).filter(|e| e.term == hold.term && hold.term != 0);
+        if let Some(edge) = edge {
+            hold.roll(edge.window(now));
+            if hold.spent < hold.worth(now, span) {
+                hold.spent += 1;
+                hold.waiting = hold.waiting.saturating_sub(1);
+                return Take::Yes;
+            }
         }
+        let dry = edge.is_some() && hold.dry == Some(hold.window);
+        if !dry && !late {
+            return Take::Wait;
+        }
+        hold.waiting = hold.waiting.saturating_sub(1);
+        Take::Dry(edge.map_or(length, |e| e.left(now)))
     }
 
     /// What to ask of whom now. `holders` tells who holds each group's count. Whatever is asked for less than is held is
