Serve sooner after the whole system restarted: dials, told doors, even parts of quotas

Changes: dials end after 300 ms; doors are told before the windows begin, which is one window after the process's own start; blocks beyond an even part only out of what is spare, and what is too much goes back sooner; rounds come faster in the first 3 s. Limiters account for their answers (info).

--- a/crates/exchange/src/core.rs
+++ b/crates/exchange/src/core.rs
@@ -21,8 +21,12 @@
 
 /// Pause between two rounds to the other core machines.
 const ROUND: Duration = Duration::from_millis(250);
+/// The pause in the first seconds of a process: the fleet may have ended as a whole, and waits for the core.
+const ROUND_FIRST: Duration = Duration::from_millis(60);
+/// See [`ROUND_FIRST`].
+const FIRST: Micros = 3_000_000;
 /// A round's answers count for so long.
-const ROUND_WAIT: Duration = Duration::from_millis(400);
+const ROUND_WAIT: Duration = Duration::from_millis(300);
 /// Longest that a poll is held.
 const HOLD_MOST: Micros = 2_000_000;
 /// The first set of core machines is agreed this long after the start, when all have shown themselves.
@@ -440,6 +444,9 @@
                 count.tell(t, node, blocks);
             }
             if count.start() > t {
+                // Told, and nothing granted yet: the windows have not begun.
+                let phase = limeway_toll::Phase { term: 0, window: 0, left: count.start() - t };
+                answers.push(Answer { group, phase, unknown: !count.knows(node), grants: Vec::new() });
                 continue;
             }
             let unknown = !count.knows(node);
@@ -579,9 +586,17 @@
         let length = Self::rule(&self.settings).length();
         for claim in claims.iter().filter(|c| given.get(&c.group).copied().unwrap_or(0) >= majority) {
             if self.duties.borrow_mut().won(t, asked, *claim) {
-                // The very first holder of all has no one before it; any other begins a whole window after the last one.
+                // The very first holder of all has no one before it. Any other begins a whole window after the last one,
+                // which at the latest ended when this holding began, or before this process started.
                 let first = self.founder && t - self.started < limeway_roster::TERM;
-                let start = if first { t } else { t + length };
+                let young = t - self.started < limeway_roster::TERM;
+                let start = if first {
+                    t
+                } else if young {
+                    t.max(self.started + length)
+                } else {
+                    t + length
+                };
                 let term = self.boot ^ t.rotate_left(32);
                 let doors = &self.board.borrow().state.doors;
                 self.counts.borrow_mut()[claim.group] = Some(Count::new(start, term, length, doors, first));
@@ -613,7 +628,8 @@
             self.sweep_counts();
             self.doors().await;
             self.refresh();
-            tokio::time::sleep(ROUND).await;
+            let young = now() - self.started < FIRST;
+            tokio::time::sleep(if young { ROUND_FIRST } else { ROUND }).await;
         }
     }
 
@@ -645,7 +661,8 @@
             away.iter().filter(|(_, since)| t - **since > FORGOTTEN).map(|(n, _)| *n).collect()
         };
         // One machine does it, or all would outbid each other.
-        let first = self.board.borrow().state.core.iter().copied().filter(|n| *n == self.me || self.shows(*n)).min();
+        let first =
+            self.board.borrow().state.core.iter().copied().filter(|n| *n == self.me || self.shows(*n)).min();
         if (add.is_empty() && drop.is_empty()) || first != Some(self.me) {
             return;
         }
--- a/crates/exchange/src/edge.rs
+++ b/crates/exchange/src/edge.rs
@@ -385,12 +385,18 @@
         }
     }
 
+    /// What is held of quotas, in words.
+    pub fn quotas(&self) -> String {
+        self.escrow.borrow().account(now())
+    }
+
     /// Answers where a client should go.
     pub fn resolve(&self, rest: &str) -> Option<String> {
         let board = self.board.borrow();
         let port = self.settings.frontend.map_or(0, |f| f.port());
         // All machines have the same ports.
-        let fronts = board.members().iter().map(|(n, zone)| (zone.as_str(), SocketAddrV4::new((*n).into(), port)));
+        let fronts =
+            board.members().iter().map(|(n, zone)| (zone.as_str(), SocketAddrV4::new((*n).into(), port)));
         crate::directory::resolve(&self.settings, fronts, rest)
     }
 
--- a/crates/exchange/src/link.rs
+++ b/crates/exchange/src/link.rs
@@ -24,6 +24,9 @@
 const CALLS_MOST: usize = 256;
 /// Connections from others, at most.
 const INBOUND_MOST: usize = 1_024;
+/// A connection comes up within it. A packet to a machine that is just starting is lost, and would be sent again by the
+/// system only after a second.
+const DIAL: Duration = Duration::from_millis(300);
 /// Data that nobody acknowledges ends a connection after so long: cuts are silent.
 const UNHEARD: Duration = Duration::from_millis(2_500);
 /// A connection that carries nothing for so long is closed.
@@ -95,7 +98,8 @@
         if let Some(open) = alive() {
             return Ok(open);
         }
-        let stream = TcpStream::connect(self.to).await.map_err(|_| LinkError::Broken)?;
+        let dialled = timeout(DIAL, TcpStream::connect(self.to)).await;
+        let stream = dialled.map_err(|_| LinkError::Late)?.map_err(|_| LinkError::Broken)?;
         tune(&stream);
         let (read, write) = stream.into_split();
         let (out, queue) = mpsc::channel(CALLS_MOST);
--- a/crates/exchange/src/main.rs
+++ b/crates/exchange/src/main.rs
@@ -33,6 +33,8 @@
         cmd serve {
             /// Settings file; else the variable LIMEWAY_BOOT names it.
             optional --settings path: PathBuf
+            /// What is logged: error, warn (the default), info, debug; the variable RUST_LOG goes before it.
+            optional --log level: String
         }
         /// Checks a settings file and says what a process would do with it.
         cmd check {
@@ -56,8 +58,8 @@
 }
 
 /// Logs as JSON lines on standard error.
-fn log_to_stderr() {
-    let env = env_logger::Env::default().default_filter_or("warn");
+fn log_to_stderr(level: &str) {
+    let env = env_logger::Env::default().default_filter_or(level);
     env_logger::Builder::from_env(env)
         .format(|out, record| {
             let mut line = Vec::new();
@@ -73,14 +75,14 @@
 
 fn main() -> ExitCode {
     let flags = Exchange::from_env_or_exit();
-    log_to_stderr();
-    let (path, check) = match flags.subcommand {
-        ExchangeCmd::Check(check) => (Some(check.path), true),
-        ExchangeCmd::Serve(serve) => (
-            serve.settings.or_else(|| std::env::var_os(limeway_jackfield::VARIABLE).map(PathBuf::from)),
-            false,
-        ),
+    let (path, level, check) = match flags.subcommand {
+        ExchangeCmd::Check(check) => (Some(check.path), None, true),
+        ExchangeCmd::Serve(serve) => {
+            let named = || std::env::var_os(limeway_jackfield::VARIABLE).map(PathBuf::from);
+            (serve.settings.or_else(named), serve.log, false)
+        }
     };
+    log_to_stderr(level.as_deref().unwrap_or("warn"));
     let Some(path) = path else {
         eprintln!("exchange: no settings: name a file, or set {}", limeway_jackfield::VARIABLE);
         return ExitCode::FAILURE;
--- a/crates/exchange/src/service.rs
+++ b/crates/exchange/src/service.rs
@@ -142,6 +142,7 @@
     tokio::task::spawn_local(edge.clone().follow());
     tokio::task::spawn_local(edge.clone().lease());
     tokio::task::spawn_local(edge.clone().tidy());
+    tokio::task::spawn_local(switch::account(edge.clone(), front.clone()));
     let mut taking = None;
     if let Some(address) = frontend {
         taking = Some(tokio::task::spawn_local(switch::listen(edge.clone(), front.clone(), bind(address)?)));
@@ -189,12 +190,20 @@
                 let (status, body) = match (method, path) {
                     ("GET", "/-/readiness") if edge.ready() => (200, String::new()),
                     ("GET", "/-/readiness") => (503, String::new()),
-                    ("GET", "/-/resolve") => edge.resolve(rest).map_or((503, String::new()), |body| (200, body)),
+                    ("GET", "/-/resolve") => {
+                        edge.resolve(rest).map_or((503, String::new()), |body| (200, body))
+                    }
                     _ => (404, String::new()),
                 };
                 let close = !message.head.keep_alive;
                 let mut out = Vec::new();
-                http::write_answer(&mut out, status, b"Content-Type: application/json\r\n", close, body.as_bytes());
+                http::write_answer(
+                    &mut out,
+                    status,
+                    b"Content-Type: application/json\r\n",
+                    close,
+                    body.as_bytes(),
+                );
                 if !inbound.write(&out).await || close {
                     return;
                 }
--- a/crates/exchange/src/switch.rs
+++ b/crates/exchange/src/switch.rs
@@ -8,7 +8,8 @@
 use limeway_line::http;
 use limeway_numbering::plan::{Route, Tenant};
 use limeway_selector::Outcome;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::io::Write;
 use std::rc::Rc;
 use std::time::Duration;
@@ -45,6 +46,8 @@
     pub closing: Cell<bool>,
     /// Tells idle connections to go.
     pub close: Notify,
+    /// Answers given since the last account: those of servers, and our own by status.
+    given: RefCell<BTreeMap<u16, u32>>,
     most: usize,
 }
 
@@ -56,11 +59,27 @@
             busy: Cell::new(0),
             closing: Cell::new(false),
             close: Notify::new(),
+            given: RefCell::default(),
             most: most.max(16),
         })
     }
 }
 
+/// Pause between two accounts.
+const ACCOUNT: Duration = Duration::from_secs(2);
+
+/// Tells from time to time what was answered, for ever.
+pub async fn account(edge: Rc<Edge>, front: Rc<Front>) {
+    loop {
+        sleep(ACCOUNT).await;
+        let given = std::mem::take(&mut *front.given.borrow_mut());
+        if !given.is_empty() && log::log_enabled!(log::Level::Info) {
+            let (open, quotas) = (front.open.get(), edge.quotas());
+            log::info!(open, quotas = quotas.as_str(); "answered {given:?}");
+        }
+    }
+}
+
 /// An answer of our own.
 struct Own {
     status: u16,
@@ -158,6 +177,11 @@
         front.busy.set(front.busy.get() - 1);
         let Some(answer) = answer else { return };
         let close = !message.head.keep_alive || front.closing.get();
+        let status = match &answer {
+            Ok(_) => 0,
+            Err(own) => own.status,
+        };
+        *front.given.borrow_mut().entry(status).or_default() += 1;
         let (out, close) = match answer {
             Ok(reply) => (pass_on(reply, close), close),
             Err(own) => (own.write(close || own.close), close || own.close),
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -179,7 +179,7 @@
 }
 
 /// Answers to claims come within this time or are not used: a voter that starts listens for holders only after it.
-pub const CLAIM: Micros = 600_000;
+pub const CLAIM: Micros = 350_000;
 
 /// One core machine's votes on who holds which group.
 #[derive(Debug, Clone)]
@@ -261,7 +261,10 @@
 
     /// All that it holds, for others.
     pub fn held(&self, now: Micros) -> Vec<Held> {
-        (0..GROUPS).filter(|g| self.holds(now, *g)).map(|group| Held { group, left: self.until(group) - now }).collect()
+        (0..GROUPS)
+            .filter(|g| self.holds(now, *g))
+            .map(|group| Held { group, left: self.until(group) - now })
+            .collect()
     }
 
     /// What to claim: what is held, and what this machine is the first choice for and nobody holds.
--- a/crates/toll/src/count.rs
+++ b/crates/toll/src/count.rs
@@ -44,7 +44,8 @@
 impl Count {
     /// A count whose windows begin at `start`. `doors` may hold blocks of earlier counts, none if there was none before.
     pub fn new(start: Micros, term: u64, length: Micros, doors: &BTreeSet<Node>, first: bool) -> Self {
-        let unknown = if first { BTreeMap::new() } else { doors.iter().map(|d| (*d, start + BLOCK)).collect() };
+        let unknown =
+            if first { BTreeMap::new() } else { doors.iter().map(|d| (*d, start + BLOCK)).collect() };
         Count {
             start,
             term,
@@ -127,7 +128,9 @@
         let most = later.min(here).min(most_each);
         let spare = (f64::from(later) - SPARE * f64::from(budget)).max(0.0) as u32;
         let held = own.map_or(0, |p| p.units);
-        let mut units = ask.base.max(ask.want.min(spare)).min(most);
+        // An even part is there for the asking; more only out of what is spare, or the first to ask would have it all.
+        let even = (budget / doors).max(1);
+        let mut units = ask.base.min(even).max(ask.want.min(spare)).min(most);
         if tally.parts.len() >= PARTS_MOST && held == 0 {
             units = 0;
         }
@@ -151,7 +154,8 @@
         let window = self.window(now);
         let (start, length) = (self.start, self.length);
         self.tenants.retain(|_, t| {
-            t.window + 1 >= window || t.parts.values().any(|p| p.until.saturating_sub(start) / length >= window)
+            t.window + 1 >= window
+                || t.parts.values().any(|p| p.until.saturating_sub(start) / length >= window)
         });
     }
 
--- a/crates/toll/src/escrow.rs
+++ b/crates/toll/src/escrow.rs
@@ -5,6 +5,8 @@
 
 /// Part of a new window's use in the running mean.
 const FRESH: f64 = 0.4;
+/// Part of the requests of a first window by which its use is foretold.
+const FIRST: f64 = 0.7;
 /// Windows without a request after which a tenant is forgotten.
 const IDLE: u64 = 8;
 /// Blocks are leased anew when less than this part of a full life is left to them.
@@ -119,7 +121,8 @@
     }
 
     fn ask(&self, tenant: &str, now: Micros) -> Ask {
-        let sure = self.mean.max(f64::from(self.asked.min(self.spent)) * 0.5);
+        // Before the first window is over, what has been asked for in it is all that is known.
+        let sure = if self.mean > 0.0 { self.mean } else { FIRST * f64::from(self.asked) };
         let (mut base, mut want) = (sure.floor() as u32, (sure * 1.3 + sure.sqrt() + 0.2).floor() as u32);
         if self.idle > 2 || self.until <= now && self.asked == 0 && self.idle > 0 {
             (base, want) = (0, 0);
@@ -141,7 +144,14 @@
     }
 
     /// Takes a unit for a request of a tenant whose count `holder` holds.
-    pub fn take(&mut self, now: Micros, tenant: &str, group: usize, holder: Option<Holder>, span: Span) -> Take {
+    pub fn take(
+        &mut self,
+        now: Micros,
+        tenant: &str,
+        group: usize,
+        holder: Option<Holder>,
+        span: Span,
+    ) -> Take {
         if !self.holds.contains_key(tenant) {
             if self.holds.len() >= TENANTS_MOST {
                 return Take::Dry(self.length);
@@ -207,7 +217,9 @@
             }
             let ask = hold.ask(tenant, now);
             let due = hold.until.saturating_sub(now) < RENEW && ask.want > 0;
-            let moved = f64::from(ask.want.abs_diff(hold.told)) > 1.0 + 0.25 * f64::from(hold.told);
+            let (want, told) = (f64::from(ask.want), f64::from(hold.told));
+            // What is too much is missing elsewhere, and is given back sooner than more is asked for.
+            let moved = want > 1.25 * told + 1.0 || want < 0.85 * told - 0.5;
             let lower = ask.want == 0 && hold.units > 0;
             if !(hold.waiting > 0 || due || moved || lower) {
                 continue;
@@ -219,7 +231,9 @@
         }
         for (group, holder) in holders.iter().enumerate() {
             let told = self.told.get(&group);
-            if holder.is_some_and(|h| told != Some(&h)) && self.telling.get(&group).is_none_or(|at| now > at + LOST) {
+            if holder.is_some_and(|h| told != Some(&h))
+                && self.telling.get(&group).is_none_or(|at| now > at + LOST)
+            {
                 groups.entry(group).or_default();
             }
         }
@@ -232,7 +246,8 @@
             }
             all.entry(holder.0).or_default().push(Request { group, asks, holds });
         }
-        self.holds.retain(|_, h| h.idle < IDLE || h.waiting > 0 || h.asking.is_some_and(|at| now < at + LOST));
+        self.holds
+            .retain(|_, h| h.idle < IDLE || h.waiting > 0 || h.asking.is_some_and(|at| now < at + LOST));
         all.into_iter().collect()
     }
 
@@ -243,7 +258,14 @@
 
     /// A holder has answered what was asked at `asked`; `holder` is who it was asked as. Answers that were too long under
     /// way are not used.
-    pub fn granted(&mut self, now: Micros, asked: Micros, holder: Holder, request: &Request, answer: &Answer) {
+    pub fn granted(
+        &mut self,
+        now: Micros,
+        asked: Micros,
+        holder: Holder,
+        request: &Request,
+        answer: &Answer,
+    ) {
         let (group, phase) = (request.group, answer.phase);
         if answer.unknown {
             self.told.remove(&group);
@@ -256,6 +278,9 @@
         if now.saturating_sub(asked) > SKEW {
             return;
         }
+        if phase.term == 0 {
+            return;
+        }
         let end = asked + phase.left;
         let fresh = Edge { term: phase.term, window: phase.window, end, length: self.length };
         let old = self.edges.insert((holder.0, group), fresh);
@@ -265,7 +290,8 @@
         }
         let Some(edge) = self.edges.get(&(holder.0, group)).copied() else { return };
         for grant in &answer.grants {
-            let before = self.holds.get(&grant.tenant).and_then(|h| self.edges.get(&(h.holder, h.group)).copied());
+            let before =
+                self.holds.get(&grant.tenant).and_then(|h| self.edges.get(&(h.holder, h.group)).copied());
             let Some(hold) = self.holds.get_mut(&grant.tenant) else { continue };
             hold.asking = None;
             if (hold.holder, hold.term) != (holder.0, phase.term) {
@@ -306,6 +332,18 @@
         }
     }
 
+    /// What is held, in words: of each tenant the units of a window, those spent, those asked for, and the life of the block.
+    pub fn account(&self, now: Micros) -> String {
+        let one = |(tenant, h): (&String, &Hold)| {
+            let left = h.until.saturating_sub(now) / 1_000;
+            format!(
+                "{tenant} {}+{}/{} spent {} asked {} mean {:.1} left {left} ms",
+                h.units, h.extra, h.budget, h.spent, h.asked, h.mean
+            )
+        };
+        self.holds.iter().map(one).collect::<Vec<_>>().join("; ")
+    }
+
     /// Tenants known here.
     pub fn len(&self) -> usize {
         self.holds.len()
