Cut quotas into shorter windows: any span touches 8, not 5

Cause: after a restart grants wait one window, and a longer window holds less of the bound (1.02 against 1.11 of the rate).

--- a/crates/toll/src/lib.rs
+++ b/crates/toll/src/lib.rs
@@ -27,7 +27,7 @@
 pub type Node = u32;
 
 /// Windows that any span of `quota-window` touches, at most.
-pub const TOUCHED: u64 = 5;
+pub const TOUCHED: u64 = 8;
 /// By how much a limiter may hold that a window of the count begins too early: half of an answer's way, and more. Answers
 /// that took longer are not used.
 pub const SKEW: Micros = 200_000;
