--- a/crates/exchange/src/core.rs
+++ b/crates/exchange/src/core.rs
@@ -364,7 +364,7 @@
     /// Tells the others of a server's step, and waits until a majority of the core knows it. False if it does not.
     pub async fn spread(self: &Rc<Self>, report: Report) -> bool {
         let others = self.others();
-        let need = (others.len() + 1) / 2 + 1;
+        let need = others.len().div_ceil(2) + 1;
         let mut have = 1;
         let mut told = self.ask_all(&others, &Call::Push(vec![report]), Duration::from_millis(500));
         while let Some((_, reply)) = told.recv().await {
--- /dev/null
+++ b/crates/roster/tests/duties.rs
@@ -0,0 +1,149 @@
+//! Duties change hands under a fence, whatever is lost, late or restarted.
+
+use limeway_roster::{first, group, Claim, Duties, Held, Micros, Votes, CLAIM, GROUPS, TERM};
+use rstest::rstest;
+
+struct Chance(u64);
+
+impl Chance {
+    fn below(&mut self, n: u64) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        limeway_roster::hash(&self.0.to_le_bytes()) % n
+    }
+}
+
+struct Machine {
+    boot: u64,
+    votes: Votes,
+    duties: Duties,
+    /// A round that is under way: when it was asked, its claims, the votes so far.
+    round: Option<(Micros, Vec<Claim>, Vec<usize>)>,
+}
+
+/// Plays three machines; the most that held one group at one time, and for how many steps one was held at all.
+fn play(seed: u64, forgetful: bool) -> (usize, usize) {
+    let mut chance = Chance(seed);
+    let mut now: Micros = 1_000_000_000;
+    let fresh = |now, boot, forgotten| Machine {
+        boot,
+        votes: Votes::new(now, forgotten),
+        duties: Duties::default(),
+        round: None,
+    };
+    let mut machines: Vec<Machine> = (1..=3).map(|n| fresh(now, n, false)).collect();
+    // Votes and news under way: from, to, boot of the sender, when asked, claim or what is held.
+    let mut wire: Vec<(usize, usize, u64, Micros, Claim)> = Vec::new();
+    let mut news: Vec<(usize, usize, u64, Vec<Held>)> = Vec::new();
+    let (mut most, mut held, mut boots) = (0, 0, 10);
+    for _ in 0..3_000 {
+        now += chance.below(60_000);
+        let at = chance.below(3) as usize;
+        match chance.below(20) {
+            // A machine restarts, and forgets.
+            0 if chance.below(12) == 0 => {
+                boots += 1;
+                machines[at] = fresh(now, boots, !forgetful);
+            }
+            1..=5 => {
+                // Now and then a machine sees nobody else, and holds itself to be the first choice.
+                let alone = [at as u32 + 1];
+                let live: &[u32] = if chance.below(3) == 0 { &alone } else { &[1, 2, 3] };
+                let m = &mut machines[at];
+                let claims = m.duties.claims(now, at as u32 + 1, m.boot, live, &m.votes);
+                let claims: Vec<Claim> = claims.into_iter().filter(|c| c.group == 0).collect();
+                for claim in &claims {
+                    (0..3).for_each(|to| wire.push((at, to, m.boot, now, *claim)));
+                }
+                m.round = Some((now, claims, Vec::new()));
+                let holds = m.duties.held(now);
+                (0..3).filter(|to| *to != at).for_each(|to| news.push((at, to, m.boot, holds.clone())));
+            }
+            6..=8 if !news.is_empty() => {
+                let (from, to, boot, holds) = news.swap_remove(chance.below(news.len() as u64) as usize);
+                // What a process says of itself comes in order, as its connection ends with it.
+                if machines[from].boot == boot && machines[from].duties.held(now).len() >= holds.len() {
+                    let holds = machines[from].duties.held(now);
+                    machines[to].votes.hear(now, from as u32 + 1, boot, &holds);
+                    let others: Vec<u32> = (1..=3).filter(|n| *n != to as u32 + 1).collect();
+                    machines[to].votes.complete(&others);
+                }
+            }
+            _ if !wire.is_empty() => {
+                let (from, to, boot, asked, claim) =
+                    wire.swap_remove(chance.below(wire.len() as u64) as usize);
+                if chance.below(10) == 0 || now - asked > CLAIM || machines[from].boot != boot {
+                    continue;
+                }
+                let given = machines[to].votes.claim(now, from as u32 + 1, claim);
+                let m = &mut machines[from];
+                if let Some((_, _, votes)) = m.round.as_mut().filter(|r| r.0 == asked && given) {
+                    if !votes.contains(&to) {
+                        votes.push(to);
+                    }
+                    if votes.len() >= 2 {
+                        m.duties.won(now, asked, claim);
+                    }
+                }
+            }
+            _ => {}
+        }
+        let holders = machines.iter().filter(|m| m.duties.holds(now, 0)).count();
+        most = most.max(holders);
+        held += holders.min(1);
+    }
+    (most, held)
+}
+
+#[rstest]
+fn no_two_machines_hold_a_group_at_one_time() {
+    let mut held = 0;
+    for seed in 0..400 {
+        let (most, steps) = play(seed, false);
+        assert!(most <= 1, "seed {seed}: {most} holders at once");
+        held += steps;
+    }
+    assert!(held > 400 * 1_000, "a group was hardly ever held: {held}");
+}
+
+#[rstest]
+fn a_voter_that_forgot_its_votes_must_wait() {
+    assert!((0..400).any(|seed| play(seed, true).0 > 1));
+}
+
+#[rstest]
+fn a_new_life_of_a_process_frees_what_it_held() {
+    let (mut votes, now) = (Votes::new(0, false), 100 * TERM);
+    let claim = |boot| Claim { group: 3, boot, holds: false };
+    assert!(votes.claim(now, 1, claim(7)));
+    assert!(!votes.claim(now, 2, claim(8)), "held by another");
+    assert!(!votes.claim(now, 1, claim(9)), "its own earlier life may still hold it");
+    votes.hear(now, 1, 9, &[]);
+    assert!(votes.claim(now, 2, claim(8)));
+}
+
+#[rstest]
+fn a_holding_that_ended_is_not_renewed_by_a_late_answer() {
+    let mut duties = Duties::default();
+    let claim = Claim { group: 0, boot: 1, holds: false };
+    assert!(duties.won(10, 10, claim));
+    let renewed = Claim { holds: true, ..claim };
+    assert!(!duties.won(11 + TERM, 10 + TERM, renewed));
+    assert!(!duties.holds(11 + TERM, 0));
+}
+
+#[rstest]
+fn keys_spread_and_only_those_of_a_lost_machine_move() {
+    let nodes: Vec<u32> = (1..=9).collect();
+    let mut counts = [0; 10];
+    for key in 0..9_000u64 {
+        let all = first(key, nodes.iter().copied()).expect("some");
+        counts[all as usize] += 1;
+        let without = first(key, nodes.iter().copied().filter(|n| *n != 5)).expect("some");
+        assert!(all == 5 || all == without);
+    }
+    assert!(counts[1..].iter().all(|c| (800..1_200).contains(c)), "{counts:?}");
+    assert!(
+        (0..100).map(|n| group(&format!("tenant{n}"))).collect::<std::collections::BTreeSet<_>>().len()
+            == GROUPS
+    );
+}
--- a/crates/toll/src/count.rs
+++ b/crates/toll/src/count.rs
@@ -27,6 +27,21 @@
     window: u64,
 }
 
+impl Tally {
+    /// Goes on to a window.
+    fn roll(&mut self, window: u64, start: Micros, length: Micros) {
+        if self.window == window {
+            return;
+        }
+        (self.window, self.extra) = (window, 0);
+        for part in self.parts.values_mut() {
+            (part.window, part.peak) = (window, part.units);
+        }
+        // What ended within a window may have been spent in it; after that it is free.
+        self.parts.retain(|_, p| p.until.saturating_sub(start) / length >= window);
+    }
+}
+
 /// The count of one group of tenants, in one holding of it.
 #[derive(Debug, Clone)]
 pub struct Count {
@@ -91,10 +106,13 @@
             // A new life of its process has forgotten what this count granted it.
             tally.parts.remove(&node);
         }
-        for block in blocks.iter().filter(|b| b.units > 0) {
+        for block in blocks.iter().filter(|b| b.units > 0 || b.spent > 0) {
             let tally = self.tenants.entry(block.tenant.clone()).or_default();
             let until = now + block.left.min(BLOCK);
-            tally.parts.insert(node, Part { units: block.units, until, peak: block.units, window });
+            // Units that were given up in a window in which they had been spent are free from the next one on.
+            let peak = block.units.max(block.spent);
+            tally.roll(window, self.start, self.length);
+            tally.parts.insert(node, Part { units: block.units, until, peak, window });
         }
     }
 
@@ -105,14 +123,7 @@
         self.unknown.retain(|_, until| *until > now);
         let (unknown, doors) = (self.unknown.len() as u32, self.doors.max(1) as u32);
         let tally = self.tenants.entry(ask.tenant.clone()).or_default();
-        if tally.window != window {
-            (tally.window, tally.extra) = (window, 0);
-            for part in tally.parts.values_mut() {
-                (part.window, part.peak) = (window, part.units);
-            }
-            // What ended within a window may have been spent in it; after that it is free.
-            tally.parts.retain(|_, p| p.until.saturating_sub(start) / length >= window);
-        }
+        tally.roll(window, start, length);
         let budget = span.budget;
         let others = |f: &dyn Fn(&Part) -> u32| -> u32 {
             tally.parts.iter().filter(|(n, _)| **n != from).map(|(_, p)| f(p)).sum()
--- a/crates/toll/src/escrow.rs
+++ b/crates/toll/src/escrow.rs
@@ -19,7 +19,6 @@
 /// Where a count's windows stand, on this machine's clock.
 #[derive(Debug, Clone, Copy)]
 struct Edge {
-    term: u64,
     window: u64,
     /// The window's end, never later than it truly is, nor earlier by more than [`SKEW`].
     end: Micros,
@@ -35,6 +34,17 @@
         }
     }
 
+    fn closer(self, other: Edge) -> Edge {
+        // Ends of different windows are compared as ends of one.
+        let ahead = other.window.saturating_sub(self.window) * self.length;
+        let behind = self.window.saturating_sub(other.window) * self.length;
+        if other.end + behind >= self.end + ahead {
+            other
+        } else {
+            self
+        }
+    }
+
     fn left(&self, now: Micros) -> Micros {
         if now < self.end {
             self.end - now
@@ -49,7 +59,6 @@
 
 #[derive(Debug, Clone, Default)]
 struct Hold {
-    holder: Node,
     group: usize,
     term: u64,
     units: u32,
@@ -86,10 +95,12 @@
 #[derive(Debug, Clone)]
 pub struct Escrow {
     length: Micros,
-    edges: HashMap<(Node, usize), Edge>,
+    /// By the life of the count.
+    edges: HashMap<u64, Edge>,
     holds: HashMap<String, Hold>,
-    /// Which holder has been told what is held of a group, and when that was last tried.
+    /// Which holder is told what is held of a group, which one has answered that, and when it was last tried.
     told: HashMap<usize, Holder>,
+    answered: HashMap<usize, Holder>,
     telling: HashMap<usize, Micros>,
 }
 
@@ -139,6 +150,7 @@
             edges: HashMap::new(),
             holds: HashMap::new(),
             told: HashMap::new(),
+            answered: HashMap::new(),
             telling: HashMap::new(),
         }
     }
@@ -160,7 +172,7 @@
         }
         let (edges, length) = (&self.edges, self.length);
         let Some(hold) = self.holds.get_mut(tenant) else { return Take::Dry(length) };
-        let edge = edges.get(&(hold.holder, hold.group)).filter(|e| e.term == hold.term && hold.term != 0);
+        let edge = edges.get(&hold.term);
         if let Some(edge) = edge {
             hold.roll(edge.window(now));
         }
@@ -183,7 +195,7 @@
     pub fn waited(&mut self, now: Micros, tenant: &str, span: Span, late: bool) -> Take {
         let (edges, length) = (&self.edges, self.length);
         let Some(hold) = self.holds.get_mut(tenant) else { return Take::Dry(length) };
-        let edge = edges.get(&(hold.holder, hold.group)).filter(|e| e.term == hold.term && hold.term != 0);
+        let edge = edges.get(&hold.term);
         if let Some(edge) = edge {
             hold.roll(edge.window(now));
             if hold.spent < hold.worth(now, span) {
@@ -212,7 +224,7 @@
             if hold.asking.is_some_and(|at| now < at + LOST) {
                 continue;
             }
-            if let Some(edge) = self.edges.get(&(hold.holder, hold.group)).filter(|e| e.term == hold.term) {
+            if let Some(edge) = self.edges.get(&hold.term) {
                 hold.roll(edge.window(now));
             }
             let ask = hold.ask(tenant, now);
@@ -230,8 +242,8 @@
             groups.entry(hold.group).or_default().push(ask);
         }
         for (group, holder) in holders.iter().enumerate() {
-            let told = self.told.get(&group);
-            if holder.is_some_and(|h| told != Some(&h))
+            let answered = self.answered.get(&group);
+            if holder.is_some_and(|h| answered != Some(&h))
                 && self.telling.get(&group).is_none_or(|at| now > at + LOST)
             {
                 groups.entry(group).or_default();
@@ -240,9 +252,12 @@
         let mut all: HashMap<Node, Vec<Request>> = HashMap::new();
         for (group, asks) in groups {
             let Some(holder) = holders[group] else { continue };
-            let holds = (self.told.get(&group) != Some(&holder)).then(|| self.blocks(now, group));
+            // Until it answers, it is told each time. From the first telling on no one else's grants are taken.
+            let answered = self.answered.get(&group) == Some(&holder);
+            let holds = (!answered).then(|| self.blocks(now, group));
             if holds.is_some() {
                 self.telling.insert(group, now);
+                self.told.insert(group, holder);
             }
             all.entry(holder.0).or_default().push(Request { group, asks, holds });
         }
@@ -252,8 +267,17 @@
     }
 
     fn blocks(&self, now: Micros, group: usize) -> Vec<Block> {
-        let live = self.holds.iter().filter(|(_, h)| h.group == group && h.units > 0 && h.until > now);
-        live.map(|(t, h)| Block { tenant: t.clone(), units: h.units, left: h.until - now }).collect()
+        let live = self
+            .holds
+            .iter()
+            .filter(|(_, h)| h.group == group && (h.units > 0 || h.spent > 0) && h.until > now);
+        let block = |(t, h): (&String, &Hold)| Block {
+            tenant: t.clone(),
+            units: h.units,
+            spent: h.spent,
+            left: h.until - now,
+        };
+        live.map(block).collect()
     }
 
     /// A holder has answered what was asked at `asked`; `holder` is who it was asked as. Answers that were too long under
@@ -268,13 +292,15 @@
     ) {
         let (group, phase) = (request.group, answer.phase);
         if answer.unknown {
-            self.told.remove(&group);
+            self.answered.remove(&group);
             self.telling.remove(&group);
             return;
         }
-        if request.holds.is_some() {
-            self.told.insert(group, holder);
+        // A grant of the last holder that comes after the next one was told what is held here would be granted twice.
+        if self.told.get(&group) != Some(&holder) {
+            return;
         }
+        self.answered.insert(group, holder);
         if now.saturating_sub(asked) > SKEW {
             return;
         }
@@ -282,29 +308,24 @@
             return;
         }
         let end = asked + phase.left;
-        let fresh = Edge { term: phase.term, window: phase.window, end, length: self.length };
-        let old = self.edges.insert((holder.0, group), fresh);
+        let fresh = Edge { window: phase.window, end, length: self.length };
         // Of two ends, both never late, the later one is the closer.
-        if let Some(old) = old.filter(|o| o.term == phase.term && o.window >= fresh.window && o.end >= end) {
-            self.edges.insert((holder.0, group), old);
-        }
-        let Some(edge) = self.edges.get(&(holder.0, group)).copied() else { return };
+        let edge = *self.edges.entry(phase.term).and_modify(|old| *old = old.closer(fresh)).or_insert(fresh);
         for grant in &answer.grants {
-            let before =
-                self.holds.get(&grant.tenant).and_then(|h| self.edges.get(&(h.holder, h.group)).copied());
+            let before = self.holds.get(&grant.tenant).and_then(|h| self.edges.get(&h.term).copied());
             let Some(hold) = self.holds.get_mut(&grant.tenant) else { continue };
             hold.asking = None;
-            if (hold.holder, hold.term) != (holder.0, phase.term) {
+            if hold.term != phase.term {
                 // Another count has other windows. The one under way here goes on until the last count's window would
                 // have ended: windows never begin closer to each other than their length.
-                match before.filter(|b| hold.term != 0 && b.term == hold.term) {
+                match before {
                     Some(before) => {
                         hold.roll(before.window(now));
                         hold.window = edge.window(now + before.left(now).saturating_sub(1));
                     }
                     None => (hold.window, hold.spent, hold.extra) = (edge.window(now), 0, 0),
                 }
-                (hold.holder, hold.term) = (holder.0, phase.term);
+                hold.term = phase.term;
             }
             hold.roll(edge.window(now));
             (hold.units, hold.budget, hold.until) = (grant.units, grant.budget, asked + BLOCK);
--- a/crates/toll/src/lib.rs
+++ b/crates/toll/src/lib.rs
@@ -97,6 +97,9 @@
     /// Units for each window.
     #[serde(rename = "u")]
     pub units: u32,
+    /// Units that the window under way has used: more than `units` where those were lowered in it.
+    #[serde(rename = "s")]
+    pub spent: u32,
     /// For how much longer.
     #[serde(rename = "l")]
     pub left: Micros,
