Let an evacuation last until the last of them is taken back

Change: evacuations of a zone are counted in the agreed state. A call that comes within 2.5 s of its like is the same one sent again, as neither call tells.

--- a/crates/exchange/src/core.rs
+++ b/crates/exchange/src/core.rs
@@ -80,11 +80,15 @@
     pub proposing: tokio::sync::Mutex<()>,
     /// The configuration, for the counts that are held here.
     plan: RefCell<Rc<Plan>>,
+    evacuated: RefCell<BTreeMap<String, u32>>,
+    /// When this machine learnt of the last evacuation, and the last end of one, of each zone.
+    pub evacuations: RefCell<BTreeMap<(String, bool), Micros>>,
     /// The highest round that this machine lost against.
     pub outbid: Cell<u64>,
     /// When a change that takes keys away was learnt here.
     pub revoked: Cell<Micros>,
-    started: Micros,
+    /// When this process started.
+    pub started: Micros,
     founder: bool,
 }
 
@@ -95,6 +99,7 @@
         let (boot, start) = (clock::draw() | 1, now());
         let mut board = Board::new(boot);
         board.jump(state);
+        let evacuated = board.state.evacuated.clone();
         let board_plan = board.state.plan().unwrap_or_default();
         let founder = empty && settings.first_start;
         let links = Links::new(settings.inner.0);
@@ -118,6 +123,8 @@
             news: Notify::new(),
             proposing: tokio::sync::Mutex::new(()),
             plan: RefCell::new(Rc::new(board_plan)),
+            evacuated: RefCell::new(evacuated),
+            evacuations: RefCell::default(),
             outbid: Cell::new(0),
             revoked: Cell::new(start),
             started: start,
@@ -215,6 +222,15 @@
     async fn applied(self: &Rc<Self>) {
         {
             let board = self.board.borrow();
+            let mut known = self.evacuated.borrow_mut();
+            for zone in self.settings.zones.keys() {
+                let count = |m: &BTreeMap<String, u32>| m.get(zone).copied().unwrap_or(0);
+                let (was, is) = (count(&known), count(&board.state.evacuated));
+                if was != is {
+                    self.evacuations.borrow_mut().insert((zone.clone(), is > was), now());
+                }
+            }
+            known.clone_from(&board.state.evacuated);
             let mut acceptor = self.acceptor.borrow_mut();
             if acceptor.applied < board.state.revoked_at && board.state.revoked_at <= board.state.slot {
                 self.revoked.set(now());
--- a/crates/exchange/src/edge.rs
+++ b/crates/exchange/src/edge.rs
@@ -249,7 +249,7 @@
                 }
                 log::info!(version = board.state.version; "configuration in force");
             }
-            for zone in before.difference(&board.state.evacuated) {
+            for zone in before.keys().filter(|z| !board.state.evacuated.contains_key(*z)) {
                 self.returned.borrow_mut().insert(zone.clone(), t);
             }
         }
@@ -267,7 +267,7 @@
         let mut returned = self.returned.borrow_mut();
         let mut regions: HashMap<&str, Rc<str>> = HashMap::new();
         for (id, server) in board.watch.servers() {
-            if server.phase != Phase::Ready || board.state.evacuated.contains(&server.zone) {
+            if server.phase != Phase::Ready || board.state.evacuated.contains_key(&server.zone) {
                 continue;
             }
             let region = s.zones.get(&server.zone).map_or("", String::as_str);
--- a/crates/exchange/src/propose.rs
+++ b/crates/exchange/src/propose.rs
@@ -17,6 +17,8 @@
 const WORD_WAIT: Duration = Duration::from_millis(450);
 /// An order is tried for so long: its sender tries another machine after a second of silence.
 const ORDER_WAIT: Duration = Duration::from_millis(900);
+/// An evacuation, or its end, that comes this soon after the last of its kind for a zone is the same call sent again.
+const AGAIN: u64 = 2_500_000;
 /// Ballots for one order, at most.
 const BALLOTS_MOST: u32 = 12;
 
@@ -206,13 +208,25 @@
         }
     }
 
-    /// Begins to evacuate a zone, or takes that back.
+    /// Begins to evacuate a zone, or takes that back. Neither call says whether it is a new one or one sent again without a
+    /// clear answer: one that comes soon after its like is held to be that one again.
     pub async fn evacuate(self: &Rc<Self>, zone: &str, begun: bool) -> Result<(), Declined> {
         let op = Op::Evacuate { zone: zone.to_owned(), begun };
-        match self.propose(&op, |state| state.evacuated.contains(zone) != begun).await {
-            // It stands already. This machine has applied it, so a majority has it on disk.
-            Err(Declined::Unfit) => Ok(()),
-            other => other,
+        for _ in 0..BALLOTS_MOST {
+            let count = self.board.borrow().state.evacuated.get(zone).copied().unwrap_or(0);
+            let seen =
+                self.evacuations.borrow().get(&(zone.to_owned(), begun)).copied().unwrap_or(self.started);
+            let again = now().saturating_sub(seen) < AGAIN;
+            // This machine has applied it, so a majority has it on disk.
+            if (begun && count > 0 && again) || (!begun && (count == 0 || again)) {
+                return Ok(());
+            }
+            let fits = |state: &State| state.evacuated.get(zone).copied().unwrap_or(0) == count;
+            match self.propose(&op, fits).await {
+                Err(Declined::Unfit) => {}
+                other => return other,
+            }
         }
+        Err(Declined::Unclear)
     }
 }
--- a/crates/numbering/src/state.rs
+++ b/crates/numbering/src/state.rs
@@ -4,7 +4,7 @@
 use crate::plan::Plan;
 use crate::Version;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Orders that are remembered, so that one that comes again is known.
 const TAKEN_MOST: usize = 1_024;
@@ -90,8 +90,9 @@
     pub base: Version,
     items: Vec<(u64, Item)>,
     next: u64,
-    /// Zones that get nothing, with the slot that said so.
-    pub evacuated: BTreeSet<String>,
+    /// Zones that get nothing, with how many evacuations of each are in force: two operators may each have begun one, and
+    /// the first to take theirs back must not end the other's.
+    pub evacuated: BTreeMap<String, u32>,
     /// The core machines; empty before they are agreed.
     pub core: Vec<u32>,
     /// The limiters that may hold blocks of quotas: a new holder of a count knows whom it has to ask.
@@ -183,12 +184,18 @@
                 self.doors.retain(|d| !drop.contains(d));
                 self.doors.extend(add.iter().take(DOORS_MOST.saturating_sub(self.doors.len())));
             }
-            Op::Evacuate { zone, begun: true } if self.evacuated.len() < ZONES_MOST => {
-                self.evacuated.insert(zone.clone());
+            Op::Evacuate { zone, begun: true } => {
+                if self.evacuated.len() < ZONES_MOST || self.evacuated.contains_key(zone) {
+                    *self.evacuated.entry(zone.clone()).or_default() += 1;
+                }
             }
-            Op::Evacuate { begun: true, .. } => {}
             Op::Evacuate { zone, begun: false } => {
-                self.evacuated.remove(zone);
+                let left = self.evacuated.get(zone).map_or(0, |n| n.saturating_sub(1));
+                if left == 0 {
+                    self.evacuated.remove(zone);
+                } else {
+                    self.evacuated.insert(zone.clone(), left);
+                }
             }
         }
     }
--- /dev/null
+++ b/crates/selector/tests/choice.rs
@@ -0,0 +1,105 @@
+//! Which server is chosen, and what a limiter may spend on further tries.
+
+use limeway_selector::{cold_share, Candidate, Near, Outcome, Selector, Tries};
+use rstest::rstest;
+use std::rc::Rc;
+
+const MS: u64 = 1_000;
+
+fn candidate(id: &str, near: Near) -> Candidate {
+    Candidate { id: Rc::from(id), slots: 3, near, cold: None, silent: false }
+}
+
+fn choose(selector: &mut Selector, now: u64, candidates: &[Candidate]) -> Option<String> {
+    let id = selector.choose(now, candidates, &[])?;
+    let cold = candidates.iter().any(|c| c.id == id && c.cold.is_some());
+    selector.sent(now, &id, cold);
+    Some(id.to_string())
+}
+
+#[rstest]
+fn the_own_zone_first_then_the_region_and_afar_only_what_would_be_lost() {
+    let mut selector = Selector::default();
+    let all = [candidate("z", Near::Zone), candidate("r", Near::Region), candidate("f", Near::Far)];
+    let order: Vec<_> = (0..14).filter_map(|_| choose(&mut selector, 0, &all)).collect();
+    assert_eq!(order[0], "z");
+    let far = order.iter().position(|id| id == "f").expect("spills at last");
+    assert!(order[..far].iter().filter(|id| *id == "z").count() >= 5, "{order:?}");
+    assert!(order[..far].iter().filter(|id| *id == "r").count() >= 5, "{order:?}");
+}
+
+#[rstest]
+fn a_server_that_breaks_off_again_and_again_is_left_alone_and_tried_by_one_request() {
+    let mut selector = Selector::default();
+    let all = [candidate("bad", Near::Zone), candidate("good", Near::Region)];
+    let bad: Rc<str> = Rc::from("bad");
+    for n in 0..3 {
+        selector.sent(n * MS, &bad, false);
+        selector.ended(n * MS, &bad, Outcome::Broke);
+    }
+    let soon: Vec<_> = (0..4).filter_map(|_| choose(&mut selector, 10 * MS, &all)).collect();
+    assert!(soon.iter().all(|id| id == "good"), "{soon:?}");
+    (0..4).for_each(|_| selector.ended(20 * MS, &Rc::from("good"), Outcome::Answered(10 * MS)));
+    let later: Vec<_> = (0..4).filter_map(|_| choose(&mut selector, 10_000 * MS, &all)).collect();
+    assert_eq!(later.iter().filter(|id| *id == "bad").count(), 1, "one request tries it: {later:?}");
+}
+
+#[rstest]
+fn a_server_that_is_silent_gets_nothing_more() {
+    let mut selector = Selector::default();
+    let all = [candidate("stuck", Near::Zone), candidate("well", Near::Region)];
+    assert_eq!(choose(&mut selector, 0, &all).as_deref(), Some("stuck"));
+    assert_eq!(choose(&mut selector, 900 * MS, &all).as_deref(), Some("well"));
+}
+
+#[rstest]
+#[case(15.35, 1)]
+#[case(15.35, 2)]
+#[case(38.0, 4)]
+fn cold_servers_get_no_more_than_all_may_send(#[case] most: f64, #[case] sharers: usize) {
+    let rate = cold_share(most, sharers);
+    // One limiter more than there should be, as they may see the fleet differently.
+    let mut sent: Vec<u64> = Vec::new();
+    for _ in 0..=sharers {
+        let mut selector = Selector::default();
+        let cold = [Candidate { cold: Some(rate), ..candidate("cold", Near::Zone) }];
+        for t in 0..6_000 {
+            if choose(&mut selector, 1_000_000 + t * MS, &cold).is_some() {
+                selector.ended(1_000_000 + t * MS, &cold[0].id, Outcome::Answered(MS));
+                sent.push(t);
+            }
+        }
+    }
+    let worst =
+        sent.iter().map(|from| sent.iter().filter(|t| (*from..from + 1_000).contains(*t)).count()).max();
+    let worst = worst.expect("some") as f64;
+    assert!(worst <= most + 1.0, "{worst} in a second of {most}");
+    assert!(worst > most * 0.5, "hardly anything is sent: {worst} of {most}");
+}
+
+#[rstest]
+#[case(0.2, 4.0)]
+#[case(0.2, 0.0)]
+fn further_tries_keep_the_budget_over_any_span(#[case] ratio: f64, #[case] slack: f64) {
+    let (mut tries, service) = (Tries::new(ratio, 10_000_000), Rc::from("s"));
+    let (mut firsts, mut more) = (Vec::new(), Vec::new());
+    for t in 0..60_000u64 {
+        let now = t * MS;
+        // Bursts and pauses.
+        if t % 20 == 0 && (t / 7_000) % 2 == 0 {
+            tries.first(now, &service);
+            firsts.push(t);
+        }
+        if tries.again(now, &service, slack) {
+            more.push(t);
+        }
+    }
+    let within =
+        |all: &[u64], from: u64| all.iter().filter(|t| (from..from + 10_000).contains(*t)).count() as f64;
+    for from in (0..50_000u64).step_by(250) {
+        let before = from.saturating_sub(10_000);
+        let most = ratio * within(&firsts, from).max(within(&firsts, before)) + slack;
+        assert!(within(&more, from) <= most + 1.0, "from {from} ms: {} of {most}", within(&more, from));
+    }
+    assert!(more.len() > 100);
+}
--- /dev/null
+++ b/crates/tandem/tests/feeds.rs
@@ -0,0 +1,127 @@
+//! News as differences equals news as a whole, ages only ever add up, and the tree forms again.
+
+use limeway_numbering::Op;
+use limeway_roster::Presence;
+use limeway_tandem::{pack, tree, Board, Member, Poll};
+use limeway_watch::{Phase, Report};
+use rstest::rstest;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddrV4;
+
+fn poll(board: &Board, epoch: u64, servers: u64, members: u64) -> Poll {
+    let me = Presence {
+        node: 1,
+        front: SocketAddrV4::new([127, 0, 0, 1].into(), 1),
+        zone: "z".into(),
+        ready: true,
+        age: 0,
+    };
+    Poll { me, below: Vec::new(), slot: board.state.slot, epoch, servers, members, wait: 0 }
+}
+
+fn report(id: u64, count: u64, phase: Phase) -> Report {
+    Report {
+        id: format!("i-{id}"),
+        service: "s".into(),
+        address: SocketAddrV4::new([127, 0, (id / 250) as u8, (id % 250) as u8].into(), 80),
+        zone: "z".into(),
+        slots: 3,
+        phase,
+        cold_left: 0,
+        count,
+        age: 0,
+        silent: false,
+    }
+}
+
+/// A limiter that is fed differences, one that misses most of them, and one that comes late all end with the same.
+#[rstest]
+fn differences_lead_to_the_same_as_the_whole() {
+    let mut core = Board::new(7);
+    let mut limiters: Vec<(Board, (u64, u64, u64), u64)> =
+        [1, 13, 400].map(|every| (Board::new(every), (0, 0, 0), every)).into();
+    for step in 1..=400u64 {
+        let now = 1_000_000 * step;
+        core.step(&pack(&Op::Evacuate { zone: format!("z{}", step % 7), begun: step % 3 > 0 }));
+        core.watch
+            .hear(now, &report(step % 40, step, if step % 11 == 0 { Phase::Gone } else { Phase::Ready }));
+        core.set_members(vec![(step as u32 % 5, "z".into())]);
+        for (board, (epoch, servers, members), every) in &mut limiters {
+            if step % *every == 0 {
+                let asked = poll(board, *epoch, *servers, *members);
+                let feed = core.feed(now, &asked, 0);
+                (*epoch, *servers, *members) = (feed.epoch, feed.change, feed.members_change);
+                board.take(now, now, asked.slot, feed);
+            }
+        }
+    }
+    let live = |b: &Board| -> BTreeMap<String, Phase> {
+        let servers = b.watch.servers().iter().filter(|(_, s)| s.phase != Phase::Gone && !s.silent);
+        servers.map(|(id, s)| (id.clone(), s.phase)).collect()
+    };
+    for (board, _, every) in &limiters {
+        if 400 % every == 0 {
+            assert_eq!(board.state, core.state, "every {every}");
+            assert_eq!(board.members(), core.members());
+            assert_eq!(live(board), live(&core), "every {every}");
+        }
+    }
+}
+
+#[rstest]
+fn nobody_is_surer_than_the_source_was() {
+    let (mut core, mut relay, mut limiter) = (Board::new(1), Board::new(2), Board::new(3));
+    core.sure = 50_000_000;
+    // Each clock has its own origin; the relay asked at 10 s of its clock, was held 0.5 s, and has the answer at 10.6 s.
+    let feed = core.feed(50_900_000, &poll(&relay, 0, 0, 0), 500_000);
+    relay.take(10_600_000, 10_000_000, 0, feed);
+    assert_eq!(relay.sure, 10_500_000 - 900_000);
+    let feed = relay.feed(11_000_000, &poll(&limiter, 0, 0, 0), 0);
+    limiter.take(77_000_000, 76_900_000, 0, feed);
+    assert_eq!(limiter.sure, 76_900_000 - 1_400_000);
+    // An older word does not take surety back.
+    let feed = Board::new(4).feed(0, &poll(&limiter, 0, 0, 0), 0);
+    limiter.take(78_000_000, 77_900_000, 0, feed);
+    assert_eq!(limiter.sure, 76_900_000 - 1_400_000);
+}
+
+#[rstest]
+fn a_version_never_goes_back() {
+    let (mut new, mut old) = (Board::new(1), Board::new(2));
+    for n in 0..3 {
+        new.step(&pack(&Op::Doors { add: vec![n], drop: vec![] }));
+    }
+    old.step(&pack(&Op::Doors { add: vec![0], drop: vec![] }));
+    let before = new.state.clone();
+    let feed = old.feed(0, &poll(&new, 0, 0, 0), 0);
+    new.take(0, 0, 3, feed);
+    assert_eq!(new.state, before);
+}
+
+/// With any tenth of a zone gone, all others still reach the core, in few steps, and no relay has too many below it.
+#[rstest]
+#[case(1)]
+#[case(9)]
+#[case(96)]
+#[case(670)]
+fn the_tree_forms_without_any_tenth_of_it(#[case] limiters: u32) {
+    let core = [1_000_001, 1_000_002, 1_000_003];
+    let members: Vec<Member> = (0..limiters).map(|n| (n, "zone".to_owned())).collect();
+    for lost in 0..10u32 {
+        let gone: BTreeSet<u32> = (0..limiters).filter(|n| n % 10 == lost && limiters > 1).collect();
+        let failed: Vec<u32> = gone.iter().copied().collect();
+        let mut below: BTreeMap<u32, usize> = BTreeMap::new();
+        for me in (0..limiters).filter(|n| !gone.contains(n)) {
+            let (mut at, mut steps) = (me, 0);
+            while !core.contains(&at) {
+                let above = tree::above(at, "zone", &members, &core, &failed)[0];
+                if steps == 0 {
+                    *below.entry(above).or_default() += 1;
+                }
+                (at, steps) = (above, steps + 1);
+                assert!(steps <= 4, "{me} is {steps} steps and more from the core");
+            }
+        }
+        assert!(below.values().all(|n| *n <= tree::FAN), "{below:?}");
+    }
+}
