--- a/crates/pondgw/tests/limits.rs
+++ b/crates/pondgw/tests/limits.rs
@@ -22,5 +22,8 @@
         assert!(line.chars().count() <= 110, "too long: {line}");
     }
     assert_eq!(files[0], "crates/pondgw/src/rules.rs");
-    assert!(texts[0].lines().take(3).any(|l| l.contains("src/interface.rs")), "names its interface at the top");
+    assert!(
+        texts[0].lines().take(3).any(|l| l.contains("src/interface.rs")),
+        "names its interface at the top"
+    );
 }
