--- a/crates/exchange/src/control.rs
+++ b/crates/exchange/src/control.rs
@@ -3,9 +3,9 @@
 use crate::clock::now;
 use crate::core::Core;
 use crate::directory::{self, query};
-use crate::inbound::{Bounds, Inbound, Stop};
 use crate::propose::Declined;
 use limeway_line::http;
+use limeway_line::inbound::{Bounds, Inbound, Stop};
 use limeway_numbering::document::{self, Order};
 use limeway_watch::{Phase, Report};
 use miniserde::json::{self, Number, Value};
--- a/crates/exchange/src/main.rs
+++ b/crates/exchange/src/main.rs
@@ -8,7 +8,6 @@
 mod directory;
 mod disk;
 mod edge;
-mod inbound;
 mod link;
 mod messages;
 mod outbound;
--- a/crates/exchange/src/switch.rs
+++ b/crates/exchange/src/switch.rs
@@ -2,10 +2,10 @@
 
 use crate::clock::{draw, now, Micros};
 use crate::edge::Edge;
-use crate::inbound::{Bounds, Inbound, Message, Stop};
 use crate::outbound::{Came, Parcel};
 use limeway_line::conn::Reply;
 use limeway_line::http;
+use limeway_line::inbound::{Bounds, Inbound, Message, Stop};
 use limeway_numbering::plan::{Route, Tenant};
 use limeway_selector::Outcome;
 use std::cell::{Cell, RefCell};
--- a/crates/exchange/src/inbound.rs
+++ b/crates/line/src/inbound.rs
@@ -1,7 +1,7 @@
 //! Connections on which others ask us over HTTP/1.1: reading a whole request within bounds, writing its answer.
 
+use crate::http::{self, Body, Framing, Head, HttpError};
 use bytes::BytesMut;
-use limeway_line::http::{self, Body, Framing, Head, HttpError};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
--- /dev/null
+++ b/crates/ringer/src/system.rs
@@ -0,0 +1,237 @@
+//! A small whole system on loopback: core machines and limiters as real processes, each with an address of its own, and
+//! stand-in servers in this one.
+
+use crate::servers::Server;
+use limeway_line::conn::Conn;
+use std::cell::Cell;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+use tokio::process::{Child, Command};
+use tokio::time::{sleep, timeout};
+
+/// Ports of all machines.
+const CONTROL: u16 = 29383;
+const DIRECTORY: u16 = 29385;
+const FRONT: u16 = 29389;
+const READY: u16 = 29384;
+const INNER: u16 = 29460;
+const SERVERS: u16 = 29100;
+/// Pause between two reports of a server.
+const BEAT: Duration = Duration::from_millis(500);
+/// The system is up within it, or something is wrong.
+const UP: Duration = Duration::from_secs(20);
+
+/// Zones of the small system, and their regions.
+pub const ZONES: [(&str, &str); 3] = [("z1", "north"), ("z2", "north"), ("z3", "south")];
+
+/// A machine's process.
+pub struct Machine {
+    /// Its address.
+    pub ip: Ipv4Addr,
+    /// Its zone.
+    pub zone: usize,
+    /// Clients reach it.
+    pub edge: bool,
+    child: Option<Child>,
+}
+
+/// The system.
+pub struct System {
+    program: PathBuf,
+    folder: PathBuf,
+    /// Core machines, then limiters.
+    pub machines: Vec<Machine>,
+    /// Servers.
+    pub servers: Vec<Rc<Server>>,
+    net: u8,
+}
+
+/// Calls a machine; nothing where it does not answer within a second.
+pub async fn call(to: SocketAddr, path: &str, body: &str) -> Option<(u16, String)> {
+    let message = format!(
+        "POST {path} HTTP/1.1\r\nHost: c\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let answered = timeout(Duration::from_secs(1), async {
+        let mut conn = Conn::open(to, &Rc::default()).await.ok()?;
+        conn.patient(Duration::from_secs(1));
+        conn.write(message.as_bytes(), &Cell::new(false)).await.ok()?;
+        conn.read().await.ok()
+    });
+    let reply = answered.await.ok()??;
+    Some((reply.head.status, String::from_utf8_lossy(&reply.body).into_owned()))
+}
+
+impl System {
+    /// Starts `edges` limiters and three core machines of a program, with their files in `folder`.
+    pub fn start(program: &Path, folder: &Path, edges: usize, servers: usize, net: u8) -> io::Result<Self> {
+        std::fs::create_dir_all(folder)?;
+        let machine = |n: usize| Machine {
+            ip: Ipv4Addr::new(127, net, 0, n as u8 + 1),
+            zone: if n < 3 { n % 2 } else { n % 3 },
+            edge: n >= 3,
+            child: None,
+        };
+        let mut system = System {
+            program: program.to_owned(),
+            folder: folder.to_owned(),
+            machines: (0..3 + edges.clamp(1, 100)).map(machine).collect(),
+            servers: Vec::new(),
+            net,
+        };
+        for at in 0..system.machines.len() {
+            system.run(at, true)?;
+        }
+        for n in 0..servers.clamp(1, 100) {
+            let address = SocketAddr::from((Ipv4Addr::new(127, net, 1, n as u8 + 1), SERVERS));
+            let zone = ZONES[n % 3].0;
+            let work = Duration::from_millis(40);
+            let server = Server::new(format!("i-{n:04}"), "orders", zone, address, 4, work, n as u64);
+            system.servers.push(server);
+        }
+        Ok(system)
+    }
+
+    /// Starts a machine's process, for the first time or again.
+    pub fn run(&mut self, at: usize, first: bool) -> io::Result<()> {
+        let seeds: Vec<String> = self.machines[..3].iter().map(|m| format!("{}:{CONTROL}", m.ip)).collect();
+        let Machine { ip, zone, edge, .. } = self.machines[at];
+        let zones: Vec<String> = ZONES.iter().map(|(z, r)| format!("zones.{z}={r}\n")).collect();
+        let listens = if edge {
+            format!("listen-addresses.frontend={ip}:{FRONT}\nlisten-addresses.readiness={ip}:{READY}\nlisten-addresses.directory-api={ip}:{DIRECTORY}\n")
+        } else {
+            let data = self.folder.join(format!("data-{at}"));
+            let data = data.display();
+            format!("listen-addresses.control-plane={ip}:{CONTROL}\nlisten-addresses.directory-api={ip}:{DIRECTORY}\ndata-directory={data}\nloss-counted=true\n")
+        };
+        let text = format!(
+            "node-name=m{at}\nip-address={ip}\nzone={}\nregion={}\n{}{listens}internal-ports={INNER},{INNER}\nseed-nodes={}\ninitial-start={first}\nfault-tolerance.machine-losses=1\nheartbeat=500ms\nbounds=contact=4s,revoke=5s,revocation-strict=true,grace-period=6s,quota-window=5s,quota-overshoot=0.1,quota-slack=20,retry-budget-ratio=0.2,retry-slack=50,cold-overshoot=1.5,cold-slack=5,ttl_max=5s\n",
+            ZONES[zone].0,
+            ZONES[zone].1,
+            zones.concat(),
+            seeds.join(",")
+        );
+        let path = self.folder.join(format!("settings-{at}"));
+        std::fs::write(&path, text)?;
+        let log = std::fs::File::options().create(true).append(true).open(self.folder.join("log"))?;
+        let child = Command::new(&self.program)
+            .args(["serve", "--log", "info", "--settings"])
+            .arg(&path)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .kill_on_drop(true)
+            .spawn()?;
+        self.machines[at].child = Some(child);
+        Ok(())
+    }
+
+    /// Kills a machine's process.
+    pub async fn kill(&mut self, at: usize) -> io::Result<()> {
+        match self.machines.get_mut(at).and_then(|m| m.child.take()) {
+            Some(mut child) => child.kill().await,
+            None => Ok(()),
+        }
+    }
+
+    /// Where clients ask where to go, nearest first for a zone.
+    pub fn directory(&self, zone: usize) -> Vec<SocketAddr> {
+        let mut all: Vec<&Machine> = self.machines.iter().collect();
+        all.sort_by_key(|m| (m.zone != zone, !m.edge));
+        all.iter().map(|m| SocketAddr::from((m.ip, DIRECTORY))).collect()
+    }
+
+    /// Where operators and servers call.
+    pub fn control(&self) -> Vec<SocketAddr> {
+        self.machines.iter().filter(|m| !m.edge).map(|m| SocketAddr::from((m.ip, CONTROL))).collect()
+    }
+
+    /// Listens as all servers, and reports them for ever.
+    pub async fn serve(&self) -> io::Result<()> {
+        for server in &self.servers {
+            let listener = TcpListener::bind(server.address).await?;
+            tokio::task::spawn_local(server.clone().run(listener));
+            let (server, control) = (server.clone(), self.control());
+            tokio::task::spawn_local(async move {
+                for count in 1.. {
+                    let path = format!("/-/rpc?call=instances.heartbeat&of={}", server.id);
+                    for to in control.iter().cycle().skip(count as usize % 3).take(3) {
+                        if call(*to, &path, &server.report(count)).await.is_some_and(|(s, _)| s == 200) {
+                            break;
+                        }
+                    }
+                    sleep(BEAT).await;
+                }
+            });
+        }
+        Ok(())
+    }
+
+    /// Sends an order to one core machine after the other until one takes it.
+    pub async fn order(&self, name: &str, body: &str) -> io::Result<()> {
+        let begun = Instant::now();
+        while begun.elapsed() < UP {
+            for to in self.control() {
+                match call(to, &format!("/-/rpc?call={name}"), body).await {
+                    Some((200, _)) => return Ok(()),
+                    Some((status, text)) if status < 500 => {
+                        return Err(io::Error::other(format!("{name}: {status} {text}")));
+                    }
+                    _ => sleep(Duration::from_millis(100)).await,
+                }
+            }
+        }
+        Err(io::Error::other(format!("{name}: no clear answer")))
+    }
+
+    /// The first configuration of the small system: one service, two routes, two tenants.
+    pub fn configuration() -> String {
+        let route = |name: &str, kind: &str| {
+            format!("{{\"resource-kind\":\"routes\",\"metadata\":{{\"name\":\"{name}\"}},\"specification\":{{\"hostname\":\"shop.example\",\"path-prefix\":\"/{name}/\",\"route-type\":\"{kind}\",\"timeout\":\"1500ms\",\"target-latency\":\"400ms\",\"target-service\":\"orders\",\"max-attempts\":2}}}}")
+        };
+        let tenant = |name: &str, rate: u32| {
+            format!("{{\"resource-kind\":\"tenants\",\"metadata\":{{\"name\":\"{name}\"}},\"specification\":{{\"api-keys\":[\"key-{name}\"],\"rate-per-s\":{rate},\"burst-size\":{rate}}}}}")
+        };
+        format!(
+            "{{\"config-version\":\"00000001\",\"base-version\":\"00000000\",\"resource-list\":[{},{},{},{},{{\"resource-kind\":\"services\",\"metadata\":{{\"name\":\"orders\"}},\"specification\":{{\"health-path\":\"/health\",\"max-connections\":200,\"cold-start\":\"3s\",\"cold-per-s\":20}}}}]}}",
+            route("read", "idempotent"),
+            route("post", "non_idempotent"),
+            tenant("ample", 500),
+            tenant("tight", 20)
+        )
+    }
+
+    /// Waits until all limiters are ready.
+    pub async fn ready(&self) -> io::Result<()> {
+        let begun = Instant::now();
+        for machine in self.machines.iter().filter(|m| m.edge) {
+            loop {
+                let to = SocketAddr::from((machine.ip, READY));
+                let answered = timeout(Duration::from_secs(1), async {
+                    let mut conn = Conn::open(to, &Rc::default()).await.ok()?;
+                    let ask = b"GET /-/readiness HTTP/1.1\r\nHost: r\r\nConnection: close\r\n\r\n";
+                    conn.write(ask, &Cell::new(false)).await.ok()?;
+                    conn.read().await.ok()
+                });
+                if answered.await.ok().flatten().is_some_and(|r| r.head.status == 200) {
+                    break;
+                }
+                if begun.elapsed() > UP {
+                    return Err(io::Error::other(format!("limiter {} is not ready", machine.ip)));
+                }
+                sleep(Duration::from_millis(50)).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// The part of the loopback addresses that is this system's own.
+    pub fn net(&self) -> u8 {
+        self.net
+    }
+}
--- a/crates/trunk/tests/frames.rs
+++ b/crates/trunk/tests/frames.rs
@@ -7,7 +7,7 @@
 type Said = (String, Vec<u64>, Option<bool>);
 
 fn said(n: u64) -> Said {
-    (format!("message {n}"), (0..n).collect(), (n % 3 > 0).then_some(n % 2 == 0))
+    (format!("message {n}"), (0..n).collect(), (!n.is_multiple_of(3)).then_some(n.is_multiple_of(2)))
 }
 
 #[rstest]
