--- a/crates/pondgw/src/rules.rs
+++ b/crates/pondgw/src/rules.rs
@@ -1,7 +1,7 @@
 //! Every decision of the gateway; its interface is `src/interface.rs`, its plain state types `src/state.rs`.
 //!
-//! Here are the figures, the state and what an event leads to; the decisions stand by concern in [`escrow`],
-//! [`neighbours`], [`servers`] and [`attempts`].
+//! Here are the figures, the state and what an event leads to; the decisions stand by concern in `escrow`,
+//! `neighbours`, `servers` and `attempts`.
 
 mod attempts;
 mod escrow;
--- a/crates/ringer/src/lib.rs
+++ b/crates/ringer/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod arrivals;
 pub mod client;
 pub mod servers;
+pub mod slopes;
 pub mod system;
 pub mod tally;
--- a/crates/ringer/src/main.rs
+++ b/crates/ringer/src/main.rs
@@ -38,6 +38,8 @@
                 /// The program to start; else it is built.
                 optional --program path: PathBuf
             }
+            /// Measures what one more limiter, server, route or tenant costs, with the state machines of the system itself.
+            cmd slopes {}
             /// Puts a load on a system that runs already.
             cmd load {
                 /// Address of its directory.
@@ -232,6 +234,10 @@
         match flags.subcommand {
             RingerCmd::Demo(flags) => demo(flags).await,
             RingerCmd::Load(flags) => load(flags).await,
+            RingerCmd::Slopes(_) => {
+                limeway_ringer::slopes::measure().iter().for_each(|row| println!("{row}"));
+                Ok(())
+            }
         }
     });
     match done {
