--- a/crates/toll/src/count.rs
+++ b/crates/toll/src/count.rs
@@ -8,7 +8,7 @@
 /// Part of a budget that stays free of what is merely good to have.
 const SPARE: f64 = 0.3;
 /// One limiter holds at most so many times its even part of a budget; what an unknown one could hold is bounded by it.
-const EVEN: u32 = 3;
+const EVEN: u32 = 2;
 
 /// What one limiter was granted of a tenant.
 #[derive(Debug, Clone, Copy)]
