--- a/crates/exchange/src/core.rs
+++ b/crates/exchange/src/core.rs
@@ -582,6 +582,9 @@
             self.board.borrow_mut().sure = asked;
         }
         self.win(asked, &claims, &given, majority);
+        for claim in claims.iter().filter(|c| !c.holds && !self.duties.borrow().holds(now(), c.group)) {
+            self.votes.borrow_mut().release(self.me, *claim);
+        }
         if newest.0 > self.board.borrow().state.slot {
             self.catch_up(newest.1).await;
         } else if pending && words >= majority {
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -206,9 +206,11 @@
             }
         }
         for held in held {
-            if let Some(given @ None) = self.given.get_mut(held.group) {
-                *given = Some(Vote { node, boot, until: now + held.left });
-            }
+            let Some(given) = self.given.get_mut(held.group) else { continue };
+            // Who holds a group has a majority: a vote for anyone else came to nothing, and would only lead limiters astray. It
+            // is not given anew before its own time, as a round that counts it may still be under way.
+            let until = given.map_or(0, |v| v.until).max(now + held.left);
+            *given = Some(Vote { node, boot, until });
         }
         // What is asked for with a vote of this voter's earlier life has been answered by then.
         if now >= self.started + CLAIM {
@@ -236,6 +238,15 @@
         free
     }
 
+    /// A claim of the machine that keeps this voter has come to nothing: its own vote is free again, as its round is over.
+    pub fn release(&mut self, node: Node, claim: Claim) {
+        if let Some(given) = self.given.get_mut(claim.group) {
+            if given.is_some_and(|v| v.node == node && v.boot == claim.boot) {
+                *given = None;
+            }
+        }
+    }
+
     /// Who may hold a group at this moment, as far as this voter knows: the machine and the life of its process.
     pub fn holder(&self, now: Micros, group: usize) -> Option<(Node, u64)> {
         self.given.get(group).copied().flatten().filter(|v| v.until >= now).map(|v| (v.node, v.boot))
--- a/crates/roster/tests/duties.rs
+++ b/crates/roster/tests/duties.rs
@@ -49,6 +49,11 @@
                 let alone = [at as u32 + 1];
                 let live: &[u32] = if chance.below(3) == 0 { &alone } else { &[1, 2, 3] };
                 let m = &mut machines[at];
+                // The last round of this machine is over.
+                if let Some((_, claims, _)) = m.round.take() {
+                    let lost = claims.into_iter().filter(|c| !c.holds && !m.duties.holds(now, c.group));
+                    lost.for_each(|c| m.votes.release(at as u32 + 1, c));
+                }
                 let claims = m.duties.claims(now, at as u32 + 1, m.boot, live, &m.votes);
                 let claims: Vec<Claim> = claims.into_iter().filter(|c| c.group == 0).collect();
                 for claim in &claims {
@@ -121,6 +126,33 @@
     assert!(votes.claim(now, 2, claim(8)));
 }
 
+/// A voter that was alone voted for itself; the others gave the group to another meanwhile. It must follow, or its limiters
+/// ask a machine that holds nothing for as long as both live (voz-comum-antena trouble-3, every second play).
+#[rstest]
+fn a_vote_that_came_to_nothing_gives_way_to_the_holder() {
+    let (mut votes, mut duties, now) = (Votes::new(0, false), Duties::default(), 100 * TERM);
+    let own = duties.claims(now, 1, 7, &[1], &votes)[0];
+    assert!(votes.claim(now, 1, own));
+    votes.hear(now + 1, 2, 8, &[Held { group: own.group, left: TERM }]);
+    assert_eq!(votes.holder(now + 2, own.group), Some((2, 8)));
+    assert!(duties.claims(now + 2, 1, 7, &[1], &votes).iter().all(|c| c.group != own.group));
+    // A round that counted its vote may still be won: nobody else gets it before that vote's own time.
+    assert!(!votes.claim(now + TERM - 1, 3, Claim { boot: 9, ..own }));
+    duties.won(now, now, own);
+    assert!(duties.holds(now + TERM - 1, own.group));
+}
+
+#[rstest]
+fn a_claim_that_was_lost_frees_its_own_vote() {
+    let mut votes = Votes::new(0, false);
+    let claim = Claim { group: 2, boot: 1, holds: false };
+    assert!(votes.claim(10, 1, claim));
+    votes.release(3, claim);
+    assert!(!votes.claim(11, 2, Claim { boot: 5, ..claim }), "another machine's release");
+    votes.release(1, claim);
+    assert!(votes.claim(12, 2, Claim { boot: 5, ..claim }));
+}
+
 #[rstest]
 fn a_holding_that_ended_is_not_renewed_by_a_late_answer() {
     let mut duties = Duties::default();
