Hold connections to a server within this limiter's part; read changed settings; tell time added

max-connections of a server is for all limiters together: a limiter has its part by the members known, out at once and idle. The settings file is read again at SIGHUP and when it changes without one: seeds count where the agreed core does not answer. A limiter's account tells the time that it added to requests served at the first try (p50, p99).

--- a/crates/exchange/src/core.rs
+++ b/crates/exchange/src/core.rs
@@ -81,6 +81,8 @@
     /// The configuration, for the counts that are held here.
     plan: RefCell<Rc<Plan>>,
     evacuated: RefCell<BTreeMap<String, u32>>,
+    /// Seeds as the settings file names them.
+    named: RefCell<Vec<std::net::SocketAddr>>,
     /// When this machine learnt of the last evacuation, and the last end of one, of each zone.
     pub evacuations: RefCell<BTreeMap<(String, bool), Micros>>,
     /// The highest round that this machine lost against.
@@ -124,6 +126,7 @@
             proposing: tokio::sync::Mutex::new(()),
             plan: RefCell::new(Rc::new(board_plan)),
             evacuated: RefCell::new(evacuated),
+            named: RefCell::new(settings.seeds.clone()),
             evacuations: RefCell::default(),
             outbid: Cell::new(0),
             revoked: Cell::new(start),
@@ -149,12 +152,20 @@
         }
     }
 
+    /// The settings file has changed: what it says of seeds counts from now on, where no core machines are agreed yet.
+    pub fn reload(&self, settings: &Settings) {
+        // The founding set is the same for all, as it was at the first start.
+        if !self.founder {
+            self.named.borrow_mut().clone_from(&settings.seeds);
+        }
+    }
+
     fn seeds(&self) -> Vec<Node> {
         let ip = |s: &std::net::SocketAddr| match s {
             std::net::SocketAddr::V4(a) => Some(Node::from(*a.ip())),
             std::net::SocketAddr::V6(_) => None,
         };
-        let mut seeds: Vec<Node> = self.settings.seeds.iter().filter_map(ip).collect();
+        let mut seeds: Vec<Node> = self.named.borrow().iter().filter_map(ip).collect();
         seeds.sort_unstable();
         seeds.dedup();
         seeds
--- a/crates/exchange/src/edge.rs
+++ b/crates/exchange/src/edge.rs
@@ -63,6 +63,8 @@
     pub cold_rate: f64,
     /// It has missed its reports.
     pub silent: bool,
+    /// Connections that this limiter may have there: its part of those that the server takes from all.
+    pub most: u32,
 }
 
 /// The servers by service: an immutable snapshot.
@@ -88,6 +90,7 @@
     /// News for those below.
     news: Notify,
     below: RefCell<BTreeMap<Node, Presence>>,
+    seeds: RefCell<Vec<std::net::SocketAddr>>,
     /// What was last told from above: the life of its board, and the numbers of its changes.
     above: Cell<(u64, u64, u64)>,
     failed: RefCell<BTreeMap<Node, Micros>>,
@@ -119,6 +122,7 @@
             links: Links::new(settings.inner.0),
             news: Notify::new(),
             below: RefCell::default(),
+            seeds: RefCell::new(settings.seeds.clone()),
             above: Cell::new((0, 0, 0)),
             failed: RefCell::default(),
             short: Notify::new(),
@@ -168,15 +172,24 @@
     }
 
     fn core(&self) -> Vec<Node> {
-        let core = self.board.borrow().state.core.clone();
-        if !core.is_empty() {
-            return core;
-        }
+        let mut core = self.board.borrow().state.core.clone();
+        // Should none of those that are known answer, the settings file may know better.
+        let seeds = self.seeds();
+        core.extend(seeds.into_iter().filter(|s| !self.board.borrow().state.core.contains(s)));
+        core
+    }
+
+    fn seeds(&self) -> Vec<Node> {
         let ip = |s: &std::net::SocketAddr| match s {
             std::net::SocketAddr::V4(a) => Some(Node::from(*a.ip())),
             std::net::SocketAddr::V6(_) => None,
         };
-        self.settings.seeds.iter().filter_map(ip).collect()
+        self.seeds.borrow().iter().filter_map(ip).collect()
+    }
+
+    /// The settings file has changed: what it says of seeds counts from now on.
+    pub fn reload(&self, settings: &Settings) {
+        self.seeds.borrow_mut().clone_from(&settings.seeds);
     }
 
     /// Polls whoever is above, for ever.
@@ -285,6 +298,11 @@
             let hidden = service.map_or(0, |c| c.cold);
             let cold_until =
                 if since > 0 { server.cold_until.max(since + hidden) } else { server.cold_until };
+            // Members are counted as they are known; a few more than those may be on their way.
+            let members = board.members().len().max(3) as f64 + 1.0;
+            let connections = service.map_or(0.0, |c| c.connections);
+            let most =
+                if connections > 0.0 { (connections / members).floor().max(1.0) as u32 } else { u32::MAX };
             let place = Place {
                 id: Rc::from(id.as_str()),
                 address: server.address,
@@ -294,6 +312,7 @@
                 cold_until,
                 cold_rate,
                 silent: server.silent,
+                most,
             };
             match table.get_mut(server.service.as_str()) {
                 Some(places) => places.push(place),
@@ -347,14 +366,15 @@
             near: place.near,
             cold: (place.cold_until > t).then_some(place.cold_rate),
             silent: place.silent,
+            most: place.most,
         };
         let places = table.get(service).map_or(&[][..], Vec::as_slice);
         places.iter().filter(home).map(candidate).collect()
     }
 
-    /// Where a server is reached.
-    pub fn address(&self, service: &str, id: &str) -> Option<SocketAddrV4> {
-        self.table.borrow().get(service)?.iter().find(|p| &*p.id == id).map(|p| p.address)
+    /// Where a server is reached, and how many connections there may be.
+    pub fn address(&self, service: &str, id: &str) -> Option<(SocketAddrV4, u32)> {
+        self.table.borrow().get(service)?.iter().find(|p| &*p.id == id).map(|p| (p.address, p.most))
     }
 
     fn holders(&self) -> Vec<Option<(Node, u64)>> {
--- a/crates/exchange/src/outbound.rs
+++ b/crates/exchange/src/outbound.rs
@@ -89,7 +89,7 @@
     pub async fn exchange(
         &self,
         id: &Rc<str>,
-        address: SocketAddrV4,
+        (address, most): (SocketAddrV4, u32),
         parcel: &Parcel,
         left: Micros,
         sent: &Cell<bool>,
@@ -136,7 +136,11 @@
             }
             if reply.keep && clean {
                 conn.rest();
-                self.idle.borrow_mut().entry(id.clone()).or_default().push(conn);
+                let mut idle = self.idle.borrow_mut();
+                let conns = idle.entry(id.clone()).or_default();
+                if conns.len() < most as usize {
+                    conns.push(conn);
+                }
             }
             return Came::Answer(reply);
         }
--- a/crates/exchange/src/service.rs
+++ b/crates/exchange/src/service.rs
@@ -17,13 +17,15 @@
 use std::cell::Cell;
 use std::fmt;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::time::{sleep, Instant};
 
+/// The settings file may change without a signal: it is looked at this often.
+const FILE_CHECK: Duration = Duration::from_secs(5);
 /// Descriptors that are not for clients.
 const FDS_ASIDE: usize = 700;
 /// Connections of those who ask where to go, or whether this limiter is ready, at most.
@@ -73,28 +75,20 @@
 pub async fn run(settings: Settings) -> Result<(), Report<StartError>> {
     clock::seed(Node::from(settings.ip));
     let mut terminate = signal(SignalKind::terminate()).change_context(StartError::Signals)?;
-    let mut reload = signal(SignalKind::hangup()).change_context(StartError::Signals)?;
-    // A reload must not end the process; what can change in the file is read where it is needed at the next start.
-    tokio::task::spawn_local(async move {
-        while reload.recv().await.is_some() {
-            match std::env::var_os(VARIABLE).map(|p| self::settings(Path::new(&p))) {
-                Some(Err(e)) => log::warn!("settings that have changed cannot be used: {e:?}"),
-                _ => log::info!("settings read again"),
-            }
-        }
-    });
+    let reload = signal(SignalKind::hangup()).change_context(StartError::Signals)?;
     let inner = SocketAddr::from((settings.ip, settings.inner.0));
     if settings.frontend.is_some() {
-        serve_edge(settings, inner, &mut terminate).await
+        serve_edge(settings, inner, &mut terminate, reload).await
     } else {
-        serve_core(settings, inner, &mut terminate).await
+        serve_core(settings, inner, &mut terminate, reload).await
     }
 }
 
 async fn serve_core(
     settings: Settings,
     inner: SocketAddr,
-    terminate: &mut tokio::signal::unix::Signal,
+    terminate: &mut Signal,
+    reload: Signal,
 ) -> Result<(), Report<StartError>> {
     let (acceptor, state, empty, disk) = match &settings.data {
         Some(folder) => {
@@ -115,6 +109,8 @@
         tokio::task::spawn_local(control::listen(core.clone(), bind(address)?));
     }
     log::info!(slot = core.board.borrow().state.slot, empty; "core machine starts");
+    let told = core.clone();
+    tokio::task::spawn_local(watch_file(reload, move |settings| told.reload(&settings)));
     tokio::task::spawn_local(core.run());
     terminate.recv().await;
     // Calls under way end within it; what was acknowledged is on disk.
@@ -125,7 +121,8 @@
 async fn serve_edge(
     settings: Settings,
     inner: SocketAddr,
-    terminate: &mut tokio::signal::unix::Signal,
+    terminate: &mut Signal,
+    reload: Signal,
 ) -> Result<(), Report<StartError>> {
     let (frontend, readiness, grace) = (settings.frontend, settings.readiness, settings.bounds.grace);
     let directory = settings.directory;
@@ -139,6 +136,8 @@
     if let Some(address) = directory {
         tokio::task::spawn_local(ask(edge.clone(), bind(address)?));
     }
+    let told = edge.clone();
+    tokio::task::spawn_local(watch_file(reload, move |settings| told.reload(&settings)));
     tokio::task::spawn_local(edge.clone().follow());
     tokio::task::spawn_local(edge.clone().lease());
     tokio::task::spawn_local(edge.clone().tidy());
@@ -167,6 +166,25 @@
     Ok(())
 }
 
+/// Reads the settings file again at SIGHUP, and when it has changed without one. One that cannot be used changes nothing.
+async fn watch_file(mut reload: Signal, told: impl Fn(Settings)) {
+    let Some(path) = std::env::var_os(VARIABLE).map(PathBuf::from) else { return };
+    let stamp = || std::fs::metadata(&path).and_then(|m| m.modified()).ok();
+    let mut last = stamp();
+    loop {
+        let signalled = tokio::time::timeout(FILE_CHECK, reload.recv()).await.is_ok();
+        let now = stamp();
+        if !signalled && now == last {
+            continue;
+        }
+        last = now;
+        match settings(&path) {
+            Ok(settings) => told(settings),
+            Err(e) => log::warn!("settings that have changed cannot be used: {e:?}"),
+        }
+    }
+}
+
 /// Tells the platform whether this limiter can serve, and clients where to go.
 async fn ask(edge: Rc<Edge>, listener: TcpListener) {
     let open = Rc::new(Cell::new(0usize));
--- a/crates/exchange/src/switch.rs
+++ b/crates/exchange/src/switch.rs
@@ -48,6 +48,8 @@
     pub close: Notify,
     /// Answers given since the last account: those of servers, and our own by status.
     given: RefCell<BTreeMap<u16, u32>>,
+    /// Time that was spent here on requests that a server answered at the first try, in steps of a quarter of a millisecond.
+    added: RefCell<Vec<u32>>,
     most: usize,
 }
 
@@ -60,11 +62,14 @@
             closing: Cell::new(false),
             close: Notify::new(),
             given: RefCell::default(),
+            added: RefCell::new(vec![0; ADDED_STEPS]),
             most: most.max(16),
         })
     }
 }
 
+/// Steps of the time added that are told apart, a quarter of a millisecond each; the last holds all above.
+const ADDED_STEPS: usize = 80;
 /// Pause between two accounts.
 const ACCOUNT: Duration = Duration::from_secs(2);
 
@@ -75,11 +80,24 @@
         let given = std::mem::take(&mut *front.given.borrow_mut());
         if !given.is_empty() && log::log_enabled!(log::Level::Info) {
             let (open, quotas) = (front.open.get(), edge.quotas());
-            log::info!(open, quotas = quotas.as_str(); "answered {given:?}");
+            let added: Vec<u32> = front.added.borrow_mut().iter_mut().map(std::mem::take).collect();
+            let (half, most) = (within(&added, 0.5), within(&added, 0.99));
+            log::info!(open, added_p50_ms = half, added_p99_ms = most, quotas = quotas.as_str(); "answered {given:?}");
         }
     }
 }
 
+/// The time within which such a part lies, in milliseconds.
+fn within(steps: &[u32], part: f64) -> f64 {
+    let all: u32 = steps.iter().sum();
+    let mut so_far = 0;
+    let at = steps.iter().position(|n| {
+        so_far += n;
+        f64::from(so_far) >= part * f64::from(all)
+    });
+    (at.unwrap_or(0) + 1) as f64 / 4.0
+}
+
 /// An answer of our own.
 struct Own {
     status: u16,
@@ -164,8 +182,9 @@
             }
         };
         front.busy.set(front.busy.get() + 1);
+        let (begun, at_server) = (now(), Cell::new(0));
         let answer = {
-            let work = handle(edge, &message);
+            let work = handle(edge, &message, &at_server);
             tokio::pin!(work);
             tokio::select! {
                 biased;
@@ -189,6 +208,10 @@
         if !inbound.write(&out).await {
             return;
         }
+        if at_server.get() > 0 {
+            let step = ((now() - begun).saturating_sub(at_server.get()) / 250) as usize;
+            front.added.borrow_mut()[step.min(ADDED_STEPS - 1)] += 1;
+        }
         if close {
             return inbound.linger().await;
         }
@@ -325,7 +348,7 @@
 }
 
 /// Serves a request: a server's answer, or one of our own.
-async fn handle(edge: &Rc<Edge>, message: &Message) -> Result<Reply, Own> {
+async fn handle(edge: &Rc<Edge>, message: &Message, at_server: &Cell<Micros>) -> Result<Reply, Own> {
     let start = now();
     let wanted = wanted(edge, message)?;
     let Wanted { route, tenant, parcel, left } = wanted;
@@ -357,7 +380,7 @@
                 break;
             }
         }
-        let Some(address) = edge.address(&service, &id) else { continue };
+        let Some(place) = edge.address(&service, &id) else { continue };
         tried.push(id.clone());
         let t = now();
         let rest = end.saturating_sub(t);
@@ -373,7 +396,7 @@
             rest
         };
         let sent = Cell::new(false);
-        let exchange = edge.pools.exchange(&id, address, &parcel, rest, &sent);
+        let exchange = edge.pools.exchange(&id, place, &parcel, rest, &sent);
         let came = timeout(Duration::from_micros(patience), exchange).await;
         let took = now() - t;
         match came {
@@ -388,6 +411,8 @@
                     && reply.head.header(&reply.bytes, "limeway-server-stamp").is_some()
                     && reply.head.header(&reply.bytes, "content-encoding").is_none();
                 if whole {
+                    // Where it took more than one try, the time is not ours alone.
+                    at_server.set(if attempt == 0 { took } else { 0 });
                     guard.end(Outcome::Answered(took));
                     return Ok(reply);
                 }
--- a/crates/selector/src/lib.rs
+++ b/crates/selector/src/lib.rs
@@ -43,6 +43,8 @@
     pub cold: Option<f64>,
     /// It has missed its reports.
     pub silent: bool,
+    /// Requests that this limiter may have out there at once: its part of the connections that the server takes.
+    pub most: u32,
 }
 
 /// How an attempt ended.
@@ -153,6 +155,9 @@
                     continue;
                 }
             }
+            if seat.out >= c.most {
+                continue;
+            }
             let crowd = f64::from(seat.out) / f64::from(c.slots.max(1));
             let bad = Self::alone(seat, now) || c.silent;
             let full = now < seat.full || crowd >= CROWDED;
--- a/crates/selector/tests/choice.rs
+++ b/crates/selector/tests/choice.rs
@@ -7,7 +7,7 @@
 const MS: u64 = 1_000;
 
 fn candidate(id: &str, near: Near) -> Candidate {
-    Candidate { id: Rc::from(id), slots: 3, near, cold: None, silent: false }
+    Candidate { id: Rc::from(id), slots: 3, near, cold: None, silent: false, most: 100 }
 }
 
 fn choose(selector: &mut Selector, now: u64, candidates: &[Candidate]) -> Option<String> {
@@ -52,6 +52,17 @@
     assert_eq!(choose(&mut selector, 900 * MS, &all).as_deref(), Some("well"));
 }
 
+#[rstest]
+fn no_more_is_out_at_a_server_than_this_limiters_part_of_its_connections() {
+    let mut selector = Selector::default();
+    let all = [
+        Candidate { most: 4, ..candidate("z", Near::Zone) },
+        Candidate { most: 2, ..candidate("r", Near::Region) },
+    ];
+    let sent: Vec<_> = (0..20).filter_map(|_| choose(&mut selector, 0, &all)).collect();
+    assert_eq!((sent.len(), sent.iter().filter(|id| *id == "z").count()), (6, 4));
+}
+
 #[rstest]
 #[case(15.35, 1)]
 #[case(15.35, 2)]
