--- a/crates/exchange/src/edge.rs
+++ b/crates/exchange/src/edge.rs
@@ -95,6 +95,8 @@
     above: Cell<(u64, u64, u64)>,
     failed: RefCell<BTreeMap<Node, Micros>>,
     short: Notify,
+    /// Requests that had to wait for a unit, since the last account.
+    pub waited: Cell<u32>,
     granted: Notify,
     /// It ends: it says so to the core.
     pub leaving: Cell<bool>,
@@ -126,6 +128,7 @@
             above: Cell::new((0, 0, 0)),
             failed: RefCell::default(),
             short: Notify::new(),
+            waited: Cell::new(0),
             granted: Notify::new(),
             leaving: Cell::new(false),
             hurry: Notify::new(),
@@ -389,7 +392,7 @@
         match self.escrow.borrow_mut().take(now(), tenant, group, holder, span) {
             Take::Yes => return Ok(()),
             Take::Dry(left) => return Err(left),
-            Take::Wait => {}
+            Take::Wait => self.waited.set(self.waited.get() + 1),
         }
         let until = tokio::time::Instant::now() + UNIT_WAIT;
         loop {
--- a/crates/exchange/src/switch.rs
+++ b/crates/exchange/src/switch.rs
@@ -70,6 +70,8 @@
 
 /// Steps of the time added that are told apart, a quarter of a millisecond each; the last holds all above.
 const ADDED_STEPS: usize = 80;
+/// The step from which on time added is more than it should be: 4.5 ms.
+const SLOW_STEP: usize = 18;
 /// Pause between two accounts.
 const ACCOUNT: Duration = Duration::from_secs(2);
 
@@ -82,7 +84,10 @@
             let (open, quotas) = (front.open.get(), edge.quotas());
             let added: Vec<u32> = front.added.borrow_mut().iter_mut().map(std::mem::take).collect();
             let (half, most) = (within(&added, 0.5), within(&added, 0.99));
-            log::info!(open, added_p50_ms = half, added_p99_ms = most, quotas = quotas.as_str(); "answered {given:?}");
+            let timed: u32 = added.iter().sum();
+            let slow: u32 = added.iter().skip(SLOW_STEP).sum();
+            let waited = edge.waited.take();
+            log::info!(open, timed, slow, waited, added_p50_ms = half, added_p99_ms = most, quotas = quotas.as_str(); "answered {given:?}");
         }
     }
 }
--- a/crates/toll/src/escrow.rs
+++ b/crates/toll/src/escrow.rs
@@ -5,6 +5,10 @@
 
 /// Part of a new window's use in the running mean.
 const FRESH: f64 = 0.4;
+/// What is good to have covers chance this many times its spread, where requests come in clumps of so many.
+const SPREAD: f64 = 3.0;
+/// See [`SPREAD`].
+const CLUMPED: f64 = 1.5;
 /// Part of the requests of a first window by which its use is foretold.
 const FIRST: f64 = 0.7;
 /// Windows without a request after which a tenant is forgotten.
@@ -134,7 +138,8 @@
     fn ask(&self, tenant: &str, now: Micros) -> Ask {
         // Before the first window is over, what has been asked for in it is all that is known.
         let sure = if self.mean > 0.0 { self.mean } else { FIRST * f64::from(self.asked) };
-        let (mut base, mut want) = (sure.floor() as u32, (sure * 1.3 + sure.sqrt() + 0.2).floor() as u32);
+        let wide = SPREAD * (CLUMPED * sure).sqrt() + 1.5;
+        let (mut base, mut want) = (sure.floor() as u32, (sure + wide).floor() as u32);
         if self.idle > 2 || self.until <= now && self.asked == 0 && self.idle > 0 {
             (base, want) = (0, 0);
         }
