--- a/crates/toll/src/escrow.rs
+++ b/crates/toll/src/escrow.rs
@@ -3,8 +3,8 @@
 use crate::{Answer, Ask, Block, Micros, Node, Request, Span, BLOCK, SKEW};
 use std::collections::HashMap;
 
-/// Part of a new window's use in the running mean.
-const FRESH: f64 = 0.4;
+/// Part of a new window's use in the running mean, where that is more and where it is less.
+const FRESH: (f64, f64) = (0.35, 0.08);
 /// What is good to have covers chance this many times its spread, where requests come in clumps of so many.
 const SPREAD: f64 = 3.0;
 /// See [`SPREAD`].
@@ -117,7 +117,9 @@
         let passed = (window - self.window).min(16);
         for at in 0..passed {
             let used = if at == 0 { f64::from(self.asked) } else { 0.0 };
-            self.mean += FRESH * (used - self.mean);
+            // Up at once and down slowly: a pause between two clumps is no reason to give back what the next one needs.
+            let fresh = if used > self.mean { FRESH.0 } else { FRESH.1 };
+            self.mean += fresh * (used - self.mean);
         }
         self.idle = if self.asked > 0 { passed - 1 } else { self.idle + passed };
         (self.window, self.spent, self.extra, self.asked) = (window, 0, 0, 0);
