Hold half of the spare where the counts are near

Cause: limiters beside the counts held as much spare as those 40 or 110 ms away, which ran out of it.

--- a/crates/exchange/src/edge.rs
+++ b/crates/exchange/src/edge.rs
@@ -469,7 +469,7 @@
     pub async fn lease(self: Rc<Self>) {
         loop {
             let holders = self.holders();
-            let requests = self.escrow.borrow_mut().asks(now(), &holders);
+            let requests = self.escrow.borrow_mut().asks(now(), &holders, self.far.get() <= FAR);
             for (node, requests) in requests {
                 let (edge, holders) = (self.clone(), holders.clone());
                 tokio::task::spawn_local(async move {
--- a/crates/toll/src/escrow.rs
+++ b/crates/toll/src/escrow.rs
@@ -143,10 +143,14 @@
         block + self.extra
     }
 
-    fn ask(&self, tenant: &str, now: Micros) -> Ask {
+    fn ask(&self, tenant: &str, now: Micros, near: bool) -> Ask {
         // Before the first window is over, what has been asked for in it is all that is known.
         let sure = if self.mean > 0.0 { self.mean } else { FIRST * f64::from(self.asked) };
-        let spread = if self.lends > self.window { SPREAD_LENDING } else { SPREAD };
+        let spread = match near {
+            true => SPREAD / 2.0,
+            false if self.lends > self.window => SPREAD_LENDING,
+            false => SPREAD,
+        };
         let wide = spread * (CLUMPED * sure).sqrt() + spread.min(1.5);
         let (mut base, mut want) = (sure.floor() as u32, (sure + wide).floor() as u32);
         if self.idle > 2 || self.until <= now && self.asked == 0 && self.idle > 0 {
@@ -259,8 +263,9 @@
 
     /// What to ask of whom now. `holders` tells who holds each group's count. Whatever is asked for less than is held is
     /// given up here at once, so that the count may grant it elsewhere as soon as it hears. A holder that has not been told
-    /// what is held here is told.
-    pub fn asks(&mut self, now: Micros, holders: &[Option<Holder>]) -> Vec<(Node, Vec<Request>)> {
+    /// what is held here is told. With the counts `near`, units beyond the usual use are asked for when they are needed, and
+    /// left to those that are far away.
+    pub fn asks(&mut self, now: Micros, holders: &[Option<Holder>], near: bool) -> Vec<(Node, Vec<Request>)> {
         let mut groups: HashMap<usize, Vec<Ask>> = HashMap::new();
         for (tenant, hold) in &mut self.holds {
             if holders.get(hold.group).copied().flatten().is_none() {
@@ -272,7 +277,7 @@
             if let Some(edge) = self.edges.get(&hold.term) {
                 hold.roll(edge.window(now));
             }
-            let ask = hold.ask(tenant, now);
+            let ask = hold.ask(tenant, now, near);
             let due = hold.until.saturating_sub(now) < RENEW && ask.want > 0;
             let (want, told) = (f64::from(ask.want), f64::from(hold.told));
             // What is too much is missing elsewhere, and is given back sooner than more is asked for.
--- a/crates/toll/tests/bound.rs
+++ b/crates/toll/tests/bound.rs
@@ -93,7 +93,7 @@
             }
         }
         for (at, escrow) in escrows.iter_mut().enumerate() {
-            for (_, requests) in escrow.asks(now + offset[at], &[Some((9, boot))]) {
+            for (_, requests) in escrow.asks(now + offset[at], &[Some((9, boot))], at == 0) {
                 for request in requests {
                     if chance.below(20) > 0 && !(at < 2 && now < cut_until) {
                         asks.push((now + 500 + chance.below(60_000), at, now, boot, request));
