End doubts of servers with the next word on them; scale run with hollow limiters

Cause, found by the first scale run (1 of 100 limiters never knew all servers): a limiter that went to a teller whose list was not whole held the others to be silent, and a later word with a known report did not end that, so that sound servers stayed the last choice. Change: a doubt is apart from silence and ends with any word that is not older.

--- a/crates/exchange/src/edge.rs
+++ b/crates/exchange/src/edge.rs
@@ -165,6 +165,11 @@
         board.sure > 0 && now() < board.sure + lasts
     }
 
+    /// As of when it is sure of the configuration.
+    pub fn sure_since(&self) -> Micros {
+        self.board.borrow().sure
+    }
+
     /// Whether it can serve.
     pub fn ready(&self) -> bool {
         !self.leaving.get() && self.plan.borrow().version > 0 && self.sure()
@@ -175,6 +180,18 @@
         of / self.board.borrow().members().len().max(3) as f64
     }
 
+    /// Members and servers that are known here.
+    pub fn known(&self) -> (usize, usize) {
+        let board = self.board.borrow();
+        let live = board
+            .watch
+            .servers()
+            .values()
+            .filter(|s| s.phase == Phase::Ready && !s.silent && !s.doubted)
+            .count();
+        (board.members().len(), live)
+    }
+
     fn presence(&self) -> Presence {
         let front = match self.settings.frontend {
             Some(std::net::SocketAddr::V4(front)) => front,
@@ -323,7 +340,7 @@
                 slots: server.slots,
                 cold_until,
                 cold_rate,
-                silent: server.silent,
+                silent: server.silent || server.doubted,
                 most,
             };
             match table.get_mut(server.service.as_str()) {
--- a/crates/exchange/src/main.rs
+++ b/crates/exchange/src/main.rs
@@ -2,19 +2,7 @@
 //! that clients reach, one without is a core machine.
 #![forbid(unsafe_code)]
 
-mod clock;
-mod control;
-mod core;
-mod directory;
-mod disk;
-mod edge;
-mod link;
-mod messages;
-mod outbound;
-mod propose;
-mod service;
-mod switch;
-
+use limeway_exchange::{clock, service};
 use log::kv::{Key, Value, VisitSource};
 use std::io::Write;
 use std::path::PathBuf;
--- a/crates/numbering/src/plan.rs
+++ b/crates/numbering/src/plan.rs
@@ -185,6 +185,11 @@
     Ok((tenant, spec.texts("api-keys")?))
 }
 
+/// The keys of a tenant's item.
+pub fn keys(item: &Item) -> Result<Vec<String>, BadConfig> {
+    Spec::of(item)?.texts("api-keys")
+}
+
 fn limits(item: &Item) -> Result<Limits, BadConfig> {
     let (spec, usual) = (Spec::of(item)?, Limits::default());
     Ok(Limits {
@@ -261,10 +266,4 @@
     pub fn keyed(&self) -> bool {
         !self.tenants.is_empty()
     }
-
-    /// Keys of this snapshot that another one lacks, or gives to another tenant.
-    pub fn takes_away_from(&self, older: &Plan) -> bool {
-        older.keys.iter().any(|(key, tenant)| self.keys.get(key).is_none_or(|now| now.name != tenant.name))
-            || (older.keyed() && !self.keyed())
-    }
 }
--- a/crates/ringer/src/lib.rs
+++ b/crates/ringer/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod arrivals;
 pub mod client;
+pub mod scale;
 pub mod servers;
 pub mod slopes;
 pub mod system;
--- a/crates/ringer/src/main.rs
+++ b/crates/ringer/src/main.rs
@@ -40,6 +40,19 @@
             }
             /// Measures what one more limiter, server, route or tenant costs, with the state machines of the system itself.
             cmd slopes {}
+            /// Runs real core machines and many hollow limiters and servers on loopback, and measures starts, changes and losses.
+            cmd scale {
+                /// Limiters (670).
+                optional --limiters limiters: usize
+                /// Servers (2700).
+                optional --servers servers: usize
+                /// Routes (500).
+                optional --routes routes: u64
+                /// Tenants (1000).
+                optional --tenants tenants: u64
+                /// The program to start; else it is built.
+                optional --program path: PathBuf
+            }
             /// Puts a load on a system that runs already.
             cmd load {
                 /// Address of its directory.
@@ -64,7 +77,7 @@
         }
     }
 }
-use flags::{Demo, Load, Ringer, RingerCmd};
+use flags::{Demo, Load, Ringer, RingerCmd, Scale};
 
 type Accounts = Rc<RefCell<BTreeMap<String, Account>>>;
 
@@ -116,21 +129,34 @@
     }
 }
 
-async fn demo(flags: Demo) -> io::Result<()> {
-    let program = match flags.program {
-        Some(path) => path,
-        None => {
-            println!("building exchange ...");
-            let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
-            let built = std::process::Command::new(cargo)
-                .args(["build", "-q", "--release", "-p", "limeway-exchange"])
-                .status()?;
-            if !built.success() {
-                return Err(io::Error::other("exchange was not built"));
-            }
-            PathBuf::from("target/release/exchange")
-        }
+/// The program to start: the one that is named, or a fresh build.
+fn program(named: Option<PathBuf>) -> io::Result<PathBuf> {
+    if let Some(path) = named {
+        return Ok(path);
+    }
+    println!("building exchange ...");
+    let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
+    let built = std::process::Command::new(cargo)
+        .args(["build", "-q", "--release", "-p", "limeway-exchange"])
+        .status()?;
+    if !built.success() {
+        return Err(io::Error::other("exchange was not built"));
+    }
+    Ok(PathBuf::from("target/release/exchange"))
+}
+
+async fn scale(flags: Scale) -> io::Result<()> {
+    let size = limeway_ringer::scale::Size {
+        limiters: flags.limiters.unwrap_or(670),
+        servers: flags.servers.unwrap_or(2_700),
+        routes: flags.routes.unwrap_or(500),
+        tenants: flags.tenants.unwrap_or(1_000),
     };
+    limeway_ringer::scale::run(&program(flags.program)?, size).await
+}
+
+async fn demo(flags: Demo) -> io::Result<()> {
+    let program = program(flags.program)?;
     let (seconds, rate, seed) =
         (flags.seconds.unwrap_or(20), flags.rate.unwrap_or(150.0), flags.seed.unwrap_or(1));
     let folder = std::env::temp_dir().join(format!("ringer-{}", std::process::id()));
@@ -234,6 +260,7 @@
         match flags.subcommand {
             RingerCmd::Demo(flags) => demo(flags).await,
             RingerCmd::Load(flags) => load(flags).await,
+            RingerCmd::Scale(flags) => scale(flags).await,
             RingerCmd::Slopes(_) => {
                 limeway_ringer::slopes::measure().iter().for_each(|row| println!("{row}"));
                 Ok(())
--- a/crates/ringer/src/system.rs
+++ b/crates/ringer/src/system.rs
@@ -48,9 +48,43 @@
     pub machines: Vec<Machine>,
     /// Servers.
     pub servers: Vec<Rc<Server>>,
+    /// Zones, with their regions.
+    pub zones: Vec<(String, String)>,
     net: u8,
 }
 
+/// The lines of a core machine's own.
+fn core_listens(ip: Ipv4Addr, data: &Path) -> String {
+    let data = data.display();
+    format!(
+        "listen-addresses.control-plane={ip}:{CONTROL}\nlisten-addresses.directory-api={ip}:{DIRECTORY}\n\
+         data-directory={data}\nloss-counted=true\n"
+    )
+}
+
+/// A settings file for a machine of a system on loopback.
+pub fn settings(
+    ip: Ipv4Addr,
+    zone: usize,
+    zones: &[(String, String)],
+    seeds: &[Ipv4Addr],
+    listens: &str,
+    first: bool,
+) -> String {
+    let seeds: Vec<String> = seeds.iter().map(|s| format!("{s}:{CONTROL}")).collect();
+    let regions: Vec<String> = zones.iter().map(|(z, r)| format!("zones.{z}={r}\n")).collect();
+    format!(
+        "node-name=m-{ip}\nip-address={ip}\nzone={}\nregion={}\n{}{listens}internal-ports={INNER},{INNER}\nseed-nodes={}\n\
+         initial-start={first}\nfault-tolerance.machine-losses=1\nheartbeat=1500ms\n\
+         bounds=contact=4s,revoke=5s,revocation-strict=true,grace-period=6s,quota-window=5s,quota-overshoot=0.1,\
+         quota-slack=20,retry-budget-ratio=0.2,retry-slack=50,cold-overshoot=1.5,cold-slack=5,ttl_max=5s\n",
+        zones[zone].0,
+        zones[zone].1,
+        regions.concat(),
+        seeds.join(",")
+    )
+}
+
 /// Calls a machine; nothing where it does not answer within a second.
 pub async fn call(to: SocketAddr, path: &str, body: &str) -> Option<(u16, String)> {
     let message = format!(
@@ -70,26 +104,41 @@
 impl System {
     /// Starts `edges` limiters and three core machines of a program, with their files in `folder`.
     pub fn start(program: &Path, folder: &Path, edges: usize, servers: usize, net: u8) -> io::Result<Self> {
+        let zones = ZONES.iter().map(|(z, r)| ((*z).to_owned(), (*r).to_owned())).collect();
+        Self::of(program, folder, 3, edges, servers, net, zones)
+    }
+
+    /// The same with so many core machines, and zones of one's own.
+    pub fn of(
+        program: &Path,
+        folder: &Path,
+        core: usize,
+        edges: usize,
+        servers: usize,
+        net: u8,
+        zones: Vec<(String, String)>,
+    ) -> io::Result<Self> {
         std::fs::create_dir_all(folder)?;
         let machine = |n: usize| Machine {
             ip: Ipv4Addr::new(127, net, 0, n as u8 + 1),
-            zone: if n < 3 { n % 2 } else { n % 3 },
-            edge: n >= 3,
+            zone: if n < core { n % 2 } else { n % zones.len() },
+            edge: n >= core,
             child: None,
         };
         let mut system = System {
             program: program.to_owned(),
             folder: folder.to_owned(),
-            machines: (0..3 + edges.clamp(1, 100)).map(machine).collect(),
+            machines: (0..core + edges.min(100)).map(machine).collect(),
             servers: Vec::new(),
+            zones: zones.clone(),
             net,
         };
         for at in 0..system.machines.len() {
             system.run(at, true)?;
         }
-        for n in 0..servers.clamp(1, 100) {
+        for n in 0..servers.min(100) {
             let address = SocketAddr::from((Ipv4Addr::new(127, net, 1, n as u8 + 1), SERVERS));
-            let zone = ZONES[n % 3].0;
+            let zone = &zones[n % zones.len()].0;
             let work = Duration::from_millis(40);
             let server = Server::new(format!("i-{n:04}"), "orders", zone, address, 4, work, n as u64);
             system.servers.push(server);
@@ -99,23 +148,19 @@
 
     /// Starts a machine's process, for the first time or again.
     pub fn run(&mut self, at: usize, first: bool) -> io::Result<()> {
-        let seeds: Vec<String> = self.machines[..3].iter().map(|m| format!("{}:{CONTROL}", m.ip)).collect();
         let Machine { ip, zone, edge, .. } = self.machines[at];
-        let zones: Vec<String> = ZONES.iter().map(|(z, r)| format!("zones.{z}={r}\n")).collect();
         let listens = if edge {
-            format!("listen-addresses.frontend={ip}:{FRONT}\nlisten-addresses.readiness={ip}:{READY}\nlisten-addresses.directory-api={ip}:{DIRECTORY}\n")
+            format!(
+                "listen-addresses.frontend={ip}:{FRONT}\nlisten-addresses.readiness={ip}:{READY}\n\
+                 listen-addresses.directory-api={ip}:{DIRECTORY}\n"
+            )
         } else {
             let data = self.folder.join(format!("data-{at}"));
-            let data = data.display();
-            format!("listen-addresses.control-plane={ip}:{CONTROL}\nlisten-addresses.directory-api={ip}:{DIRECTORY}\ndata-directory={data}\nloss-counted=true\n")
+            core_listens(ip, &data)
         };
-        let text = format!(
-            "node-name=m{at}\nip-address={ip}\nzone={}\nregion={}\n{}{listens}internal-ports={INNER},{INNER}\nseed-nodes={}\ninitial-start={first}\nfault-tolerance.machine-losses=1\nheartbeat=500ms\nbounds=contact=4s,revoke=5s,revocation-strict=true,grace-period=6s,quota-window=5s,quota-overshoot=0.1,quota-slack=20,retry-budget-ratio=0.2,retry-slack=50,cold-overshoot=1.5,cold-slack=5,ttl_max=5s\n",
-            ZONES[zone].0,
-            ZONES[zone].1,
-            zones.concat(),
-            seeds.join(",")
-        );
+        let zones: Vec<(String, String)> = self.zones.clone();
+        let seeds: Vec<Ipv4Addr> = self.machines[..3].iter().map(|m| m.ip).collect();
+        let text = settings(ip, zone, &zones, &seeds, &listens, first);
         let path = self.folder.join(format!("settings-{at}"));
         std::fs::write(&path, text)?;
         let log = std::fs::File::options().create(true).append(true).open(self.folder.join("log"))?;
@@ -131,6 +176,18 @@
         Ok(())
     }
 
+    /// Processor time in seconds and resident memory in bytes of a machine's process, as the system tells.
+    pub fn usage(&self, at: usize) -> (f64, f64) {
+        let Some(pid) = self.machines.get(at).and_then(|m| m.child.as_ref()).and_then(Child::id) else {
+            return (0.0, 0.0);
+        };
+        let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+        // After the name, which ends with the last bracket: state is the first field, times are the 12th and 13th.
+        let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or("").split_whitespace().collect();
+        let field = |n: usize| fields.get(n).and_then(|f| f.parse::<f64>().ok()).unwrap_or(0.0);
+        ((field(11) + field(12)) / 100.0, field(21) * 4096.0)
+    }
+
     /// Kills a machine's process.
     pub async fn kill(&mut self, at: usize) -> io::Result<()> {
         match self.machines.get_mut(at).and_then(|m| m.child.take()) {
--- a/crates/tandem/tests/feeds.rs
+++ b/crates/tandem/tests/feeds.rs
@@ -56,7 +56,8 @@
         }
     }
     let live = |b: &Board| -> BTreeMap<String, Phase> {
-        let servers = b.watch.servers().iter().filter(|(_, s)| s.phase != Phase::Gone && !s.silent);
+        let servers =
+            b.watch.servers().iter().filter(|(_, s)| s.phase != Phase::Gone && !s.silent && !s.doubted);
         servers.map(|(id, s)| (id.clone(), s.phase)).collect()
     };
     for (board, _, every) in &limiters {
--- a/crates/watch/src/lib.rs
+++ b/crates/watch/src/lib.rs
@@ -89,6 +89,8 @@
     pub heard: Micros,
     /// See [`Report`].
     pub silent: bool,
+    /// A teller's full list did not name it; until any teller does.
+    pub doubted: bool,
     /// Number of the change that touched it last.
     pub changed: u64,
 }
@@ -127,6 +129,9 @@
             let phase = server.phase.max(report.phase);
             let mut news = phase != server.phase;
             server.phase = phase;
+            if server.doubted && !report.silent && report.count >= server.count {
+                (server.doubted, news) = (false, true);
+            }
             if report.silent && !server.silent && report.count >= server.count {
                 (server.silent, news) = (true, true);
             } else if server.silent && later && !report.silent {
@@ -172,6 +177,7 @@
             count: report.count,
             heard,
             silent: report.silent,
+            doubted: false,
             changed: self.change,
         };
         self.servers.insert(report.id.clone(), server);
@@ -196,16 +202,18 @@
                 (server.silent, server.changed) = (true, self.change);
             }
         }
-        self.servers
-            .retain(|_, s| now.saturating_sub(s.heard) < REMEMBERED || !(s.phase == Phase::Gone || s.silent));
+        self.servers.retain(|_, s| {
+            now.saturating_sub(s.heard) < REMEMBERED || !(s.phase == Phase::Gone || s.silent || s.doubted)
+        });
     }
 
-    /// Holds lives to be silent that a full list does not name.
+    /// Doubts lives that a full list does not name: they count as silent until they are told of again, be it with a report that
+    /// is known already.
     pub fn doubt(&mut self, unnamed: impl Fn(&str) -> bool) {
         for (_, server) in self.servers.iter_mut().filter(|(id, _)| unnamed(id)) {
-            if !server.silent && server.phase != Phase::Gone {
+            if !server.doubted && server.phase != Phase::Gone {
                 self.change += 1;
-                (server.silent, server.changed) = (true, self.change);
+                (server.doubted, server.changed) = (true, self.change);
             }
         }
     }
@@ -244,7 +252,7 @@
             cold_left: self.cold_until.saturating_sub(now),
             count: self.count,
             age: now.saturating_sub(self.heard),
-            silent: self.silent,
+            silent: self.silent || self.doubted,
         }
     }
 }
--- a/crates/watch/tests/reports.rs
+++ b/crates/watch/tests/reports.rs
@@ -95,3 +95,16 @@
     assert_eq!(watch.hear(9 * SECOND, &report("a", 3, Phase::Ready)), Heard::Beat);
     assert!(watch.since(9 * SECOND, before).is_empty(), "a mere beat is no news for limiters");
 }
+
+/// A limiter that goes from one teller to another whose list is not whole yet must not hold the rest to be silent for good
+/// (1 of 100 limiters in a scale run): the second teller's next word on a server ends the doubt, with a report that is known.
+#[rstest]
+fn a_doubt_ends_with_the_next_word_on_a_server() {
+    let mut watch = Watch::default();
+    watch.hear(SECOND, &report("a", 3, Phase::Ready));
+    watch.doubt(|_| true);
+    assert!(watch.report(SECOND, "a").expect("known").silent);
+    assert_eq!(watch.hear(2 * SECOND, &report("a", 2, Phase::Ready)), Heard::Late, "an older word is none");
+    assert_eq!(watch.hear(2 * SECOND, &report("a", 3, Phase::Ready)), Heard::News);
+    assert!(!watch.report(SECOND, "a").expect("known").silent);
+}
