--- a/crates/exchange/src/core.rs
+++ b/crates/exchange/src/core.rs
@@ -5,7 +5,7 @@
 
 use crate::clock::{self, now, Micros};
 use crate::disk::Disk;
-use crate::link::Links;
+use crate::link::{self, Links};
 use crate::messages::{Call, Ping, Pong, Reply};
 use limeway_ballot::{Acceptor, Node, Recovery, Slot, Told, Word};
 use limeway_jackfield::Settings;
@@ -150,11 +150,7 @@
     }
 
     fn seeds(&self) -> Vec<Node> {
-        let ip = |s: &std::net::SocketAddr| match s {
-            std::net::SocketAddr::V4(a) => Some(Node::from(*a.ip())),
-            std::net::SocketAddr::V6(_) => None,
-        };
-        let mut seeds: Vec<Node> = self.named.borrow().iter().filter_map(ip).collect();
+        let mut seeds: Vec<Node> = link::nodes(&self.named.borrow());
         seeds.sort_unstable();
         seeds.dedup();
         seeds
--- a/crates/exchange/src/edge.rs
+++ b/crates/exchange/src/edge.rs
@@ -4,7 +4,7 @@
 
 use crate::clock::{self, now, Micros};
 use crate::core::Core;
-use crate::link::Links;
+use crate::link::{self, Links};
 use crate::messages::{Call, Reply};
 use crate::outbound::Pools;
 use limeway_jackfield::Settings;
@@ -199,11 +199,7 @@
     }
 
     fn seeds(&self) -> Vec<Node> {
-        let ip = |s: &std::net::SocketAddr| match s {
-            std::net::SocketAddr::V4(a) => Some(Node::from(*a.ip())),
-            std::net::SocketAddr::V6(_) => None,
-        };
-        self.seeds.borrow().iter().filter_map(ip).collect()
+        link::nodes(&self.seeds.borrow())
     }
 
     /// The settings file has changed: what it says of seeds counts from now on.
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod directory;
 pub mod disk;
 pub mod edge;
+pub mod front;
 pub mod link;
 pub mod messages;
 pub mod outbound;
--- a/crates/exchange/src/link.rs
+++ b/crates/exchange/src/link.rs
@@ -7,6 +7,7 @@
 use crate::messages::{Call, Reply};
 use bytes::BytesMut;
 use limeway_trunk as trunk;
+use serde::de::DeserializeOwned;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::fmt;
@@ -162,28 +163,35 @@
     alive.set(false);
 }
 
-async fn receive(mut read: OwnedReadHalf, waiting: &Waiting) {
-    let mut buffer = BytesMut::new();
+/// Reads the next frame of a connection; nothing once it has ended, rested too long, or carried what is no frame.
+async fn next_frame<T: DeserializeOwned>(
+    read: &mut OwnedReadHalf,
+    buffer: &mut BytesMut,
+) -> Option<(u32, T)> {
     loop {
-        match trunk::read::<Reply>(&mut buffer) {
-            Ok(Some((number, reply))) => {
-                if let Some(tell) = waiting.borrow_mut().remove(&number) {
-                    let _ = tell.send(reply);
-                }
-                continue;
-            }
+        match trunk::read::<T>(buffer) {
+            Ok(Some(frame)) => return Some(frame),
             Ok(None) => {}
             Err(e) => {
                 log::warn!("link: {e}");
-                return;
+                return None;
             }
         }
         if buffer.is_empty() && buffer.capacity() > BUFFER_KEPT {
-            buffer = BytesMut::new();
+            *buffer = BytesMut::new();
         }
-        match timeout(IDLE, read.read_buf(&mut buffer)).await {
+        match timeout(IDLE, read.read_buf(buffer)).await {
             Ok(Ok(n)) if n > 0 => {}
-            _ => return,
+            _ => return None,
+        }
+    }
+}
+
+async fn receive(mut read: OwnedReadHalf, waiting: &Waiting) {
+    let mut buffer = BytesMut::new();
+    while let Some((number, reply)) = next_frame::<Reply>(&mut read, &mut buffer).await {
+        if let Some(tell) = waiting.borrow_mut().remove(&number) {
+            let _ = tell.send(reply);
         }
     }
 }
@@ -227,40 +235,32 @@
     tokio::task::spawn_local(send(write, queue, Rc::new(Cell::new(true))));
     let under_way = Rc::new(Cell::new(0usize));
     let mut buffer = BytesMut::new();
-    loop {
-        match trunk::read::<Call>(&mut buffer) {
-            Ok(Some((number, call))) => {
-                if under_way.get() >= CALLS_MOST {
-                    return;
-                }
-                let counted = limeway_line::conn::Counted::new(&under_way);
-                let (reply, out) = (answer(call), out.clone());
-                tokio::task::spawn_local(async move {
-                    let _counted = counted;
-                    let reply = reply.await;
-                    let mut frame = Vec::new();
-                    if trunk::write(&mut frame, number, &reply).is_ok() {
-                        let _ = out.send(frame).await;
-                    }
-                });
-                continue;
-            }
-            Ok(None) => {}
-            Err(e) => {
-                log::warn!("link: {e}");
-                return;
-            }
-        }
-        if buffer.is_empty() && buffer.capacity() > BUFFER_KEPT {
-            buffer = BytesMut::new();
-        }
-        match timeout(IDLE, read.read_buf(&mut buffer)).await {
-            Ok(Ok(n)) if n > 0 => {}
-            _ => return,
+    while let Some((number, call)) = next_frame::<Call>(&mut read, &mut buffer).await {
+        if under_way.get() >= CALLS_MOST {
+            return;
         }
+        let counted = limeway_line::conn::Counted::new(&under_way);
+        let (reply, out) = (answer(call), out.clone());
+        tokio::task::spawn_local(async move {
+            let _counted = counted;
+            let reply = reply.await;
+            let mut frame = Vec::new();
+            if trunk::write(&mut frame, number, &reply).is_ok() {
+                let _ = out.send(frame).await;
+            }
+        });
     }
 }
 
+/// The machines of some addresses.
+pub fn nodes(addresses: &[SocketAddr]) -> Vec<u32> {
+    let ip = |a: &SocketAddr| match a {
+        SocketAddr::V4(a) => Some(u32::from(*a.ip())),
+        SocketAddr::V6(_) => None,
+    };
+    addresses.iter().filter_map(ip).collect()
+}
+
 /// The ways to all processes that this one talks to.
 pub struct Links {
     port: u16,
--- a/crates/exchange/src/service.rs
+++ b/crates/exchange/src/service.rs
@@ -4,7 +4,8 @@
 use crate::core::Core;
 use crate::disk::Disk;
 use crate::edge::Edge;
-use crate::switch::{self, Front};
+use crate::front::{self, Front};
+use crate::switch;
 use crate::{control, link};
 use error_stack::{Report, ResultExt};
 use limeway_ballot::{Acceptor, Node};
@@ -126,7 +127,7 @@
 ) -> Result<(), Report<StartError>> {
     let (frontend, readiness, grace) = (settings.frontend, settings.readiness, settings.bounds.grace);
     let directory = settings.directory;
-    let front = Front::new(settings.fds.saturating_sub(FDS_ASIDE));
+    let clients = Front::new(settings.fds.saturating_sub(FDS_ASIDE));
     let edge = Edge::new(settings);
     let answering = edge.clone();
     tokio::task::spawn_local(link::listen(bind(inner)?, move |call| answering.clone().answer(call)));
@@ -141,24 +142,25 @@
     tokio::task::spawn_local(edge.clone().follow());
     tokio::task::spawn_local(edge.clone().lease());
     tokio::task::spawn_local(edge.clone().tidy());
-    tokio::task::spawn_local(switch::account(edge.clone(), front.clone()));
+    tokio::task::spawn_local(front::account(edge.clone(), clients.clone()));
     let mut taking = None;
     if let Some(address) = frontend {
-        taking = Some(tokio::task::spawn_local(switch::listen(edge.clone(), front.clone(), bind(address)?)));
+        taking =
+            Some(tokio::task::spawn_local(switch::listen(edge.clone(), clients.clone(), bind(address)?)));
     }
     terminate.recv().await;
     let (begun, grace) = (Instant::now(), Duration::from_micros(grace));
     log::info!("told to end");
     edge.leaving.set(true);
     edge.hurry.notify_one();
-    front.closing.set(true);
-    front.close.notify_waiters();
+    clients.closing.set(true);
+    clients.close.notify_waiters();
     sleep(grace.mul_f64(LEAVING)).await;
     if let Some(taking) = taking {
         taking.abort();
     }
-    front.close.notify_waiters();
-    while front.busy.get() > 0 && begun.elapsed() < grace.saturating_sub(MARGIN) {
+    clients.close.notify_waiters();
+    while clients.busy.get() > 0 && begun.elapsed() < grace.saturating_sub(MARGIN) {
         sleep(Duration::from_millis(25)).await;
     }
     // The last answers are on their way out.
--- a/crates/exchange/src/switch.rs
+++ b/crates/exchange/src/switch.rs
@@ -2,19 +2,18 @@
 
 use crate::clock::{draw, now, Micros};
 use crate::edge::Edge;
+use crate::front::Front;
 use crate::outbound::{Came, Parcel};
 use limeway_line::conn::Reply;
 use limeway_line::http;
 use limeway_line::inbound::{Bounds, Inbound, Message, Stop};
 use limeway_numbering::plan::{Route, Tenant};
 use limeway_selector::Outcome;
-use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::cell::Cell;
 use std::io::Write;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
 /// Longest body of a request that is held, whatever a configuration allows, in bytes.
@@ -36,73 +35,6 @@
 /// When to come back where nothing can be served now.
 const LATER: f64 = 0.25;
 
-/// The connections of clients.
-pub struct Front {
-    /// Connections that are open.
-    pub open: Rc<Cell<usize>>,
-    /// Requests that are being worked on.
-    pub busy: Cell<usize>,
-    /// Idle connections are closed, and no answer keeps one open.
-    pub closing: Cell<bool>,
-    /// Tells idle connections to go.
-    pub close: Notify,
-    /// Answers given since the last account: those of servers, and our own by status.
-    given: RefCell<BTreeMap<u16, u32>>,
-    /// Time that was spent here on requests that a server answered at the first try, in steps of a quarter of a millisecond.
-    added: RefCell<Vec<u32>>,
-    most: usize,
-}
-
-impl Front {
-    /// Of so many connections at most.
-    pub fn new(most: usize) -> Rc<Self> {
-        Rc::new(Front {
-            open: Rc::default(),
-            busy: Cell::new(0),
-            closing: Cell::new(false),
-            close: Notify::new(),
-            given: RefCell::default(),
-            added: RefCell::new(vec![0; ADDED_STEPS]),
-            most: most.max(16),
-        })
-    }
-}
-
-/// Steps of the time added that are told apart, a quarter of a millisecond each; the last holds all above.
-const ADDED_STEPS: usize = 80;
-/// The step from which on time added is more than it should be: 4.5 ms.
-const SLOW_STEP: usize = 18;
-/// Pause between two accounts.
-const ACCOUNT: Duration = Duration::from_secs(2);
-
-/// Tells from time to time what was answered, for ever.
-pub async fn account(edge: Rc<Edge>, front: Rc<Front>) {
-    loop {
-        sleep(ACCOUNT).await;
-        let given = std::mem::take(&mut *front.given.borrow_mut());
-        if !given.is_empty() && log::log_enabled!(log::Level::Info) {
-            let (open, quotas) = (front.open.get(), edge.quotas());
-            let added: Vec<u32> = front.added.borrow_mut().iter_mut().map(std::mem::take).collect();
-            let (half, most) = (within(&added, 0.5), within(&added, 0.99));
-            let timed: u32 = added.iter().sum();
-            let slow: u32 = added.iter().skip(SLOW_STEP).sum();
-            let waited = edge.waited.take();
-            log::info!(open, timed, slow, waited, added_p50_ms = half, added_p99_ms = most, quotas = quotas.as_str(); "answered {given:?}");
-        }
-    }
-}
-
-/// The time within which such a part lies, in milliseconds.
-fn within(steps: &[u32], part: f64) -> f64 {
-    let all: u32 = steps.iter().sum();
-    let mut so_far = 0;
-    let at = steps.iter().position(|n| {
-        so_far += n;
-        f64::from(so_far) >= part * f64::from(all)
-    });
-    (at.unwrap_or(0) + 1) as f64 / 4.0
-}
-
 /// An answer of our own.
 struct Own {
     status: u16,
@@ -140,7 +72,7 @@
             sleep(Duration::from_millis(20)).await;
             continue;
         };
-        if front.open.get() >= front.most {
+        if front.full() {
             // Idle ones make room; this one is told to try another limiter by its close.
             front.close.notify_waiters();
             continue;
@@ -205,7 +137,7 @@
             Ok(_) => 0,
             Err(own) => own.status,
         };
-        *front.given.borrow_mut().entry(status).or_default() += 1;
+        front.answered(status);
         let (out, close) = match answer {
             Ok(reply) => (pass_on(reply, close), close),
             Err(own) => (own.write(close || own.close), close || own.close),
@@ -214,8 +146,7 @@
             return;
         }
         if at_server.get() > 0 {
-            let step = ((now() - begun).saturating_sub(at_server.get()) / 250) as usize;
-            front.added.borrow_mut()[step.min(ADDED_STEPS - 1)] += 1;
+            front.added((now() - begun).saturating_sub(at_server.get()));
         }
         if close {
             return inbound.linger().await;
--- a/crates/numbering/src/document.rs
+++ b/crates/numbering/src/document.rs
@@ -1,6 +1,7 @@
 //! What operators send, in words of the wire, and its form.
 
 use crate::Version;
+pub use limeway_jackfield::time;
 use miniserde::json::{self, Number, Value};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -320,15 +321,5 @@
     (n.is_finite() && n >= 0.0).then_some(n)
 }
 
-/// A time of a number and its unit, `ms` or `s`, in microseconds; an hour at most.
-pub fn time(text: &str) -> Option<u64> {
-    let (digits, unit) = match text.strip_suffix("ms") {
-        Some(digits) => (digits, 1e3),
-        None => (text.strip_suffix('s')?, 1e6),
-    };
-    let micros = digits.parse::<f64>().ok()? * unit;
-    (0.0..=3.6e9).contains(&micros).then_some(micros as u64)
-}
-
 /// Items by kind and name, in the order in which they were first set.
 pub type Items = BTreeMap<(Kind, String), (u64, Item)>;
