--- a/crates/exchange/src/core.rs
+++ b/crates/exchange/src/core.rs
@@ -76,8 +76,6 @@
     pub evacuations: RefCell<BTreeMap<(String, bool), Micros>>,
     /// The highest round that this machine lost against.
     pub outbid: Cell<u64>,
-    /// When a change that takes keys away was learnt here.
-    pub revoked: Cell<Micros>,
     /// When this process started.
     pub started: Micros,
     founder: bool,
@@ -118,7 +116,6 @@
             named: RefCell::new(settings.seeds.clone()),
             evacuations: RefCell::default(),
             outbid: Cell::new(0),
-            revoked: Cell::new(start),
             started: start,
             founder,
             settings,
--- a/crates/exchange/src/core/rounds.rs
+++ b/crates/exchange/src/core/rounds.rs
@@ -47,8 +47,6 @@
         let ping = |all: bool| Ping {
             node: self.me,
             counted: self.settings.counted && self.settings.data.is_some(),
-            votes: self.acceptor.borrow().votes,
-            slot: self.board.borrow().state.slot,
             beats: beats.clone(),
             members: members.clone(),
             boot: self.boot,
--- a/crates/exchange/src/core/votes.rs
+++ b/crates/exchange/src/core/votes.rs
@@ -51,9 +51,6 @@
             }
             known.clone_from(&board.state.evacuated);
             let mut acceptor = self.acceptor.borrow_mut();
-            if acceptor.applied < board.state.revoked_at && board.state.revoked_at <= board.state.slot {
-                self.revoked.set(now());
-            }
             acceptor.advance(board.state.slot);
             if self.plan.borrow().version != board.state.version {
                 match board.state.plan() {
--- a/crates/exchange/src/messages.rs
+++ b/crates/exchange/src/messages.rs
@@ -63,12 +63,6 @@
     /// It has a disk whose loss counts, and may be taken into the core.
     #[serde(rename = "c")]
     pub counted: bool,
-    /// It votes.
-    #[serde(rename = "v")]
-    pub votes: bool,
-    /// The last slot that it has.
-    #[serde(rename = "s")]
-    pub slot: Slot,
     /// Servers heard since the last round that was answered.
     #[serde(rename = "b")]
     pub beats: Vec<Report>,
--- a/crates/numbering/src/plan.rs
+++ b/crates/numbering/src/plan.rs
@@ -185,11 +185,6 @@
     Ok((tenant, spec.texts("api-keys")?))
 }
 
-/// The keys of a tenant's item.
-pub fn keys(item: &Item) -> Result<Vec<String>, BadConfig> {
-    Spec::of(item)?.texts("api-keys")
-}
-
 fn limits(item: &Item) -> Result<Limits, BadConfig> {
     let (spec, usual) = (Spec::of(item)?, Limits::default());
     Ok(Limits {
--- a/crates/numbering/src/state.rs
+++ b/crates/numbering/src/state.rs
@@ -4,7 +4,7 @@
 use crate::plan::Plan;
 use crate::Version;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Orders that are remembered, so that one that comes again is known.
 const TAKEN_MOST: usize = 1_024;
@@ -98,8 +98,6 @@
     /// The limiters that may hold blocks of quotas: a new holder of a count knows whom it has to ask.
     pub doors: BTreeSet<u32>,
     taken: VecDeque<Taken>,
-    /// The slot of the last change that took keys away.
-    pub revoked_at: u64,
 }
 
 impl State {
@@ -160,32 +158,12 @@
         items
     }
 
-    /// Whether a change takes keys away. Only tenants that it touches are read: a whole snapshot for it would cost each limiter
-    /// as much again as the change itself.
-    fn revokes(&self, whole: bool, set: &[Item], drop: &[(Kind, String)]) -> bool {
-        let keys = |item: &Item| crate::plan::keys(item).unwrap_or_default();
-        let tenants = self.items().filter(|i| i.kind == Kind::Tenant);
-        let set: HashMap<&str, &Item> =
-            set.iter().filter(|i| i.kind == Kind::Tenant).map(|i| (i.name.as_str(), i)).collect();
-        let dropped = |i: &Item| drop.iter().any(|(kind, name)| *kind == Kind::Tenant && *name == i.name);
-        tenants.into_iter().any(|old| match set.get(old.name.as_str()) {
-            Some(new) => {
-                old.spec != new.spec && {
-                    let kept = keys(new);
-                    keys(old).iter().any(|key| !kept.contains(key))
-                }
-            }
-            None => whole || dropped(old),
-        })
-    }
-
     /// Takes in the operation chosen for the next slot. Whoever proposed it has checked it against this very state.
     pub fn apply(&mut self, op: &Op) {
         self.slot += 1;
         match op {
             Op::Core(core) => self.core = core.clone(),
             Op::Config { version, base, whole, set, drop, digest } => {
-                let revokes = self.revokes(*whole, set, drop);
                 self.items = self.changed(*whole, set, drop);
                 self.next = self.items.iter().map(|(at, _)| *at).max().unwrap_or(0);
                 (self.version, self.base) = (*version, *base);
@@ -193,9 +171,6 @@
                 while self.taken.len() > TAKEN_MOST {
                     self.taken.pop_front();
                 }
-                if revokes {
-                    self.revoked_at = self.slot;
-                }
             }
             Op::Doors { add, drop } => {
                 self.doors.retain(|d| !drop.contains(d));
--- a/crates/numbering/tests/orders.rs
+++ b/crates/numbering/tests/orders.rs
@@ -91,7 +91,7 @@
     assert!(state.has_taken(&order), "the same order again is known");
     let plan = state.plan().expect("plan");
     assert_eq!(plan.route("a.example", "/x/long/1").expect("route").timeout, 900_000);
-    assert_eq!((plan.services.len(), plan.tenants.len(), state.revoked_at), (2, 0, state.slot));
+    assert_eq!((plan.services.len(), plan.tenants.len()), (2, 0));
     // Another order under the same version is another order.
     let other = Order::read(text.replace("900ms", "901ms").as_bytes(), false).expect("form");
     assert!(!state.has_taken(&other));
@@ -139,19 +139,3 @@
     assert!(!step(&mut state, false), "one that is not in force cannot be taken back");
     assert!(step(&mut state, true));
 }
-
-/// A change is known to take keys away by what it touches, and only then.
-#[rstest]
-#[case::a_key_gone(&TENANT.replace(r#""k1","k2""#, r#""k1""#), "", true)]
-#[case::a_key_more(&TENANT.replace(r#""k1","k2""#, r#""k1","k2","k3""#), "", false)]
-#[case::another_limit(&TENANT.replace("\"rate-per-s\":5", "\"rate-per-s\":6"), "", false)]
-#[case::the_tenant_gone("", r#""t1""#, true)]
-#[case::another_tenant(&TENANT.replace("t1", "t9").replace("k1", "k8").replace("k2", "k9"), "", false)]
-fn what_takes_keys_away_is_known(#[case] set: &str, #[case] drop: &str, #[case] revokes: bool) {
-    let mut state = state();
-    let text = format!(
-        r#"{{"config-version":"00000005","base-version":"00000002","upsert":{{"resource-list":[{set}]}},"remove":{{"tenants":[{drop}]}}}}"#
-    );
-    take(&mut state, &text, false);
-    assert_eq!(state.revoked_at == state.slot, revokes);
-}
--- a/crates/ringer/src/scale.rs
+++ b/crates/ringer/src/scale.rs
@@ -8,7 +8,7 @@
 use limeway_exchange::{clock, link};
 use limeway_jackfield::Settings;
 use limeway_line::conn::Conn;
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::Path;
@@ -136,9 +136,8 @@
 
 /// Servers report over a few connections a core machine, as many as they are.
 async fn beats(control: Vec<SocketAddr>, servers: usize, net: u8, count: Rc<Cell<u64>>) {
-    let turn = Rc::new(RefCell::new(0u64));
     for line in 0..LINES * control.len() {
-        let (to, count, turn) = (control[line % control.len()], count.clone(), turn.clone());
+        let (to, count) = (control[line % control.len()], count.clone());
         let lines = LINES * control.len();
         spawn_local(async move {
             let mut conn: Option<Conn> = None;
@@ -172,7 +171,6 @@
                         _ => conn = None,
                     }
                 }
-                *turn.borrow_mut() += 1;
                 tokio::time::sleep_until(begun + BEAT).await;
             }
         });
--- a/crates/ringer/src/system.rs
+++ b/crates/ringer/src/system.rs
@@ -50,7 +50,6 @@
     pub servers: Vec<Rc<Server>>,
     /// Zones, with their regions.
     pub zones: Vec<(String, String)>,
-    net: u8,
 }
 
 /// The lines of a core machine's own.
@@ -131,7 +130,6 @@
             machines: (0..core + edges.min(100)).map(machine).collect(),
             servers: Vec::new(),
             zones: zones.clone(),
-            net,
         };
         for at in 0..system.machines.len() {
             system.run(at, true)?;
@@ -286,9 +284,4 @@
         }
         Ok(())
     }
-
-    /// The part of the loopback addresses that is this system's own.
-    pub fn net(&self) -> u8 {
-        self.net
-    }
 }
--- a/crates/roster/src/lib.rs
+++ b/crates/roster/src/lib.rs
@@ -114,13 +114,6 @@
         }
     }
 
-    /// A member is gone: its connection broke.
-    pub fn lost(&mut self, node: Node) {
-        if let Some(member) = self.members.get_mut(&node) {
-            member.ready = false;
-        }
-    }
-
     /// Forgets members long gone.
     pub fn sweep(&mut self, now: Micros) {
         self.members.retain(|_, m| now.saturating_sub(m.heard) < LEASE + REMEMBERED);
@@ -134,18 +127,6 @@
             .filter(move |(_, m)| held(m))
             .map(|(n, m)| (*n, m.front, m.zone.as_str(), m.ready))
     }
-
-    /// All that are known, for another machine.
-    pub fn told(&self, now: Micros) -> Vec<Presence> {
-        let presence = |(node, m): (&Node, &Member)| Presence {
-            node: *node,
-            front: m.front,
-            zone: m.zone.clone(),
-            ready: m.ready,
-            age: now.saturating_sub(m.heard),
-        };
-        self.members.iter().filter(|(_, m)| now.saturating_sub(m.heard) <= LEASE).map(presence).collect()
-    }
 }
 
 /// A claim to a group.
--- a/crates/selector/src/lib.rs
+++ b/crates/selector/src/lib.rs
@@ -229,11 +229,6 @@
         self.seats.get(id).filter(|s| s.mean > 0.0).map(|s| s.mean as Micros)
     }
 
-    /// What is out at a server.
-    pub fn out(&self, id: &Rc<str>) -> u32 {
-        self.seats.get(id).map_or(0, |s| s.out)
-    }
-
     /// Forgets servers not seen for long.
     pub fn sweep(&mut self, now: Micros) {
         self.seats.retain(|_, s| s.out > 0 || now.saturating_sub(s.seen) < FORGOTTEN);
--- a/crates/toll/src/count.rs
+++ b/crates/toll/src/count.rs
@@ -169,14 +169,4 @@
                 || t.parts.values().any(|p| p.until.saturating_sub(start) / length >= window)
         });
     }
-
-    /// Tenants in the count.
-    pub fn len(&self) -> usize {
-        self.tenants.len()
-    }
-
-    /// Whether nothing is granted.
-    pub fn is_empty(&self) -> bool {
-        self.tenants.is_empty()
-    }
 }
--- a/crates/toll/src/escrow.rs
+++ b/crates/toll/src/escrow.rs
@@ -414,14 +414,4 @@
         };
         self.holds.iter().map(one).collect::<Vec<_>>().join("; ")
     }
-
-    /// Tenants known here.
-    pub fn len(&self) -> usize {
-        self.holds.len()
-    }
-
-    /// Whether none is.
-    pub fn is_empty(&self) -> bool {
-        self.holds.is_empty()
-    }
 }
