--- a/crates/exchange/src/switch.rs
+++ b/crates/exchange/src/switch.rs
@@ -283,6 +283,12 @@
     Rc::from(route.split.last().map_or("", |(name, _)| name.as_str()))
 }
 
+/// Whether the homes of a route and of a tenant have no region in common; one that names none allows all.
+fn nowhere(homes: [&[String]; 2]) -> bool {
+    let [route, tenant] = homes;
+    !route.is_empty() && !tenant.is_empty() && !route.iter().any(|r| tenant.contains(r))
+}
+
 /// Serves a request: a server's answer, or one of our own.
 async fn handle(edge: &Rc<Edge>, message: &Message, at_server: &Cell<Micros>) -> Result<Reply, Own> {
     let start = now();
@@ -290,13 +296,17 @@
     let Wanted { route, tenant, parcel, left } = wanted;
     let end = start + left;
     let service = service(&route);
+    let homes: [&[String]; 2] = [&route.homes, tenant.as_ref().map_or(&[], |t| &t.homes)];
+    if nowhere(homes) {
+        // Both bind, and have no region in common: no try at any time can be served, and no unit is spent on it.
+        return Err(Own::new(503));
+    }
     edge.tries.borrow_mut().first(start, &service);
     if let Some(tenant) = &tenant {
         if let Err(wait) = edge.unit(&tenant.name, tenant.rate, tenant.burst).await {
             return Err(Own::later(429, wait as f64 / 1e6));
         }
     }
-    let homes: [&[String]; 2] = [&route.homes, tenant.as_ref().map_or(&[], |t| &t.homes)];
     let mut tried: Vec<Rc<str>> = Vec::new();
     // What has been learnt so far, should nothing better come: whether it may have run, and an answer of a server.
     let mut may_have_run = false;
@@ -429,3 +439,25 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::nowhere;
+    use rstest::rstest;
+
+    /// A request that no region may serve is refused at once, with no advice to come back (vrcp-clear fresh-775c).
+    #[rstest]
+    #[case(&[], &[], false)]
+    #[case(&["a", "b"], &[], false)]
+    #[case(&[], &["c"], false)]
+    #[case(&["a", "b"], &["b", "c"], false)]
+    #[case(&["a", "b"], &["c"], true)]
+    fn homes_without_a_region_in_common_lead_nowhere(
+        #[case] route: &[&str],
+        #[case] tenant: &[&str],
+        #[case] so: bool,
+    ) {
+        let owned = |names: &[&str]| names.iter().map(|n| (*n).to_owned()).collect::<Vec<_>>();
+        assert_eq!(nowhere([&owned(route), &owned(tenant)]), so);
+    }
+}
