--- a/crates/marker/src/contact.rs
+++ b/crates/marker/src/contact.rs
@@ -335,10 +335,14 @@
         }
     }
 
-    /// Whether another machine has shown itself lately, and is in touch itself.
-    pub(crate) fn well(&self, now: Micros, node: Node) -> bool {
-        self.shown.get(&node).is_some_and(|s| {
-            now < s.last + SHOWS && s.standing.touch && s.standing.sound && !s.standing.leaving
+    /// Whether the machine of a seat has shown itself lately, in that life of its disk, and is in touch itself.
+    pub(crate) fn well(&self, now: Micros, seat: Seat) -> bool {
+        self.shown.get(&seat.node).is_some_and(|s| {
+            s.standing.life == seat.life
+                && now < s.last + SHOWS
+                && s.standing.touch
+                && s.standing.sound
+                && !s.standing.leaving
         })
     }
 }
--- a/crates/marker/src/duties.rs
+++ b/crates/marker/src/duties.rs
@@ -19,8 +19,8 @@
             return Vec::new();
         }
         let me = self.start.me;
-        let seats = self.board.state.core_nodes();
-        let live: Vec<Node> = seats.into_iter().filter(|n| *n == me || self.well(now, *n)).collect();
+        let seats = self.board.state.core.iter().filter(|s| s.node == me || self.well(now, **s));
+        let live: Vec<Node> = seats.map(|s| s.node).collect();
         self.duties.claims(now, me, self.start.boot, &live, &self.votes)
     }
 
