--- a/crates/exchange/src/core.rs
+++ b/crates/exchange/src/core.rs
@@ -68,7 +68,7 @@
     /// One ballot at a time from this machine.
     pub proposing: tokio::sync::Mutex<()>,
     /// The configuration, for the counts that are held here.
-    plan: RefCell<Rc<Plan>>,
+    pub plan: RefCell<Rc<Plan>>,
     evacuated: RefCell<BTreeMap<String, u32>>,
     /// Seeds as the settings file names them.
     named: RefCell<Vec<std::net::SocketAddr>>,
--- a/crates/exchange/src/core/votes.rs
+++ b/crates/exchange/src/core/votes.rs
@@ -40,7 +40,7 @@
 
     pub(super) async fn applied(self: &Rc<Self>) {
         {
-            let board = self.board.borrow();
+            let mut board = self.board.borrow_mut();
             let mut known = self.evacuated.borrow_mut();
             for zone in self.settings.zones.keys() {
                 let count = |m: &BTreeMap<String, u32>| m.get(zone).copied().unwrap_or(0);
@@ -53,7 +53,8 @@
             let mut acceptor = self.acceptor.borrow_mut();
             acceptor.advance(board.state.slot);
             if self.plan.borrow().version != board.state.version {
-                match board.state.plan() {
+                let plan = board.state.plan_from(&self.plan.borrow());
+                match plan {
                     Ok(plan) => *self.plan.borrow_mut() = Rc::new(plan),
                     Err(e) => log::error!("configuration in force cannot be read: {e}"),
                 }
--- a/crates/exchange/src/edge.rs
+++ b/crates/exchange/src/edge.rs
@@ -269,9 +269,10 @@
         let before = self.board.borrow().state.evacuated.clone();
         let changed = self.board.borrow_mut().take(t, asked, slot, feed);
         if changed.state {
-            let board = self.board.borrow();
+            let mut board = self.board.borrow_mut();
             if board.state.version != self.plan.borrow().version {
-                match board.state.plan() {
+                let plan = board.state.plan_from(&self.plan.borrow());
+                match plan {
                     Ok(plan) => *self.plan.borrow_mut() = Rc::new(plan),
                     Err(e) => log::error!("configuration in force cannot be read: {e}"),
                 }
--- a/crates/exchange/src/propose.rs
+++ b/crates/exchange/src/propose.rs
@@ -170,30 +170,32 @@
             if self.board.borrow().state.has_taken(&order) {
                 return Ok(());
             }
-            let refusal = self.board.borrow().state.check(&order).err();
-            if let Some(refusal) = refusal {
-                // A machine that is behind must not refuse by an old state.
-                if !refreshed {
-                    refreshed = true;
-                    let begun = now();
-                    while self.settled.get() < begun {
-                        if Instant::now() >= until {
-                            return Err(Declined::Unclear);
-                        }
-                        if !self.round().await {
-                            sleep(Duration::from_millis(20)).await;
+            let admitted = self.board.borrow().state.admit(&order, &self.plan.borrow());
+            let op = match admitted {
+                Ok(op) => op,
+                Err(refusal) => {
+                    // A machine that is behind must not refuse by an old state.
+                    if !refreshed {
+                        refreshed = true;
+                        let begun = now();
+                        while self.settled.get() < begun {
+                            if Instant::now() >= until {
+                                return Err(Declined::Unclear);
+                            }
+                            if !self.round().await {
+                                sleep(Duration::from_millis(20)).await;
+                            }
                         }
+                        continue;
                     }
-                    continue;
+                    return Err(match refusal {
+                        Refusal::Stale(_) => Declined::Stale,
+                        Refusal::Invalid(e) => Declined::Invalid(e),
+                        Refusal::Forgotten => Declined::Unclear,
+                    });
                 }
-                return Err(match refusal {
-                    Refusal::Stale(_) => Declined::Stale,
-                    Refusal::Invalid(e) => Declined::Invalid(e),
-                });
-            }
-            let op = Op::from(order.clone());
-            let base = order.base;
-            match self.propose(&op, |state| state.version == base).await {
+            };
+            match self.propose(&op, |state| state.fits(&op)).await {
                 Ok(()) => {
                     log::info!(version, digest; "configuration taken");
                     return Ok(());
@@ -211,7 +213,7 @@
     /// Begins to evacuate a zone, or takes that back. Neither call says whether it is a new one or one sent again without a
     /// clear answer: one that comes soon after its like is held to be that one again.
     pub async fn evacuate(self: &Rc<Self>, zone: &str, begun: bool) -> Result<(), Declined> {
-        let op = Op::Evacuate { zone: zone.to_owned(), begun };
+        let op = Op::Evacuate { zone: zone.to_owned(), begun, mark: 0, again: 0 };
         for _ in 0..BALLOTS_MOST {
             let count = self.board.borrow().state.evacuated.get(zone).copied().unwrap_or(0);
             let seen =
--- a/crates/numbering/src/document.rs
+++ b/crates/numbering/src/document.rs
@@ -1,10 +1,11 @@
 //! What operators send, in words of the wire, and its form.
 
+use crate::items::Entry;
 use crate::Version;
 pub use limeway_jackfield::time;
 use miniserde::json::{self, Number, Value};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use sha2::{Digest, Sha256};
 use std::fmt;
 
 /// Longest order of an operator, in bytes.
@@ -99,18 +100,36 @@
     pub set: Vec<Item>,
     /// The items to remove.
     pub drop: Vec<(Kind, String)>,
-    /// Tells this order from any other under its version.
-    pub digest: u64,
+    /// Tells this order from any other: see [`digest`].
+    pub digest: u128,
 }
 
-/// FNV-1a over what was sent: equal orders have equal digests on every machine.
-pub fn digest(bytes: &[u8]) -> u64 {
-    bytes.iter().fold(0xcbf2_9ce4_8422_2325, |hash, b| (hash ^ u64::from(*b)).wrapping_mul(0x0100_0000_01b3))
+/// The half of a SHA-256 over all that an order says, each text with its length before it: the same on every machine, and
+/// nobody can make two orders that share it. Orders that say the same in other words (blanks, the order of fields) are one.
+fn digest(version: Version, base: Version, whole: bool, set: &[Item], drop: &[(Kind, String)]) -> u128 {
+    let mut hash = Sha256::new();
+    let mut text = |text: &str| {
+        hash.update((text.len() as u64).to_be_bytes());
+        hash.update(text);
+    };
+    // Which call it came by belongs to it: the same words mean another thing there.
+    text(if whole { "config.replace" } else { "config.update" });
+    text(&format!("{version:08x} {base:08x} {}", set.len()));
+    for item in set {
+        [item.kind.word(), &item.name, &item.spec].into_iter().for_each(&mut text);
+    }
+    for (kind, name) in drop {
+        [kind.word(), name].into_iter().for_each(&mut text);
+    }
+    let mut half = [0; 16];
+    half.iter_mut().zip(hash.finalize()).for_each(|(to, from)| *to = from);
+    u128::from_be_bytes(half)
 }
 
 fn version(object: &json::Object, field: &str) -> Result<Version, BadConfig> {
     match object.get(field) {
-        Some(Value::String(text)) if !text.is_empty() && text.len() <= 8 => {
+        // A sign would be read as well.
+        Some(Value::String(text)) if text.len() <= 8 && !text.starts_with('+') => {
             Version::from_str_radix(text, 16).map_err(|_| BadConfig::new(field, "is not hexadecimal"))
         }
         Some(Value::Number(Number::U64(n))) => {
@@ -206,23 +225,23 @@
             };
             (set, names(&order)?)
         };
-        // Which call it came by belongs to it: the same bytes mean another thing there.
-        let digest = digest(body) ^ u64::from(whole);
+        let digest = digest(version, base, whole, &set, &drop);
         Ok(Order { version, base, whole, set, drop, digest })
     }
 }
 
 /// Writes a configuration as it is read back.
-pub fn write<'a>(version: Version, base: Version, items: impl Iterator<Item = &'a Item>) -> String {
-    let quoted = |s: &String| json::to_string(s);
+pub fn write<'a>(version: Version, base: Version, items: impl Iterator<Item = Entry<'a>>) -> String {
     let mut text =
         format!("{{\"config-version\":\"{version:08x}\",\"base-version\":\"{base:08x}\",\"resource-list\":[");
     for (at, item) in items.enumerate() {
         if at > 0 {
             text.push(',');
         }
-        let metadata =
-            if item.name.is_empty() { String::new() } else { format!("\"name\":{}", quoted(&item.name)) };
+        let metadata = match item.name {
+            "" => String::new(),
+            name => format!("\"name\":{}", json::to_string(name)),
+        };
         text.push_str(&format!(
             "{{\"resource-kind\":\"{}\",\"metadata\":{{{metadata}}},\"specification\":{}}}",
             item.kind.word(),
@@ -235,16 +254,16 @@
 
 /// The fields of a specification, read one by one.
 pub struct Spec<'a> {
-    at: &'a Item,
+    at: Entry<'a>,
     fields: json::Object,
 }
 
 impl<'a> Spec<'a> {
     /// Of an item.
-    pub fn of(at: &'a Item) -> Result<Self, BadConfig> {
-        match json::from_str::<Value>(&at.spec) {
+    pub fn of(at: Entry<'a>) -> Result<Self, BadConfig> {
+        match json::from_str::<Value>(at.spec) {
             Ok(Value::Object(fields)) => Ok(Spec { at, fields }),
-            _ => Err(BadConfig::new(&at.name, "is no object")),
+            _ => Err(BadConfig::new(at.name, "is no object")),
         }
     }
 
@@ -320,6 +339,3 @@
     };
     (n.is_finite() && n >= 0.0).then_some(n)
 }
-
-/// Items by kind and name, in the order in which they were first set.
-pub type Items = BTreeMap<(Kind, String), (u64, Item)>;
--- a/crates/numbering/src/plan.rs
+++ b/crates/numbering/src/plan.rs
@@ -1,9 +1,11 @@
 //! An immutable snapshot of a configuration, made for answering requests.
 
-use crate::document::{BadConfig, Item, Kind, Spec};
+use crate::document::{BadConfig, Kind, Spec};
+use crate::items::{Entry, Step};
+use crate::shards::Shards;
 use crate::{Micros, Version};
 use miniserde::json::Value;
-use std::collections::{HashMap, HashSet};
+use std::cmp::Ordering;
 use std::rc::Rc;
 
 /// A route.
@@ -80,28 +82,38 @@
     }
 }
 
-/// A whole configuration, ready for use.
-#[derive(Debug, Clone, Default)]
+/// A whole configuration, ready for use. A copy shares all that does not change.
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Plan {
     /// Its version.
     pub version: Version,
-    hosts: HashMap<String, Vec<Rc<Route>>>,
+    /// Routes by host, the longest prefix first.
+    hosts: Shards<Vec<Rc<Route>>>,
     /// Services by name.
-    pub services: HashMap<String, Rc<Service>>,
-    keys: HashMap<String, Rc<Tenant>>,
+    pub services: Shards<Rc<Service>>,
+    keys: Shards<Rc<Tenant>>,
     /// Tenants by name.
-    pub tenants: HashMap<String, Rc<Tenant>>,
+    pub tenants: Shards<Rc<Tenant>>,
     /// What clients may send.
     pub limits: Limits,
 }
 
-fn route(item: &Item) -> Result<Route, BadConfig> {
+/// The host, in lower case, and the prefix of a route.
+fn place(spec: &Spec) -> Result<(String, String), BadConfig> {
+    Ok((spec.text("hostname")?.to_ascii_lowercase(), spec.text("path-prefix")?.to_owned()))
+}
+
+/// Long prefixes go before short ones; of equal length there are no two that begin one path.
+fn order(a: &str, b: &str) -> Ordering {
+    b.len().cmp(&a.len()).then_with(|| a.cmp(b))
+}
+
+fn route(item: Entry) -> Result<Route, BadConfig> {
     let spec = Spec::of(item)?;
-    let host = spec.text("hostname")?.to_ascii_lowercase();
+    let (host, prefix) = place(&spec)?;
     if host.is_empty() {
         return Err(spec.bad("hostname", "is empty"));
     }
-    let prefix = spec.text("path-prefix")?.to_owned();
     if !prefix.starts_with('/') {
         return Err(spec.bad("path-prefix", "does not begin with a slash"));
     }
@@ -132,13 +144,16 @@
                 };
                 split.push((service.clone(), weight));
             }
+            if split.iter().all(|(_, weight)| *weight == 0.0) {
+                return Err(spec.bad("traffic-split.weight", "is 0 for every service"));
+            }
             split
         }
         None | Some(Value::Array(_)) => vec![(spec.text("target-service")?.to_owned(), 1.0)],
         Some(_) => return Err(spec.bad("traffic-split", "is no list")),
     };
     Ok(Route {
-        name: item.name.clone(),
+        name: item.name.to_owned(),
         host,
         prefix,
         repeatable,
@@ -152,7 +167,7 @@
     })
 }
 
-fn service(item: &Item) -> Result<Service, BadConfig> {
+fn service(item: Entry) -> Result<Service, BadConfig> {
     let spec = Spec::of(item)?;
     Ok(Service {
         health: match spec.get("health-path") {
@@ -165,7 +180,7 @@
     })
 }
 
-fn tenant(item: &Item) -> Result<(Tenant, Vec<String>), BadConfig> {
+fn tenant(item: Entry) -> Result<(Tenant, Vec<String>), BadConfig> {
     let spec = Spec::of(item)?;
     let priority = match spec.get("priority") {
         None => None,
@@ -173,10 +188,10 @@
     };
     // The name goes into a header to servers: nothing may end that header early.
     if !item.name.bytes().all(|b| b.is_ascii_graphic()) {
-        return Err(BadConfig::new(&item.name, "is no name that a header can carry"));
+        return Err(BadConfig::new(item.name, "is no name that a header can carry"));
     }
     let tenant = Tenant {
-        name: item.name.clone(),
+        name: item.name.to_owned(),
         priority,
         rate: spec.number("rate-per-s", 0.0)?,
         burst: spec.number("burst-size", 0.0)?,
@@ -185,7 +200,7 @@
     Ok((tenant, spec.texts("api-keys")?))
 }
 
-fn limits(item: &Item) -> Result<Limits, BadConfig> {
+fn limits(item: Entry) -> Result<Limits, BadConfig> {
     let (spec, usual) = (Spec::of(item)?, Limits::default());
     Ok(Limits {
         header_bytes: spec.number("max-header-bytes", usual.header_bytes as f64)? as usize,
@@ -197,50 +212,124 @@
 
 impl Plan {
     /// Makes a snapshot of items, and checks all that one item alone does not show.
-    pub fn of<'a>(version: Version, items: impl Iterator<Item = &'a Item>) -> Result<Self, BadConfig> {
+    pub fn of<'a>(version: Version, items: impl Iterator<Item = Entry<'a>>) -> Result<Self, BadConfig> {
         let mut plan = Plan { version, ..Plan::default() };
-        let mut places: HashSet<(String, String)> = HashSet::new();
         for item in items {
-            match item.kind {
-                Kind::Route => {
-                    let route = route(item)?;
-                    if !places.insert((route.host.clone(), route.prefix.clone())) {
-                        return Err(BadConfig::new(&item.name, "another route has this host and prefix"));
+            plan.put(item)?;
+        }
+        for route in plan.hosts.values().flatten() {
+            plan.reaches(route)?;
+        }
+        Ok(plan)
+    }
+
+    /// The snapshot after steps from the items that this one was made of, in the order of kinds: all that they leave alone
+    /// is shared. It is refused where [`Plan::of`] of the items after them is refused; which of several faults is named may
+    /// differ.
+    pub fn next(&self, version: Version, steps: &[Step]) -> Result<Self, BadConfig> {
+        let mut plan = Plan { version, ..self.clone() };
+        // Routes that the steps set, and those among them that still have to be put in.
+        let (mut routes, mut new) = (Vec::new(), Vec::new());
+        for step in steps {
+            let set = match step.new {
+                Some(spec) if step.kind == Kind::Route => Some(Rc::new(route(step.after(spec))?)),
+                _ => None,
+            };
+            // Most changed routes keep their place: what they were need not be read.
+            let kept = step.old.is_some() && set.as_ref().is_some_and(|route| plan.swap(route));
+            if let Some(old) = step.old.filter(|_| !kept) {
+                plan.take(step.after(old))?;
+            }
+            new.extend(set.iter().filter(|_| !kept).cloned());
+            routes.extend(set);
+        }
+        new.into_iter().try_for_each(|route| plan.put_route(route))?;
+        for step in steps.iter().filter(|s| s.kind != Kind::Route) {
+            if let Some(spec) = step.new {
+                plan.put(step.after(spec))?;
+            }
+        }
+        if steps.iter().any(|s| s.kind == Kind::Service && s.new.is_none()) {
+            routes.extend(plan.hosts.values().flatten().cloned());
+        }
+        routes.iter().try_for_each(|route| plan.reaches(route))?;
+        Ok(plan)
+    }
+
+    /// Puts an item in that is not there.
+    fn put(&mut self, item: Entry) -> Result<(), BadConfig> {
+        match item.kind {
+            Kind::Route => self.put_route(Rc::new(route(item)?))?,
+            Kind::Service => drop(self.services.insert(item.name, Rc::new(service(item)?))),
+            Kind::Tenant => {
+                let (tenant, keys) = tenant(item)?;
+                let tenant = Rc::new(tenant);
+                for key in keys {
+                    let other = self.keys.insert(&key, tenant.clone());
+                    if other.is_some_and(|other| other.name != tenant.name) {
+                        return Err(BadConfig::new(item.name, "another tenant holds one of its keys"));
                     }
-                    plan.hosts.entry(route.host.clone()).or_default().push(Rc::new(route));
                 }
-                Kind::Service => {
-                    plan.services.insert(item.name.clone(), Rc::new(service(item)?));
+                self.tenants.insert(item.name, tenant);
+            }
+            Kind::Limits => self.limits = limits(item)?,
+        }
+        Ok(())
+    }
+
+    fn put_route(&mut self, route: Rc<Route>) -> Result<(), BadConfig> {
+        match self.hosts.get_mut(&route.host) {
+            None => drop(self.hosts.insert(&route.host.clone(), vec![route])),
+            Some(routes) => match routes.binary_search_by(|r| order(&r.prefix, &route.prefix)) {
+                Ok(_) => return Err(BadConfig::new(&route.name, "another route has this host and prefix")),
+                Err(at) => routes.insert(at, route),
+            },
+        }
+        Ok(())
+    }
+
+    /// Puts a route in the place of the one of its name, if that one has this very host and prefix.
+    fn swap(&mut self, route: &Rc<Route>) -> bool {
+        let Some(routes) = self.hosts.get_mut(&route.host) else { return false };
+        let at = routes.binary_search_by(|r| order(&r.prefix, &route.prefix));
+        let old = at.ok().and_then(|at| routes.get_mut(at)).filter(|r| r.name == route.name);
+        old.map(|old| *old = route.clone()).is_some()
+    }
+
+    /// Takes an item out, as it was put in.
+    fn take(&mut self, item: Entry) -> Result<(), BadConfig> {
+        match item.kind {
+            Kind::Route => {
+                let (host, prefix) = place(&Spec::of(item)?)?;
+                let Some(routes) = self.hosts.get_mut(&host) else { return Ok(()) };
+                if let Ok(at) = routes.binary_search_by(|r| order(&r.prefix, &prefix)) {
+                    routes.remove(at);
                 }
-                Kind::Tenant => {
-                    let (tenant, keys) = tenant(item)?;
-                    let tenant = Rc::new(tenant);
-                    for key in keys {
-                        if plan
-                            .keys
-                            .insert(key, tenant.clone())
-                            .is_some_and(|other| other.name != tenant.name)
-                        {
-                            return Err(BadConfig::new(&item.name, "another tenant holds one of its keys"));
-                        }
-                    }
-                    plan.tenants.insert(item.name.clone(), tenant);
+                if routes.is_empty() {
+                    self.hosts.remove(&host);
                 }
-                Kind::Limits => plan.limits = limits(item)?,
             }
-        }
-        for route in plan.hosts.values().flatten() {
-            if let Some((service, _)) = route.split.iter().find(|(s, _)| !plan.services.contains_key(s)) {
-                return Err(BadConfig::new(
-                    format!("routes {} target-service {service}", route.name),
-                    "is no known service",
-                ));
+            Kind::Service => drop(self.services.remove(item.name)),
+            Kind::Tenant => {
+                for key in Spec::of(item)?.texts("api-keys")? {
+                    self.keys.remove(&key);
+                }
+                self.tenants.remove(item.name);
             }
+            Kind::Limits => self.limits = Limits::default(),
         }
-        for routes in plan.hosts.values_mut() {
-            routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
+        Ok(())
+    }
+
+    /// Checks that the services of a route are known.
+    fn reaches(&self, route: &Route) -> Result<(), BadConfig> {
+        match route.split.iter().find(|(service, _)| !self.services.contains_key(service)) {
+            None => Ok(()),
+            Some((service, _)) => Err(BadConfig::new(
+                format!("routes {} target-service {service}", route.name),
+                "is no known service",
+            )),
         }
-        Ok(plan)
     }
 
     /// The route of a host and a path: the longest prefix that begins the path.
--- a/crates/numbering/tests/orders.rs
+++ b/crates/numbering/tests/orders.rs
@@ -118,9 +118,9 @@
     let mut state = state();
     state.apply(&Op::Doors { add: vec![1, 2], drop: vec![] });
     state.apply(&Op::Doors { add: vec![3], drop: vec![1] });
-    state.apply(&Op::Evacuate { zone: "z".into(), begun: true });
+    state.apply(&Op::Evacuate { zone: "z".into(), begun: true, mark: 0, again: 0 });
     assert_eq!((state.doors.len(), state.evacuated.len(), state.slot), (2, 1, 4));
-    state.apply(&Op::Evacuate { zone: "z".into(), begun: false });
+    state.apply(&Op::Evacuate { zone: "z".into(), begun: false, mark: 0, again: 0 });
     assert!(state.evacuated.is_empty());
 }
 
@@ -130,7 +130,7 @@
 fn an_evacuation_lasts_until_the_last_of_them_is_taken_back() {
     let mut state = state();
     let step = |state: &mut State, begun| {
-        state.apply(&Op::Evacuate { zone: "z".into(), begun });
+        state.apply(&Op::Evacuate { zone: "z".into(), begun, mark: 0, again: 0 });
         state.evacuated.contains_key("z")
     };
     assert!(step(&mut state, true) && step(&mut state, true));
--- a/crates/tandem/src/lib.rs
+++ b/crates/tandem/src/lib.rs
@@ -180,7 +180,7 @@
         if state.slot <= self.state.slot {
             return false;
         }
-        self.state = state;
+        self.state.jump(state);
         self.recent.clear();
         self.recent_bytes = 0;
         true
--- a/crates/tandem/tests/feeds.rs
+++ b/crates/tandem/tests/feeds.rs
@@ -42,7 +42,12 @@
         [1, 13, 400].map(|every| (Board::new(every), (0, 0, 0), every)).into();
     for step in 1..=400u64 {
         let now = 1_000_000 * step;
-        core.step(&pack(&Op::Evacuate { zone: format!("z{}", step % 7), begun: step % 3 > 0 }));
+        core.step(&pack(&Op::Evacuate {
+            zone: format!("z{}", step % 7),
+            begun: step % 3 > 0,
+            mark: 0,
+            again: 0,
+        }));
         core.watch
             .hear(now, &report(step % 40, step, if step % 11 == 0 { Phase::Gone } else { Phase::Ready }));
         core.set_members(vec![(step as u32 % 5, "z".into())]);
