--- a/crates/numbering/tests/changes.rs
+++ b/crates/numbering/tests/changes.rs
@@ -72,7 +72,9 @@
             twin.apply(&Op::from(order));
             assert_eq!((&state, state.document()), (&twin, twin.document()), "seed {seed}");
             if draw.below(3) > 0 {
-                plan = state.plan_from(&plan).expect("plan");
+                // From another one than the last it is made anew.
+                let last = if draw.below(9) == 0 { &Plan::default() } else { &plan };
+                plan = state.plan_from(last).expect("plan");
                 assert_eq!(plan, state.plan().expect("anew"), "seed {seed}");
                 assert_eq!(plan, checked, "seed {seed}");
             }
--- a/crates/numbering/tests/known.rs
+++ b/crates/numbering/tests/known.rs
@@ -103,7 +103,7 @@
         body(3, 1, ""),
         body(2, 0, ""),
         "{\"config-version\":2,\"base-version\":1,\"remove\":{\"routes\":[\"a\",\"b\"]}}".into(),
-        "{\"config-version\":2,\"base-version\":1,\"remove\":{\"routes\":[\"ab\"]}}".into(),
+        "{\"config-version\":2,\"base-version\":1,\"remove\":{\"routes\":[\"aroutesb\"]}}".into(),
         "{\"config-version\":2,\"base-version\":1,\"remove\":{\"tenants\":[\"ab\"]}}".into(),
     ];
     let mut all: Vec<u128> = words.iter().map(|text| read(text, text.contains("list"))).collect();
