--- a/crates/ballot/src/lib.rs
+++ b/crates/ballot/src/lib.rs
@@ -30,6 +30,7 @@
 
 /// A place among the voters: a machine, and the life of its disk.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
+#[serde(from = "AnySeat")]
 pub struct Seat {
     /// The machine.
     #[serde(rename = "n")]
@@ -39,6 +40,23 @@
     pub life: Life,
 }
 
+/// A seat as it is written now, or by builds that knew machines only: their disks are of the first life.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum AnySeat {
+    Seat { n: Node, l: Life },
+    Node(Node),
+}
+
+impl From<AnySeat> for Seat {
+    fn from(any: AnySeat) -> Self {
+        match any {
+            AnySeat::Seat { n, l } => Seat { node: n, life: l },
+            AnySeat::Node(node) => Seat { node, life: 0 },
+        }
+    }
+}
+
 /// A round of a ballot and who holds it; of two, the greater one wins.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
 pub struct Ballot {
--- a/crates/exchange/src/control.rs
+++ b/crates/exchange/src/control.rs
@@ -5,7 +5,7 @@
 use crate::directory::{self, query};
 use limeway_line::http;
 use limeway_line::inbound::{Bounds, Inbound, Stop};
-use limeway_marker::{Ask, Told};
+use limeway_marker::{Ask, Event, Told};
 use limeway_numbering::document::{self, Order};
 use limeway_watch::{Phase, Report};
 use miniserde::json::{self, Number, Value};
@@ -24,6 +24,11 @@
 /// Longest time that a server may say that it stays cold.
 const COLD_MOST: u64 = 120_000_000;
 
+/// A caller waits a second for an answer: one that closes sooner has taken it.
+const PATIENT: u64 = 850_000;
+/// See [`PATIENT`].
+const TAKEN: Duration = Duration::from_micros(PATIENT);
+
 /// A call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Name {
@@ -109,20 +114,31 @@
         let row = CALLS
             .iter()
             .find(|r| r.path == path && r.method == method && (r.call.is_empty() || r.call == call));
+        let (begun, mark) = (now(), Cell::new(0));
         let (status, body) = match row {
             None => error(404, "no such call"),
             Some(row) if message.body.len() > row.body_most => error(413, "body is too long"),
-            Some(row) => answer(&core, row.name, rest, &message.body).await,
+            Some(row) => answer(&core, row.name, rest, &message.body, &mark).await,
         };
         let close = !message.head.keep_alive;
         http::write_answer(&mut out, status, b"Content-Type: application/json\r\n", close, body.as_bytes());
-        if !inbound.write(&out).await || close {
+        if !inbound.write(&out).await {
+            return;
+        }
+        // Who closes later than it waits for an answer may have given up.
+        if mark.get() != 0 && now() < begun + PATIENT {
+            let taken = tokio::time::timeout(TAKEN, inbound.taken()).await;
+            if taken == Ok(true) && now() < begun + PATIENT {
+                core.tell(Event::Arrived(mark.get()));
+            }
+        }
+        if close {
             return;
         }
     }
 }
 
-async fn answer(core: &Rc<Core>, name: Name, rest: &str, body: &[u8]) -> Answer {
+async fn answer(core: &Rc<Core>, name: Name, rest: &str, body: &[u8], mark: &Cell<u64>) -> Answer {
     let of = query(rest, "of").unwrap_or("");
     if of.len() > NAME_MOST {
         return error(400, "of: is too long");
@@ -139,7 +155,7 @@
         },
         Name::Read => told(core.ask(Ask::Read).await),
         Name::EvacuationStart | Name::EvacuationFinish => {
-            evacuate(core, of, name == Name::EvacuationStart).await
+            evacuate(core, of, name == Name::EvacuationStart, mark).await
         }
         Name::Resolve => resolve(core, rest),
     }
@@ -147,7 +163,7 @@
 
 fn told(told: Told) -> Answer {
     match told {
-        Told::Done => (200, "{}".into()),
+        Told::Done | Told::Taken(_) => (200, "{}".into()),
         Told::Document(document) => (200, document),
         Told::Stale => error(412, "another version is in place"),
         Told::Invalid(e) => error(400, format!("invalid: {e}")),
@@ -155,11 +171,15 @@
     }
 }
 
-async fn evacuate(core: &Rc<Core>, zone: &str, begun: bool) -> Answer {
+async fn evacuate(core: &Rc<Core>, zone: &str, begun: bool, mark: &Cell<u64>) -> Answer {
     if !core.settings.zones.contains_key(zone) {
         return error(404, "no such zone");
     }
-    told(core.ask(Ask::Evacuate { zone: zone.to_owned(), begun }).await)
+    let answer = core.ask(Ask::Evacuate { zone: zone.to_owned(), begun }).await;
+    if let Told::Taken(its) = answer {
+        mark.set(its);
+    }
+    told(answer)
 }
 
 fn report(id: &str, body: &[u8]) -> Result<Report, &'static str> {
--- a/crates/exchange/src/core.rs
+++ b/crates/exchange/src/core.rs
@@ -45,7 +45,7 @@
         let start = Start {
             me: Node::from(settings.ip),
             boot: clock::draw() | 1,
-            zones: settings.zones.keys().cloned().collect(),
+            ack_timeout: settings.bounds.ack_timeout,
             counted: settings.counted && settings.data.is_some(),
             losses: settings.losses,
             rule: Self::rule(&settings),
--- a/crates/line/src/inbound.rs
+++ b/crates/line/src/inbound.rs
@@ -139,6 +139,13 @@
         }
     }
 
+    /// Waits until the other side has taken the last answer, as far as can be told: it asks on, or closes in order. False if the
+    /// connection breaks.
+    pub async fn taken(&self) -> bool {
+        let mut byte = [0; 1];
+        !self.buffer.is_empty() || self.stream.peek(&mut byte).await.is_ok()
+    }
+
     /// Writes an answer. False if the connection is of no further use.
     pub async fn write(&mut self, answer: &[u8]) -> bool {
         matches!(timeout(ANSWER, self.stream.write_all(answer)).await, Ok(Ok(())))
--- a/crates/marker/src/ballots.rs
+++ b/crates/marker/src/ballots.rs
@@ -238,12 +238,11 @@
         }
         (self.contact.seated, self.contact.founded) = (is, !self.board.state.core.is_empty());
         if self.plan.version != self.board.state.version {
-            match self.board.state.plan() {
+            match self.board.state.plan_from(&self.plan) {
                 Ok(plan) => self.plan = plan.into(),
                 Err(e) => log::error!("configuration in force cannot be read: {e}"),
             }
         }
-        self.orders.evacuations(now, &self.start.zones, &self.board.state);
         self.news.fresh = true;
         self.sure(now);
         self.write(after, out);
--- a/crates/marker/src/lib.rs
+++ b/crates/marker/src/lib.rs
@@ -61,8 +61,8 @@
     pub me: Node,
     /// The life of its process, drawn by chance; never 0.
     pub boot: u64,
-    /// All zones there are.
-    pub zones: BTreeSet<String>,
+    /// How long an operator sends a call again.
+    pub ack_timeout: Micros,
     /// It has a disk whose loss counts.
     pub counted: bool,
     /// How many machines with a disk may be lost at once.
@@ -92,6 +92,8 @@
     Ask(Token, Ask),
     /// A write has reached the disk, or has failed.
     Written(Job, bool),
+    /// The answer [`Told::Taken`] with this mark has reached its caller.
+    Arrived(u64),
     /// Time has passed.
     Tick,
     /// The settings file names these machines now.
@@ -125,6 +127,8 @@
 pub enum Told {
     /// Done: on disk at a majority, where it is an order.
     Done,
+    /// A call about a zone is done. Once this answer has surely reached the caller, [`Event::Arrived`] tells so.
+    Taken(u64),
     /// The newest configuration.
     Document(String),
     /// Another version is in place.
@@ -231,7 +235,7 @@
     pub fn new(now: Micros, start: Start, out: &mut Vec<Action>) -> Self {
         let mut board = Board::new(start.boot);
         board.jump(start.state.clone());
-        let plan = board.state.plan().unwrap_or_default();
+        let plan = board.state.plan_from(&Plan::default()).unwrap_or_default();
         let mut marker = Marker {
             started: now,
             acceptor: start.acceptor.clone(),
@@ -252,7 +256,7 @@
             last_ticket: 0,
             contact: contact::Contact::default(),
             ballots: ballots::Ballots::default(),
-            orders: orders::Orders::new(&board.state),
+            orders: orders::Orders::new(),
             news: news::News::default(),
             paper: paper::Paper::new(board.state.slot),
             spreads: BTreeMap::new(),
@@ -279,6 +283,7 @@
             Event::Reply(ticket, reply) => self.reply(now, ticket, reply, out),
             Event::Ask(token, ask) => self.ask(now, token, ask, out),
             Event::Written(job, done) => self.written(now, job, done, out),
+            Event::Arrived(mark) => self.arrived(mark),
             Event::Tick => {}
             // The founding set is the same for all, as it was at the first start.
             Event::Seeds(seeds) if !self.start.founder => self.start.seeds = seeds,
@@ -345,7 +350,7 @@
         let leaving = self.leaving.map(|since| since + seats::GOODBYE).filter(|at| *at > now);
         let asks = self.round_for_callers().map(|at| at.max(now));
         let ballots = self.ballots.wake(now, self.orders.any());
-        let all = [Some(self.contact.next), leaving, asks, ballots, self.orders.wake(), self.news.wake()];
+        let all = [Some(self.contact.next), leaving, asks, ballots, self.orders.wake(now), self.news.wake()];
         all.into_iter().flatten().min().unwrap_or(self.contact.next)
     }
 
--- a/crates/marker/src/orders.rs
+++ b/crates/marker/src/orders.rs
@@ -6,9 +6,10 @@
 
 use crate::{Action, Ask, Marker, Micros, Token, Told};
 use limeway_ballot::Slot;
-use limeway_numbering::{Op, Order, Refusal, State};
+use limeway_numbering::evacuation::{Calls, Next as Call};
+use limeway_numbering::{Op, Order, Plan, Refusal, State};
 use serde_bytes::ByteBuf;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::VecDeque;
 
 /// An order is tried for so long: its sender tries another machine after a second of silence.
 const ORDER_WAIT: Micros = 900_000;
@@ -16,13 +17,13 @@
 const CUT_WAIT: Micros = 330_000;
 /// Orders under way, at most.
 const ORDERS_MOST: usize = 64;
-/// An evacuation, or its end, that comes this soon after the last of its kind for a zone is the same call sent again.
-const AGAIN: Micros = 2_500_000;
+/// Calls about zones whose answers have arrived, and that are still to be closed, at most.
+const ARRIVED_MOST: usize = 64;
 
 #[derive(Debug)]
 enum Wanted {
     Order(Box<Order>),
-    Evacuate { zone: String, begun: bool },
+    Evacuate { zone: String, begun: bool, mark: u64 },
     Read,
 }
 
@@ -32,29 +33,23 @@
     wanted: Wanted,
     since: Micros,
     until: Micros,
+    /// Another call of its like is being answered until then.
+    after: Micros,
     /// What the state of this slot makes of an order.
-    checked: Option<(Slot, Option<Refusal>)>,
+    admitted: Option<(Slot, Result<Op, Refusal>)>,
 }
 
 impl Waiting {
-    fn op(&self) -> Option<Op> {
-        match &self.wanted {
-            Wanted::Order(order) => Some(Op::from((**order).clone())),
-            Wanted::Evacuate { zone, begun } => Some(Op::Evacuate { zone: zone.clone(), begun: *begun }),
-            Wanted::Read => None,
+    /// What the state makes of an order: looked at once a slot.
+    fn admit(&mut self, state: &State, plan: &Plan) {
+        let Wanted::Order(order) = &self.wanted else { return };
+        if self.admitted.as_ref().is_none_or(|(slot, _)| *slot != state.slot) {
+            self.admitted = Some((state.slot, state.admit(order, plan)));
         }
     }
 
-    fn refusal(&mut self, state: &State) -> Option<Refusal> {
-        let Wanted::Order(order) = &self.wanted else { return None };
-        match &self.checked {
-            Some((slot, refusal)) if *slot == state.slot => refusal.clone(),
-            _ => {
-                let refusal = state.check(order).err();
-                self.checked = Some((state.slot, refusal.clone()));
-                refusal
-            }
-        }
+    fn op(&mut self) -> Option<Op> {
+        self.admitted.take().and_then(|(_, admitted)| admitted.ok())
     }
 }
 
@@ -69,18 +64,19 @@
 #[derive(Debug)]
 pub(crate) struct Orders {
     waiting: VecDeque<Waiting>,
-    evacuated: BTreeMap<String, u32>,
-    /// When this machine learnt of the last evacuation, and the last end of one, of each zone.
-    learnt: BTreeMap<(String, bool), Micros>,
+    /// Calls about zones whose answers are not known to have arrived.
+    calls: Calls,
+    /// Marks of those whose answers have.
+    arrived: VecDeque<u64>,
     pub(crate) former_since: Option<Micros>,
 }
 
 impl Orders {
-    pub(crate) fn new(state: &State) -> Self {
+    pub(crate) fn new() -> Self {
         Orders {
             waiting: VecDeque::new(),
-            evacuated: state.evacuated.clone(),
-            learnt: BTreeMap::new(),
+            calls: Calls::default(),
+            arrived: VecDeque::new(),
             former_since: None,
         }
     }
@@ -89,25 +85,14 @@
         !self.waiting.is_empty()
     }
 
-    pub(crate) fn wake(&self) -> Option<Micros> {
-        self.waiting.iter().map(|w| w.until).min()
+    pub(crate) fn wake(&self, now: Micros) -> Option<Micros> {
+        self.waiting.iter().map(|w| w.until.min(if w.after > now { w.after } else { Micros::MAX })).min()
     }
 
     /// Since when a round has to have begun for someone who waits; nothing if `settled` is enough for all.
     pub(crate) fn needs_round(&self, settled: Micros) -> Option<Micros> {
         self.waiting.iter().map(|w| w.since).filter(|since| *since > settled).max()
     }
-
-    pub(crate) fn evacuations(&mut self, now: Micros, zones: &BTreeSet<String>, state: &State) {
-        for zone in zones {
-            let count = |m: &BTreeMap<String, u32>| m.get(zone).copied().unwrap_or(0);
-            let (was, is) = (count(&self.evacuated), count(&state.evacuated));
-            if was != is {
-                self.learnt.insert((zone.clone(), is > was), now);
-            }
-        }
-        self.evacuated.clone_from(&state.evacuated);
-    }
 }
 
 impl Marker {
@@ -116,7 +101,7 @@
             Ask::Beat(report) => return self.beat(now, token, report, out),
             Ask::Gone(id) => return self.gone(now, token, &id, out),
             Ask::Order(order) => Wanted::Order(Box::new(order)),
-            Ask::Evacuate { zone, begun } => Wanted::Evacuate { zone, begun },
+            Ask::Evacuate { zone, begun } => Wanted::Evacuate { zone, begun, mark: self.draw() | 1 },
             Ask::Read => Wanted::Read,
         };
         if self.orders.waiting.len() >= ORDERS_MOST || self.recovers() {
@@ -128,50 +113,68 @@
             wanted,
             since: now,
             until: now + wait,
-            checked: None,
+            after: 0,
+            admitted: None,
         });
     }
 
-    fn next(&self, now: Micros, waiting: &mut Waiting) -> Next {
-        let state = &self.board.state;
+    fn next(&mut self, now: Micros, waiting: &mut Waiting) -> Next {
+        let (state, touch) = (&self.board.state, now < self.settled + crate::TOUCH);
         // Sure of the state as of a moment after the call came.
         let sure = self.settled >= waiting.since;
         if self.recovers() {
             return Next::Wait;
         }
-        let refusal = waiting.refusal(state);
+        waiting.admit(state, &self.plan);
         match &waiting.wanted {
             Wanted::Read if sure => Next::Tell(Told::Document(state.document())),
             Wanted::Read => Next::Wait,
             // It is applied here, so a majority has it on disk.
             Wanted::Order(order) if state.has_taken(order) => Next::Tell(Told::Done),
-            Wanted::Order(_) => match refusal {
-                None if self.touch(now) => Next::Propose,
+            Wanted::Order(_) => match &waiting.admitted {
+                Some((_, Ok(_))) if touch => Next::Propose,
                 // A machine that is behind must not refuse by an old state.
-                Some(refusal) if sure => Next::Tell(match refusal {
+                Some((_, Err(refusal))) if sure => Next::Tell(match refusal {
                     Refusal::Stale(_) => Told::Stale,
-                    Refusal::Invalid(e) => Told::Invalid(e),
+                    Refusal::Invalid(e) => Told::Invalid(e.clone()),
+                    Refusal::Forgotten => Told::Unclear,
                 }),
                 _ => Next::Wait,
             },
-            Wanted::Evacuate { zone, begun } => {
-                let count = state.evacuated.get(zone).copied().unwrap_or(0);
-                let seen = self.orders.learnt.get(&(zone.clone(), *begun)).copied().unwrap_or(self.started);
-                let again = now.saturating_sub(seen) < AGAIN;
-                if *begun && count > 0 && again {
-                    return Next::Tell(Told::Done);
-                }
-                if !*begun && (count == 0 || again) {
-                    return if sure || again { Next::Tell(Told::Done) } else { Next::Wait };
-                }
-                if !sure {
-                    return Next::Wait;
+            Wanted::Evacuate { zone, begun, mark } if sure => {
+                match self.orders.calls.next(now, state, zone, *begun, *mark) {
+                    Call::Done => Next::Tell(Told::Taken(*mark)),
+                    Call::Wait(until) => {
+                        waiting.after = until;
+                        Next::Wait
+                    }
+                    Call::Propose(op) => {
+                        waiting.admitted = Some((state.slot, Ok(op)));
+                        Next::Propose
+                    }
                 }
-                Next::Propose
             }
+            Wanted::Evacuate { .. } => Next::Wait,
+        }
+    }
+
+    /// The answer to a call about a zone has reached its caller, who does not send it again.
+    pub(crate) fn arrived(&mut self, mark: u64) {
+        if self.orders.arrived.len() < ARRIVED_MOST {
+            self.orders.arrived.push_back(mark);
+            self.contact.sets = true;
         }
     }
 
+    /// A call about a zone that is to be closed.
+    pub(crate) fn next_answered(&mut self, now: Micros) -> Option<Op> {
+        let state = &self.board.state;
+        self.orders.calls.see(now, state);
+        self.orders.arrived.retain(|mark| state.fits(&Op::Answered(*mark)));
+        let old = self.orders.calls.due(now, self.start.ack_timeout).filter(|_| self.proposes(now));
+        self.orders.arrived.front().copied().or(old).map(Op::Answered)
+    }
+
     /// Answers what can be answered, and begins the next ballot.
     pub(crate) fn drive(&mut self, now: Micros, out: &mut Vec<Action>) {
         loop {
@@ -180,7 +183,8 @@
                 free = self.ballots.free(now);
             }
             if free && std::mem::take(&mut self.contact.sets) {
-                if let Some(op) = self.next_seats(now).or_else(|| self.next_doors(now)) {
+                let next = self.next_seats(now).or_else(|| self.next_answered(now));
+                if let Some(op) = next.or_else(|| self.next_doors(now)) {
                     self.hold(now, ByteBuf::from(limeway_tandem::pack(&op)), out);
                     free = self.ballots.free(now);
                 }
--- a/crates/marker/src/seats.rs
+++ b/crates/marker/src/seats.rs
@@ -52,7 +52,7 @@
     }
 
     /// Whether this machine proposes what any may propose: the lowest that is well, or all would outbid each other.
-    fn proposes(&self, now: Micros) -> bool {
+    pub(crate) fn proposes(&self, now: Micros) -> bool {
         let me = self.start.me;
         let mut seats = self.board.state.core.iter();
         self.seat().is_some()
