Ask counts by a state machine: a holder found again is used, no spin

After a moment in which another machine was taken for the holder, a limiter dropped every grant for good: `told` named the other one and `answered` the right one, so nothing was told anew and nothing was used. A request whose client had gone stayed in the count of waiting ones and was asked for for ever.

Now `toll::desk` decides, without I/O: whom to ask when, at which pause (`toll::pace`), who waits, and why units cannot be had; that is logged in one line, at most each 5 s. A count names its life, is told for that life alone and drops requests that were overtaken; what a lost answer may have left with a limiter is kept back until it asks again; a new life does not free what the last one had of the window. Late answers count where windows are known.

--- a/crates/exchange/src/core.rs
+++ b/crates/exchange/src/core.rs
@@ -13,7 +13,7 @@
 use limeway_roster::{Duties, Presence, Roster, Votes, GROUPS};
 use limeway_tandem::{pack, Board, Feed, Poll};
 use limeway_toll::count::Count;
-use limeway_toll::{Answer, Request, Rule};
+use limeway_toll::{Request, Rule};
 use limeway_watch::{Heard, Report};
 use serde_bytes::ByteBuf;
 use std::cell::{Cell, RefCell};
@@ -335,7 +335,7 @@
         let t = now();
         // Who is not agreed to be a limiter would not be asked by the next holder of a count.
         if !self.board.borrow().state.doors.contains(&node) {
-            return Reply::Grants(Vec::new());
+            return Reply::Not;
         }
         let (duties, mut counts) = (self.duties.borrow(), self.counts.borrow_mut());
         let (rule, plan) = (Self::rule(&self.settings), self.plan.borrow());
@@ -343,24 +343,11 @@
         for request in requests.iter().filter(|r| r.group < GROUPS) {
             let group = request.group;
             let Some(count) = counts[group].as_mut().filter(|_| duties.holds(t, group)) else { continue };
-            if let Some(blocks) = &request.holds {
-                count.tell(t, node, blocks);
-            }
-            if count.start() > t {
-                // Told, and nothing granted yet: the windows have not begun.
-                let phase = limeway_toll::Phase { term: 0, window: 0, left: count.start() - t };
-                answers.push(Answer { group, phase, unknown: !count.knows(node), grants: Vec::new() });
-                continue;
-            }
-            let unknown = !count.knows(node);
-            let mut grants = Vec::new();
-            for ask in request.asks.iter().filter(|a| !unknown && limeway_roster::group(&a.tenant) == group) {
-                let tenant = plan.tenants.get(&ask.tenant);
-                if let Some(span) = tenant.and_then(|t| rule.span(t.rate, t.burst)) {
-                    grants.push(count.ask(t, t + limeway_toll::BLOCK, node, ask, span));
-                }
-            }
-            answers.push(Answer { group, phase: count.phase(t), unknown, grants });
+            let span = |name: &str| {
+                let tenant = plan.tenants.get(name).filter(|_| limeway_roster::group(name) == group)?;
+                rule.span(tenant.rate, tenant.burst)
+            };
+            answers.extend(count.answer(t, t + limeway_toll::BLOCK, node, request, span));
         }
         Reply::Grants(answers)
     }
--- a/crates/exchange/src/edge.rs
+++ b/crates/exchange/src/edge.rs
@@ -12,7 +12,8 @@
 use limeway_roster::{rank, Node, Presence};
 use limeway_selector::{cold_share, Candidate, Near, Selector, Tries};
 use limeway_tandem::{tree, Board, Feed, Poll};
-use limeway_toll::escrow::{Escrow, Take};
+use limeway_toll::desk::{Desk, Ticket};
+use limeway_toll::escrow::Take;
 use limeway_toll::Rule;
 use limeway_watch::Phase;
 use std::cell::{Cell, RefCell};
@@ -20,7 +21,7 @@
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::Notify;
+use tokio::sync::{oneshot, Notify};
 use tokio::time::{sleep, timeout};
 
 /// A poll is held for so long where there is no news.
@@ -80,7 +81,9 @@
     pub tries: RefCell<Tries>,
     /// Connections to servers.
     pub pools: Pools,
-    escrow: RefCell<Escrow>,
+    desk: RefCell<Desk>,
+    /// Requests that wait for a unit, by their tickets.
+    waiters: RefCell<HashMap<Ticket, oneshot::Sender<Result<(), Micros>>>>,
     rule: Rule,
     links: Links,
     /// News for those below.
@@ -95,7 +98,6 @@
     far: Cell<Micros>,
     /// Requests that had to wait for a unit, since the last account.
     pub waited: Cell<u32>,
-    granted: Notify,
     /// It ends: it says so to the core.
     pub leaving: Cell<bool>,
     /// Wakes the poll to tell that this limiter leaves.
@@ -117,7 +119,8 @@
             selector: RefCell::default(),
             tries: RefCell::new(Tries::new(b.retry_ratio, b.retry_window)),
             pools: Pools::new(settings.fds.saturating_sub(300) / 3),
-            escrow: RefCell::new(Escrow::new(rule.length())),
+            desk: RefCell::new(Desk::new(rule.length(), clock::draw() | 1)),
+            waiters: RefCell::default(),
             rule,
             links: Links::new(settings.inner.0),
             news: Notify::new(),
@@ -128,7 +131,6 @@
             short: Notify::new(),
             far: Cell::new(0),
             waited: Cell::new(0),
-            granted: Notify::new(),
             leaving: Cell::new(false),
             hurry: Notify::new(),
             returned: RefCell::default(),
--- a/crates/exchange/src/edge/quotas.rs
+++ b/crates/exchange/src/edge/quotas.rs
@@ -1,55 +1,87 @@
-//! A limiter's units of quotas: what it takes, leases, asks of neighbours and lends.
+//! A limiter's units of quotas: what it takes, leases, asks of neighbours and lends. What is asked when is decided by
+//! [`limeway_toll::desk`]; here are its sockets and its clock.
 
 use super::*;
+use crate::link::LinkError;
+use limeway_toll::desk::{Errand, Outcome, Settled, Ticket};
 
 /// A count's answer is waited for this long; later ones are not used.
 const COUNT_WAIT: Duration = Duration::from_millis(320);
-/// A request waits for its unit for so long.
-const UNIT_WAIT: Duration = Duration::from_millis(450);
 /// A count that takes longer to answer is far away.
 const FAR: Micros = 4_000;
 /// A neighbour is asked for a unit for so long.
 const NEIGHBOUR_WAIT: Duration = Duration::from_millis(25);
 /// Sets apart the ranks by which neighbours are chosen.
 const NEIGHBOURS: u64 = 0x6e65_6967_6862_0000;
-/// Pause between two looks at what is to be leased.
-const LEASING: Duration = Duration::from_millis(250);
+/// Least time between two looks at what is to be leased, however often it is woken.
+const LOOKS: Duration = Duration::from_millis(1);
+
+/// A request that waits for its unit. Dropped with its client, it waits no longer.
+struct Waits<'a> {
+    edge: &'a Edge,
+    tenant: &'a str,
+    ticket: Option<Ticket>,
+    over: bool,
+}
+
+impl Drop for Waits<'_> {
+    fn drop(&mut self) {
+        match self.ticket {
+            _ if self.over => {}
+            None => self.edge.desk.borrow_mut().spared(self.tenant),
+            Some(ticket) => {
+                self.edge.desk.borrow_mut().leave(ticket);
+                self.edge.waiters.borrow_mut().remove(&ticket);
+            }
+        }
+    }
+}
 
 impl Edge {
     pub(super) fn holders(&self) -> Vec<Option<(Node, u64)>> {
         self.board.borrow().holders.iter().map(|h| Some(*h).filter(|(n, _)| *n != 0)).collect()
     }
 
+    fn holder(&self, group: usize) -> Option<(Node, u64)> {
+        self.board.borrow().holders.get(group).copied().filter(|(n, _)| *n != 0)
+    }
+
     /// A unit of a tenant's quota for one request. An error tells when the next window begins.
     pub async fn unit(&self, tenant: &str, rate: f64, burst: f64) -> Result<(), Micros> {
         let Some(span) = self.rule.span(rate, burst) else { return Ok(()) };
         let group = limeway_roster::group(tenant);
-        let holder = self.holders().get(group).copied().flatten();
-        match self.escrow.borrow_mut().take(now(), tenant, group, holder, span) {
+        let holder = self.holder(group);
+        match self.desk.borrow_mut().take(now(), tenant, group, holder, span) {
             Take::Yes => return Ok(()),
             Take::Dry(left) => return Err(left),
             Take::Wait => self.waited.set(self.waited.get() + 1),
         }
+        let mut waits = Waits { edge: self, tenant, ticket: None, over: false };
         // The count may be regions away: a neighbour that holds units is asked first.
         if self.far.get() > FAR {
             for neighbour in self.neighbours(group) {
                 let call = Call::Unit(tenant.to_owned());
                 if let Ok(Reply::Done) = self.links.to(neighbour).call(&call, NEIGHBOUR_WAIT).await {
-                    self.escrow.borrow_mut().spared(tenant);
                     return Ok(());
                 }
             }
         }
-        let until = tokio::time::Instant::now() + UNIT_WAIT;
-        loop {
-            let granted = self.granted.notified();
-            self.short.notify_one();
-            let late = tokio::time::timeout_at(until, granted).await.is_err();
-            match self.escrow.borrow_mut().waited(now(), tenant, span, late) {
-                Take::Yes => return Ok(()),
-                Take::Dry(left) => return Err(left),
-                // The grant was another's, or went to those who waited longer.
-                Take::Wait => {}
+        let (tell, told) = oneshot::channel();
+        let ticket = self.desk.borrow_mut().queue(now(), tenant, span);
+        self.waiters.borrow_mut().insert(ticket, tell);
+        waits.ticket = Some(ticket);
+        self.short.notify_one();
+        let settled = told.await;
+        waits.over = true;
+        settled.unwrap_or(Err(self.rule.length()))
+    }
+
+    /// Tells waiting requests what has become of them.
+    fn settle(&self, settled: Vec<Settled>) {
+        let mut waiters = self.waiters.borrow_mut();
+        for (ticket, result) in settled {
+            if let Some(tell) = waiters.remove(&ticket) {
+                let _ = tell.send(result);
             }
         }
     }
@@ -70,50 +102,51 @@
         let plan = self.plan();
         let span = plan.tenants.get(tenant).and_then(|t| self.rule.span(t.rate, t.burst));
         let group = limeway_roster::group(tenant);
-        let holder = self.holders().get(group).copied().flatten();
+        let holder = self.holder(group);
         match span {
-            Some(span) if self.escrow.borrow_mut().lend(now(), tenant, group, holder, span) => Reply::Done,
+            Some(span) if self.desk.borrow_mut().lend(now(), tenant, group, holder, span) => Reply::Done,
             _ => Reply::Not,
         }
     }
 
     /// What is held of quotas, in words.
     pub fn quotas(&self) -> String {
-        self.escrow.borrow().account(now())
+        self.desk.borrow().account(now())
     }
 
     /// Leases units, for ever.
     pub async fn lease(self: Rc<Self>) {
         loop {
-            let holders = self.holders();
-            let requests = self.escrow.borrow_mut().asks(now(), &holders, self.far.get() <= FAR);
-            for (node, requests) in requests {
-                let (edge, holders) = (self.clone(), holders.clone());
-                tokio::task::spawn_local(async move {
-                    let asked = now();
-                    let call = Call::Ask(edge.me, requests);
-                    let answer = edge.links.to(node).call(&call, COUNT_WAIT).await;
-                    let took = now() - asked;
-                    edge.far.set(if took < edge.far.get() { took } else { (7 * edge.far.get() + took) / 8 });
-                    let Call::Ask(_, requests) = call else { return };
-                    let mut escrow = edge.escrow.borrow_mut();
-                    if let Ok(Reply::Grants(answers)) = answer {
-                        for answer in &answers {
-                            let request = requests.iter().find(|r| r.group == answer.group);
-                            let holder = holders.get(answer.group).copied().flatten();
-                            if let (Some(request), Some(holder)) = (request, holder) {
-                                escrow.granted(now(), asked, holder, request, answer);
-                            }
-                        }
-                    }
-                    for request in &requests {
-                        escrow.lost(&request.asks);
-                    }
-                    drop(escrow);
-                    edge.granted.notify_waiters();
-                });
+            let (errands, settled) =
+                self.desk.borrow_mut().look(now(), &self.holders(), self.far.get() <= FAR);
+            self.settle(settled);
+            for errand in errands {
+                tokio::task::spawn_local(self.clone().run(errand));
             }
-            let _ = timeout(LEASING, self.short.notified()).await;
+            if let Some((words, worse)) = self.desk.borrow_mut().complaint(now()) {
+                let level = if worse { log::Level::Warn } else { log::Level::Info };
+                log::log!(level, "quotas: {words}");
+            }
+            sleep(LOOKS).await;
+            let next = Duration::from_micros(self.desk.borrow().next(now()));
+            let _ = timeout(next, self.short.notified()).await;
         }
     }
+
+    /// Runs an errand to a holder, and uses what comes of it.
+    async fn run(self: Rc<Self>, errand: Errand) {
+        let call = Call::Ask(self.me, errand.requests.clone());
+        let outcome = match self.links.to(errand.node).call(&call, COUNT_WAIT).await {
+            Ok(Reply::Grants(answers)) => Outcome::Answers(answers),
+            Ok(_) => Outcome::NotAgreed,
+            Err(LinkError::Broken) => Outcome::Unreachable,
+            Err(LinkError::Late | LinkError::Busy) => Outcome::Silent,
+        };
+        let took = now() - errand.at;
+        let far = self.far.get();
+        self.far.set(if took < far { took } else { (7 * far + took) / 8 });
+        let settled = self.desk.borrow_mut().heard(now(), &errand, &outcome);
+        self.settle(settled);
+        self.short.notify_one();
+    }
 }
--- a/crates/ringer/src/slopes.rs
+++ b/crates/ringer/src/slopes.rs
@@ -264,7 +264,7 @@
         let Some(span) = rule.span(5.0, 5.0) else { continue };
         let mut count = Count::new(1_000_000, 1, rule.length(), &doors, true);
         let asks: Vec<Ask> = (0..first * times)
-            .map(|n| Ask { tenant: format!("t{n:06}"), base: 1, want: 2, extra: 1 })
+            .map(|n| Ask { tenant: format!("t{n:06}"), base: 1, want: 2, extra: 1, held: 0 })
             .collect();
         (0..4).for_each(|door| count.tell(1_000_000, door, &[]));
         let mut now = 1_000_000;
@@ -312,7 +312,7 @@
             return;
         };
         for (tenant, door) in (0..n).flat_map(|t| (0..4).map(move |d| (t, d))) {
-            let ask = Ask { tenant: format!("t{tenant:06}"), base: 1, want: 1, extra: 0 };
+            let ask = Ask { tenant: format!("t{tenant:06}"), base: 1, want: 1, extra: 0, held: 0 };
             count.ask(1_000, 8_000_000, door, &ask, span);
         }
         forget(count);
--- a/crates/toll/src/count.rs
+++ b/crates/toll/src/count.rs
@@ -1,6 +1,6 @@
 //! The count of a group of tenants: what each limiter has been granted of each window.
 
-use crate::{Ask, Block, Grant, Micros, Node, Phase, Span, BLOCK};
+use crate::{Answer, Ask, Block, Grant, Micros, Node, Phase, Request, Span, BLOCK};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Limiters that one tenant's budget is granted to at once, at most.
@@ -13,6 +13,7 @@
 /// What one limiter was granted of a tenant.
 #[derive(Debug, Clone, Copy)]
 struct Part {
+    /// The most that it may hold of each window, whether it gets the last answer or not.
     units: u32,
     until: Micros,
     /// The most that it had of the window `window`: lowered units may have been spent before.
@@ -42,6 +43,16 @@
     }
 }
 
+/// A limiter that has told what it holds.
+#[derive(Debug, Clone, Copy)]
+struct Seen {
+    /// The life of its process, and the one before: what that one sent is late, whenever it comes.
+    life: u64,
+    before: Option<u64>,
+    /// The last of its requests.
+    number: u64,
+}
+
 /// The count of one group of tenants, in one holding of it.
 #[derive(Debug, Clone)]
 pub struct Count {
@@ -50,7 +61,7 @@
     length: Micros,
     tenants: HashMap<String, Tally>,
     /// Limiters that have told what they hold of earlier counts.
-    known: BTreeSet<Node>,
+    known: BTreeMap<Node, Seen>,
     /// Those that have not, and what they hold lives until then at most.
     unknown: BTreeMap<Node, Micros>,
     doors: usize,
@@ -66,7 +77,7 @@
             term,
             length: length.max(1),
             tenants: HashMap::new(),
-            known: BTreeSet::new(),
+            known: BTreeMap::new(),
             unknown,
             doors: doors.len(),
         }
@@ -87,31 +98,71 @@
         Phase { term: self.term, window: self.window(now), left: self.length - into }
     }
 
-    /// Whether a limiter has told what it holds.
-    pub fn knows(&self, node: Node) -> bool {
-        self.known.contains(&node)
-    }
-
     /// How many may be granted quota now.
     pub fn set_doors(&mut self, doors: usize) {
         self.doors = doors;
     }
 
-    /// A limiter tells what it holds of earlier counts, or that it holds nothing.
+    /// Answers a request of a limiter. No block outlives `until`; `span` tells the windows of a tenant that has a limit.
+    /// Nothing where a later request of that limiter has been answered already.
+    pub fn answer(
+        &mut self,
+        now: Micros,
+        until: Micros,
+        node: Node,
+        request: &Request,
+        span: impl Fn(&str) -> Option<Span>,
+    ) -> Option<Answer> {
+        let seen = self.known.get(&node).copied();
+        let late =
+            |s: Seen| s.before == Some(request.life) || s.life == request.life && request.number <= s.number;
+        if seen.is_some_and(late) {
+            return None;
+        }
+        let told = request.holds.as_ref().filter(|_| request.term == self.term);
+        if let Some(blocks) = told {
+            self.tell(now, node, blocks);
+        }
+        let knows = told.is_some() || seen.is_some_and(|s| s.life == request.life);
+        if knows {
+            // Of two lives that tell, the one that came later is the living one.
+            let before = seen.and_then(|s| if s.life == request.life { s.before } else { Some(s.life) });
+            self.known.insert(node, Seen { life: request.life, before, number: request.number });
+        }
+        let open = self.start <= now;
+        let phase = match open {
+            true => self.phase(now),
+            // Told, and nothing granted yet: the windows have not begun.
+            false => Phase { term: 0, window: 0, left: self.start - now },
+        };
+        let mut grants = Vec::new();
+        for ask in request.asks.iter().filter(|_| knows && open) {
+            if let Some(span) = span(&ask.tenant) {
+                grants.push(self.ask(now, until, node, ask, span));
+            }
+        }
+        Some(Answer { group: request.group, term: self.term, phase, unknown: !knows, grants })
+    }
+
+    /// A limiter tells what it holds of earlier counts, or that it holds nothing. What it had of the window under way it may
+    /// have spent, in this life of its process or an earlier one.
     pub fn tell(&mut self, now: Micros, node: Node, blocks: &[Block]) {
-        self.known.insert(node);
         self.unknown.remove(&node);
         let window = self.window(now);
+        let (start, length) = (self.start, self.length);
         for tally in self.tenants.values_mut() {
-            // A new life of its process has forgotten what this count granted it.
-            tally.parts.remove(&node);
+            tally.roll(window, start, length);
+            if let Some(part) = tally.parts.get_mut(&node) {
+                (part.units, part.until) = (0, now);
+            }
         }
         for block in blocks.iter().filter(|b| b.units > 0 || b.spent > 0) {
             let tally = self.tenants.entry(block.tenant.clone()).or_default();
+            tally.roll(window, start, length);
+            let had = tally.parts.get(&node).map_or(0, |p| p.peak);
             let until = now + block.left.min(BLOCK);
             // Units that were given up in a window in which they had been spent are free from the next one on.
-            let peak = block.units.max(block.spent);
-            tally.roll(window, self.start, self.length);
+            let peak = block.units.max(block.spent).max(had);
             tally.parts.insert(node, Part { units: block.units, until, peak, window });
         }
     }
@@ -138,22 +189,24 @@
         let here = budget.saturating_sub(others(&|p| p.peak) + tally.extra + kept);
         let most = later.min(here).min(most_each);
         let spare = (f64::from(later) - SPARE * f64::from(budget)).max(0.0) as u32;
-        let held = own.map_or(0, |p| p.units);
+        let held = ask.held;
         // An even part is there for the asking; more only out of what is spare, or the first to ask would have it all.
         let even = (budget / doors).max(1);
         let mut units = ask.base.min(even).max(ask.want.min(spare)).min(most);
         if tally.parts.len() >= PARTS_MOST && held == 0 {
             units = 0;
         }
-        let peak = spent.max(units);
+        // Should the answer be lost, it goes on with what it holds, until it asks again.
+        let counted = units.max(held);
+        let peak = spent.max(counted);
         let free = budget.saturating_sub(others(&|p| p.peak) + tally.extra + peak + kept);
         // An extra unit counts for what the block does not give.
         let need = ask.extra.saturating_sub(units.saturating_sub(held));
         let extra = need.min(free);
         tally.extra += extra;
-        if units > 0 || spent > 0 {
+        if counted > 0 || spent > 0 {
             let until = until.min(now + BLOCK);
-            tally.parts.insert(from, Part { units, until, peak, window });
+            tally.parts.insert(from, Part { units: counted, until, peak, window });
         } else {
             tally.parts.remove(&from);
         }
--- a/crates/toll/src/escrow.rs
+++ b/crates/toll/src/escrow.rs
@@ -1,7 +1,7 @@
 //! A limiter's side: the units that it holds of each tenant.
 
-use crate::{Answer, Ask, Block, Micros, Node, Request, Span, BLOCK, SKEW};
-use std::collections::HashMap;
+use crate::{Ask, Block, Grant, Micros, Node, Phase, Span, BLOCK, SKEW};
+use std::collections::{BTreeMap, HashMap};
 
 /// Part of a new window's use in the running mean, where that is more and where it is less.
 const FRESH: (f64, f64) = (0.35, 0.08);
@@ -21,8 +21,8 @@
 const RENEW: Micros = 4_500_000;
 /// Tenants known at once, at most.
 const TENANTS_MOST: usize = 50_000;
-/// An ask that has had no answer is made again after so long.
-const LOST: Micros = 350_000;
+/// An ask that has had no answer is given up after so long, and made again.
+pub const LOST: Micros = 350_000;
 
 /// Where a count's windows stand, on this machine's clock.
 #[derive(Debug, Clone, Copy)]
@@ -79,8 +79,10 @@
     asked: u32,
     mean: f64,
     idle: u64,
-    /// An ask is under way since then.
-    asking: Option<Micros>,
+    /// An ask is under way: its number, and when it was made. No other answer is used.
+    asking: Option<(u64, Micros)>,
+    /// The count has granted less than was held here, and keeps that back until it is asked again.
+    lowered: bool,
     /// The count had nothing left in this window.
     dry: Option<u64>,
     /// What was asked for as `want` last: another figure is worth a call.
@@ -108,10 +110,6 @@
     /// By the life of the count.
     edges: HashMap<u64, Edge>,
     holds: HashMap<String, Hold>,
-    /// Which holder is told what is held of a group, which one has answered that, and when it was last tried.
-    told: HashMap<usize, Holder>,
-    answered: HashMap<usize, Holder>,
-    telling: HashMap<usize, Micros>,
 }
 
 impl Hold {
@@ -143,6 +141,7 @@
         block + self.extra
     }
 
+    /// What it would be good to ask for.
     fn ask(&self, tenant: &str, now: Micros, near: bool) -> Ask {
         // Before the first window is over, what has been asked for in it is all that is known.
         let sure = if self.mean > 0.0 { self.mean } else { FIRST * f64::from(self.asked) };
@@ -156,21 +155,42 @@
         if self.idle > 2 || self.until <= now && self.asked == 0 && self.idle > 0 {
             (base, want) = (0, 0);
         }
-        Ask { tenant: tenant.to_owned(), base, want: want.max(base), extra: self.waiting }
+        Ask { tenant: tenant.to_owned(), base, want: want.max(base), extra: self.waiting, held: 0 }
+    }
+
+    fn asking(&self, now: Micros) -> bool {
+        self.asking.is_some_and(|(_, at)| now < at + LOST)
+    }
+
+    /// The ask that is due, made under a number. Whatever is asked for less than is held is given up here at once, so that
+    /// the count may grant it elsewhere as soon as it hears.
+    fn due(&mut self, tenant: &str, now: Micros, edge: Option<Edge>, number: u64, near: bool) -> Option<Ask> {
+        if self.asking(now) {
+            return None;
+        }
+        if let Some(edge) = edge {
+            self.roll(edge.window(now));
+        }
+        let mut ask = self.ask(tenant, now, near);
+        let renew = self.until.saturating_sub(now) < RENEW && ask.want > 0;
+        let (want, told) = (f64::from(ask.want), f64::from(self.told));
+        // What is too much is missing elsewhere, and is given back sooner than more is asked for.
+        let moved = want > 1.25 * told + 1.0 || want < 0.85 * told - 0.5;
+        let lower = ask.want == 0 && self.units > 0;
+        if !(self.waiting > 0 || renew || moved || lower || self.lowered) {
+            return None;
+        }
+        self.units = self.units.min(ask.want);
+        ask.held = if self.until > now { self.units } else { 0 };
+        (self.asking, self.told, self.lowered) = (Some((number, now)), ask.want, false);
+        Some(ask)
     }
 }
 
 impl Escrow {
     /// An empty one, for windows of this length.
     pub fn new(length: Micros) -> Self {
-        Escrow {
-            length: length.max(1),
-            edges: HashMap::new(),
-            holds: HashMap::new(),
-            told: HashMap::new(),
-            answered: HashMap::new(),
-            telling: HashMap::new(),
-        }
+        Escrow { length: length.max(1), edges: HashMap::new(), holds: HashMap::new() }
     }
 
     /// Takes a unit for a request of a tenant whose count `holder` holds.
@@ -261,62 +281,50 @@
         Take::Dry(edge.map_or(length, |e| e.left(now)))
     }
 
-    /// What to ask of whom now. `holders` tells who holds each group's count. Whatever is asked for less than is held is
-    /// given up here at once, so that the count may grant it elsewhere as soon as it hears. A holder that has not been told
-    /// what is held here is told. With the counts `near`, units beyond the usual use are asked for when they are needed, and
-    /// left to those that are far away.
-    pub fn asks(&mut self, now: Micros, holders: &[Option<Holder>], near: bool) -> Vec<(Node, Vec<Request>)> {
-        let mut groups: HashMap<usize, Vec<Ask>> = HashMap::new();
-        for (tenant, hold) in &mut self.holds {
-            if holders.get(hold.group).copied().flatten().is_none() {
-                continue;
-            }
-            if hold.asking.is_some_and(|at| now < at + LOST) {
-                continue;
-            }
-            if let Some(edge) = self.edges.get(&hold.term) {
-                hold.roll(edge.window(now));
-            }
-            let ask = hold.ask(tenant, now, near);
-            let due = hold.until.saturating_sub(now) < RENEW && ask.want > 0;
-            let (want, told) = (f64::from(ask.want), f64::from(hold.told));
-            // What is too much is missing elsewhere, and is given back sooner than more is asked for.
-            let moved = want > 1.25 * told + 1.0 || want < 0.85 * told - 0.5;
-            let lower = ask.want == 0 && hold.units > 0;
-            if !(hold.waiting > 0 || due || moved || lower) {
-                continue;
+    /// What is due to be asked of the count of each group, under a number. Of `tenants` alone, or of all; `open` tells
+    /// which groups may be asked now. With the counts `near`, units beyond the usual use are asked for when they are needed,
+    /// and left to those that are far away.
+    pub fn asks(
+        &mut self,
+        now: Micros,
+        number: u64,
+        near: bool,
+        tenants: Option<&[String]>,
+        open: impl Fn(usize) -> bool,
+    ) -> BTreeMap<usize, Vec<Ask>> {
+        let mut groups: BTreeMap<usize, Vec<Ask>> = BTreeMap::new();
+        let edges = &self.edges;
+        let mut look = |tenant: &String, hold: &mut Hold| {
+            if !open(hold.group) {
+                return;
             }
-            hold.units = hold.units.min(ask.want.max(ask.base));
-            hold.asking = Some(now);
-            hold.told = ask.want;
-            groups.entry(hold.group).or_default().push(ask);
-        }
-        for (group, holder) in holders.iter().enumerate() {
-            let answered = self.answered.get(&group);
-            if holder.is_some_and(|h| answered != Some(&h))
-                && self.telling.get(&group).is_none_or(|at| now > at + LOST)
-            {
-                groups.entry(group).or_default();
+            if let Some(ask) = hold.due(tenant, now, edges.get(&hold.term).copied(), number, near) {
+                groups.entry(hold.group).or_default().push(ask);
             }
-        }
-        let mut all: HashMap<Node, Vec<Request>> = HashMap::new();
-        for (group, asks) in groups {
-            let Some(holder) = holders[group] else { continue };
-            // Until it answers, it is told each time. From the first telling on no one else's grants are taken.
-            let answered = self.answered.get(&group) == Some(&holder);
-            let holds = (!answered).then(|| self.blocks(now, group));
-            if holds.is_some() {
-                self.telling.insert(group, now);
-                self.told.insert(group, holder);
+        };
+        match tenants {
+            Some(tenants) => {
+                for tenant in tenants {
+                    if let Some(hold) = self.holds.get_mut(tenant) {
+                        look(tenant, hold);
+                    }
+                }
             }
-            all.entry(holder.0).or_default().push(Request { group, asks, holds });
+            None => self.holds.iter_mut().for_each(|(tenant, hold)| look(tenant, hold)),
         }
-        self.holds
-            .retain(|_, h| h.idle < IDLE || h.waiting > 0 || h.asking.is_some_and(|at| now < at + LOST));
-        all.into_iter().collect()
+        groups
     }
 
-    fn blocks(&self, now: Micros, group: usize) -> Vec<Block> {
+    /// Forgets tenants that have not been asked for lately, and windows that nothing is held of. `terms` are the counts that
+    /// are asked now.
+    pub fn sweep(&mut self, now: Micros, terms: &[u64]) {
+        self.holds.retain(|_, h| h.idle < IDLE || h.waiting > 0 || h.asking(now));
+        let held: std::collections::HashSet<u64> = self.holds.values().map(|h| h.term).collect();
+        self.edges.retain(|term, _| held.contains(term) || terms.contains(term));
+    }
+
+    /// All that is held of a group, for a count that does not know it.
+    pub fn blocks(&self, now: Micros, group: usize) -> Vec<Block> {
         let live = self
             .holds
             .iter()
@@ -330,79 +338,76 @@
         live.map(block).collect()
     }
 
-    /// A holder has answered what was asked at `asked`; `holder` is who it was asked as. Answers that were too long under
-    /// way are not used.
+    /// A count tells, in answer to what was asked at `asked`, where its windows stand. False if they are not known well
+    /// enough to use what it grants: it took too long, and none of its answers was quicker.
+    pub fn learn(&mut self, now: Micros, asked: Micros, phase: Phase) -> bool {
+        if now.saturating_sub(asked) > SKEW {
+            return self.edges.contains_key(&phase.term);
+        }
+        let fresh = Edge { window: phase.window, end: asked + phase.left, length: self.length };
+        // Of two ends, both never late, the later one is the closer.
+        self.edges.entry(phase.term).and_modify(|old| *old = old.closer(fresh)).or_insert(fresh);
+        true
+    }
+
+    /// Takes what the count of these windows has granted for an ask under a number that was made at `asked`. It counts once,
+    /// and only while no later ask was made.
     pub fn granted(
         &mut self,
         now: Micros,
-        asked: Micros,
-        holder: Holder,
-        request: &Request,
-        answer: &Answer,
+        (number, asked): (u64, Micros),
+        ask: &Ask,
+        phase: Phase,
+        grant: &Grant,
     ) {
-        let (group, phase) = (request.group, answer.phase);
-        if answer.unknown {
-            self.answered.remove(&group);
-            self.telling.remove(&group);
-            return;
-        }
-        // A grant of the last holder that comes after the next one was told what is held here would be granted twice.
-        if self.told.get(&group) != Some(&holder) {
-            return;
-        }
-        self.answered.insert(group, holder);
-        if now.saturating_sub(asked) > SKEW {
-            return;
-        }
-        if phase.term == 0 {
+        let Some(edge) = self.edges.get(&phase.term).copied() else { return };
+        let before = self.holds.get(&grant.tenant).and_then(|h| self.edges.get(&h.term).copied());
+        let Some(hold) = self.holds.get_mut(&grant.tenant) else { return };
+        if hold.asking.is_none_or(|(n, _)| n != number) {
             return;
         }
-        let end = asked + phase.left;
-        let fresh = Edge { window: phase.window, end, length: self.length };
-        // Of two ends, both never late, the later one is the closer.
-        let edge = *self.edges.entry(phase.term).and_modify(|old| *old = old.closer(fresh)).or_insert(fresh);
-        for grant in &answer.grants {
-            let before = self.holds.get(&grant.tenant).and_then(|h| self.edges.get(&h.term).copied());
-            let Some(hold) = self.holds.get_mut(&grant.tenant) else { continue };
-            hold.asking = None;
-            if hold.term != phase.term {
-                // Another count has other windows. The one under way here goes on until the last count's window would
-                // have ended: windows never begin closer to each other than their length.
-                match before {
-                    Some(before) => {
-                        hold.roll(before.window(now));
-                        hold.window = edge.window(now + before.left(now).saturating_sub(1));
-                    }
-                    None => (hold.window, hold.spent, hold.extra) = (edge.window(now), 0, 0),
+        hold.asking = None;
+        if hold.term != phase.term {
+            // Another count has other windows. The one under way here goes on until the last count's window would
+            // have ended: windows never begin closer to each other than their length.
+            match before {
+                Some(before) => {
+                    hold.roll(before.window(now));
+                    hold.window = edge.window(now + before.left(now).saturating_sub(1));
                 }
-                hold.term = phase.term;
+                None => (hold.window, hold.spent, hold.extra) = (edge.window(now), 0, 0),
             }
-            hold.roll(edge.window(now));
-            (hold.units, hold.budget, hold.until) = (grant.units, grant.budget, asked + BLOCK);
-            // What was granted for a window that has passed is forfeit.
-            if phase.window == hold.window {
-                hold.extra += grant.extra;
-                if hold.waiting > 0 && grant.extra < hold.waiting && hold.spent >= hold.units + hold.extra {
-                    hold.dry = Some(hold.window);
-                }
+            hold.term = phase.term;
+        }
+        hold.roll(edge.window(now));
+        hold.lowered = grant.units < ask.held;
+        (hold.units, hold.budget, hold.until) = (grant.units, grant.budget, asked + BLOCK);
+        // What was granted for a window that has passed is forfeit.
+        if phase.window == hold.window {
+            hold.extra += grant.extra;
+            let short = grant.units.saturating_sub(ask.held) + grant.extra < ask.extra;
+            if short && hold.waiting > 0 {
+                hold.dry = Some(hold.window);
             }
         }
     }
 
-    /// Whether an ask for a tenant is under way.
-    pub fn asking(&self, tenant: &str) -> bool {
-        self.holds.get(tenant).is_some_and(|h| h.asking.is_some())
-    }
-
-    /// An ask was lost.
-    pub fn lost(&mut self, asks: &[Ask]) {
+    /// An ask under a number had no answer that could be used.
+    pub fn lost(&mut self, number: u64, asks: &[Ask]) {
         for ask in asks {
             if let Some(hold) = self.holds.get_mut(&ask.tenant) {
-                hold.asking = None;
+                if hold.asking.is_some_and(|(n, _)| n == number) {
+                    hold.asking = None;
+                }
             }
         }
     }
 
+    /// The group of a tenant that is known.
+    pub fn group(&self, tenant: &str) -> Option<usize> {
+        self.holds.get(tenant).map(|h| h.group)
+    }
+
     /// What is held, in words: of each tenant the units of a window, those spent, those asked for, and the life of the block.
     pub fn account(&self, now: Micros) -> String {
         let one = |(tenant, h): (&String, &Hold)| {
--- a/crates/toll/src/lib.rs
+++ b/crates/toll/src/lib.rs
@@ -19,7 +19,9 @@
 use serde::{Deserialize, Serialize};
 
 pub mod count;
+pub mod desk;
 pub mod escrow;
+pub mod pace;
 
 /// A time or a length of time, in microseconds.
 pub type Micros = u64;
@@ -29,7 +31,7 @@
 /// Windows that any span of `quota-window` touches, at most.
 pub const TOUCHED: u64 = 8;
 /// By how much a limiter may hold that a window of the count begins too early: half of an answer's way, and more. Answers
-/// that took longer are not used.
+/// that took longer do not tell where windows stand.
 pub const SKEW: Micros = 200_000;
 /// Part of the bound that is used; the rest covers rounding and repeats.
 const USED: f64 = 0.97;
@@ -86,6 +88,9 @@
     /// Units for the present window alone.
     #[serde(rename = "e")]
     pub extra: u32,
+    /// Units of each window that the limiter still holds. It may go on with them should the answer be lost.
+    #[serde(rename = "h")]
+    pub held: u32,
 }
 
 /// A block that a limiter holds, for a count that does not know it.
@@ -114,9 +119,18 @@
     /// What it asks.
     #[serde(rename = "a")]
     pub asks: Vec<Ask>,
-    /// All blocks of the group that it holds, where it has not told this holder yet.
+    /// All blocks of the group that it holds, where it has not told this count yet.
     #[serde(rename = "i")]
     pub holds: Option<Vec<Block>>,
+    /// The life of the count that `holds` is meant for: no other one takes it.
+    #[serde(rename = "c")]
+    pub term: u64,
+    /// The life of the limiter's process.
+    #[serde(rename = "l")]
+    pub life: u64,
+    /// Rises with each request of that life: one that was overtaken counts for nothing.
+    #[serde(rename = "n")]
+    pub number: u64,
 }
 
 /// A count's answer for one tenant.
@@ -156,7 +170,10 @@
     /// The group.
     #[serde(rename = "g")]
     pub group: usize,
-    /// Its windows.
+    /// The life of the count that answers, whether its windows have begun or not.
+    #[serde(rename = "c")]
+    pub term: u64,
+    /// Its windows; those of life 0 have not begun, and will after `left`.
     #[serde(rename = "p")]
     pub phase: Phase,
     /// It does not know what this limiter holds: it has to be told before it grants anything.
--- a/crates/toll/tests/bound.rs
+++ b/crates/toll/tests/bound.rs
@@ -1,8 +1,10 @@
-//! The bound of quotas over any span, with limiters, counts that change hands, and answers that are late or lost.
+//! The bound of quotas over any span, with limiters, counts that change hands, views of them that differ, and requests and
+//! answers that are late, lost or overtaken.
 
 use limeway_toll::count::Count;
-use limeway_toll::escrow::{Escrow, Take};
-use limeway_toll::{Answer, Micros, Request, Rule, Span, BLOCK};
+use limeway_toll::desk::{Desk, Errand, Outcome, Settled};
+use limeway_toll::escrow::{Holder, Take};
+use limeway_toll::{Micros, Rule, Span, BLOCK};
 use rstest::rstest;
 use std::collections::BTreeSet;
 
@@ -26,120 +28,158 @@
 struct Day {
     /// The holder dies about each so many milliseconds; 0 for never.
     holder_dies: u64,
+    /// The count goes to another machine, about each so many milliseconds, with no process ending; 0 for never.
+    moves: u64,
     /// Limiters die, and start anew with nothing.
     doors_die: bool,
     /// Two limiters cannot reach the next holder for some seconds, and go on with what they have.
     cut: bool,
     /// With the holder all limiters end, and start anew.
     all: bool,
+    /// Now and then two limiters hear no answer for some seconds, and are heard.
+    deaf: bool,
+    /// Each limiter changes its mind about the holder each so many milliseconds; 0 for never.
+    flips: u64,
+    /// One request in ten comes up to 3 s late.
+    late: bool,
     /// Guard off: a new holder takes all limiters to hold nothing.
     forgets: bool,
     /// Guard off: a new holder begins at once.
     at_once: bool,
 }
 
+/// A request or an answer on its way: when it arrives, the limiter, the life of its process.
+type Way<T> = (Micros, usize, u64, T);
+
+/// A limiter as the drill keeps it.
+struct Door {
+    desk: Desk,
+    life: u64,
+    offset: Micros,
+}
+
+impl Door {
+    fn new(life: u64, offset: Micros) -> Self {
+        Door { desk: Desk::new(RULE.length(), life), life, offset }
+    }
+}
+
+/// Requests that have their units.
+fn units(settled: &[Settled]) -> usize {
+    settled.iter().filter(|(_, result)| result.is_ok()).count()
+}
+
 /// Plays a minute of one tenant at some multiple of its rate. The most that any span of the rule's window let in, and the
 /// share of the tenant's requests that were let in.
 fn play(seed: u64, rate: f64, load: f64, day: Day) -> (u32, f64) {
     let span: Span = RULE.span(rate, rate).expect("limited");
     let mut chance = Chance(seed);
+    let mut lives = 1u64;
     // Each limiter's clock is off by its own amount.
-    let offset: Vec<Micros> = (0..DOORS).map(|_| 1_000_000_000 + chance.below(5_000_000)).collect();
+    let mut all: Vec<Door> = (0..DOORS as u64)
+        .map(|life| Door::new(life + 1_000, 1_000_000_000 + chance.below(5_000_000)))
+        .collect();
     let doors: BTreeSet<u32> = (0..DOORS as u32).collect();
     let mut now: Micros = 2_000_000_000;
-    let mut boot = 1u64;
-    let mut count = Count::new(now, boot, RULE.length(), &doors, true);
-    let mut escrows: Vec<Escrow> = (0..DOORS).map(|_| Escrow::new(RULE.length())).collect();
-    // Requests and answers under way, with the time at which they arrive.
-    let mut asks: Vec<(Micros, usize, Micros, u64, Request)> = Vec::new();
-    let mut answers: Vec<(Micros, usize, Micros, u64, Request, Answer)> = Vec::new();
-    let mut waiting: Vec<(Micros, usize)> = Vec::new();
+    // The two machines that may hold the count, with the lives of their processes; which one does, and the life of the count.
+    let mut machines: [Holder; 2] = [(9, 1), (8, 1)];
+    let (mut holds, mut term) = (0, 1u64);
+    let mut count = Count::new(now, term, RULE.length(), &doors, true);
+    let mut asks: Vec<Way<Errand>> = Vec::new();
+    let mut answers: Vec<Way<(Errand, Outcome)>> = Vec::new();
     let mut passed: Vec<Micros> = Vec::new();
-    let (mut wanted, mut holder_gone, mut cut_until) = (0u32, 0, 0);
+    let (mut wanted, mut calm, mut cut_until, mut deaf_until) = (0u32, 0, 0, 0);
     let end = now + 60_000_000;
     let gap = (1e6 / (rate * load)) as u64;
     let mut next = now;
     while now < end {
         now += 2_000;
-        if day.holder_dies > 0 && chance.below(day.holder_dies / 2) == 0 && holder_gone == 0 {
+        let dies = day.holder_dies > 0 && chance.below(day.holder_dies / 2) == 0;
+        let moves = day.moves > 0 && chance.below(day.moves / 2) == 0;
+        if (dies || moves) && calm == 0 {
             // The next holder starts once the last one has surely ended, and one window later.
-            boot += 1;
+            term += 1;
+            if dies {
+                machines[holds].1 += 1;
+            }
+            if moves {
+                holds = 1 - holds;
+            }
             let start = if day.at_once { now } else { now + RULE.length() };
-            count = Count::new(start, boot, RULE.length(), &doors, day.forgets);
-            asks.clear();
-            holder_gone = 200;
+            count = Count::new(start, term, RULE.length(), &doors, day.forgets);
+            calm = 200;
             if day.all {
-                escrows.iter_mut().for_each(|e| *e = Escrow::new(RULE.length()));
-                waiting.clear();
-                answers.clear();
+                for door in &mut all {
+                    lives += 1;
+                    *door = Door::new(lives, door.offset);
+                }
             }
             cut_until = if day.cut { now + 6_000_000 } else { 0 };
         }
-        holder_gone = u64::saturating_sub(holder_gone, 1);
+        calm = u64::saturating_sub(calm, 1);
+        if day.deaf && chance.below(4_000) == 0 {
+            deaf_until = now + 4_000_000;
+        }
         if day.doors_die && chance.below(3_000) == 0 {
             let at = chance.below(DOORS as u64) as usize;
-            escrows[at] = Escrow::new(RULE.length());
-            waiting.retain(|(_, d)| *d != at);
-            answers.retain(|a| a.1 != at);
+            lives += 1;
+            all[at] = Door::new(lives, all[at].offset);
         }
+        let view = |at: usize| {
+            let other = day.flips > 0 && (now / 1_000 + 37 * at as u64) / day.flips.max(1) % 2 == 1;
+            Some(machines[if other { 1 - holds } else { holds }])
+        };
         while next <= now {
             next += gap / 2 + chance.below(gap.max(1));
             wanted += 1;
             let at = chance.below(DOORS as u64) as usize;
-            match escrows[at].take(now + offset[at], "t", 0, Some((9, boot)), span) {
+            let door = &mut all[at];
+            match door.desk.take(now + door.offset, "t", 0, view(at), span) {
                 Take::Yes => passed.push(now),
-                Take::Wait => waiting.push((now + 400_000, at)),
+                Take::Wait => {
+                    door.desk.queue(now + door.offset, "t", span);
+                }
                 Take::Dry(_) => {}
             }
         }
-        for (at, escrow) in escrows.iter_mut().enumerate() {
-            for (_, requests) in escrow.asks(now + offset[at], &[Some((9, boot))], at == 0) {
-                for request in requests {
-                    if chance.below(20) > 0 && !(at < 2 && now < cut_until) {
-                        asks.push((now + 500 + chance.below(60_000), at, now, boot, request));
-                    }
+        for (at, door) in all.iter_mut().enumerate() {
+            let (errands, settled) = door.desk.look(now + door.offset, &[view(at)], at == 0);
+            passed.extend(std::iter::repeat_n(now, units(&settled)));
+            for errand in errands {
+                let lost = chance.below(20) == 0 || at < 2 && now < cut_until;
+                let late = if day.late && chance.below(10) == 0 { chance.below(3_000_000) } else { 0 };
+                if !lost {
+                    asks.push((now + 500 + chance.below(60_000) + late, at, door.life, errand.clone()));
                 }
+                answers.push((now + 320_000, at, door.life, (errand, Outcome::Silent)));
             }
         }
         let (due, later) = asks.drain(..).partition(|a| a.0 <= now);
         asks = later;
-        for (_, at, asked, to, request) in due {
-            if to != boot || !doors.contains(&(at as u32)) {
+        for (_, at, life, errand) in due {
+            let asked = (errand.node, errand.boot);
+            if !machines.contains(&asked) {
                 continue;
             }
-            if let Some(blocks) = &request.holds {
-                count.tell(now, at as u32, blocks);
+            let mut told = Vec::new();
+            for request in errand.requests.iter().filter(|_| asked == machines[holds]) {
+                told.extend(count.answer(now, now + BLOCK, at as u32, request, |_| Some(span)));
             }
-            let unknown = !count.knows(at as u32);
-            let open = count.start() <= now;
-            let grants = request.asks.iter().filter(|_| !unknown && open);
-            let grants = grants.map(|ask| count.ask(now, now + BLOCK, at as u32, ask, span)).collect();
-            let phase = if open {
-                count.phase(now)
-            } else {
-                limeway_toll::Phase { term: 0, window: 0, left: count.start() - now }
-            };
-            let answer = Answer { group: 0, phase, unknown, grants };
-            if chance.below(20) > 0 {
-                answers.push((now + 500 + chance.below(160_000), at, asked, to, request, answer));
+            if chance.below(20) > 0 && !(at < 2 && now < deaf_until) {
+                let arrives = now + 500 + chance.below(160_000);
+                answers.push((arrives, at, life, (errand, Outcome::Answers(told))));
             }
         }
-        let (due, later) = answers.drain(..).partition(|a| a.0 <= now);
+        let (due, later): (Vec<_>, _) = answers.drain(..).partition(|a| a.0 <= now);
         answers = later;
-        for (_, at, asked, to, request, answer) in due {
-            let (here, asked) = (now + offset[at], asked + offset[at]);
-            escrows[at].granted(here, asked, (9, to), &request, &answer);
-            escrows[at].lost(&request.asks);
-        }
-        let mut left = Vec::new();
-        for (until, at) in waiting.drain(..) {
-            match escrows[at].waited(now + offset[at], "t", span, until <= now) {
-                Take::Yes => passed.push(now),
-                Take::Wait => left.push((until, at)),
-                Take::Dry(_) => {}
+        for (_, at, life, (errand, outcome)) in due {
+            let door = &mut all[at];
+            // What was asked by a process that has ended has nobody to go to. A call ends once.
+            if door.life == life && now + door.offset <= errand.at + 322_000 {
+                let settled = door.desk.heard(now + door.offset, &errand, &outcome);
+                passed.extend(std::iter::repeat_n(now, units(&settled)));
             }
         }
-        waiting = left;
     }
     passed.sort_unstable();
     let (mut most, mut from) = (0, 0);
@@ -164,6 +204,12 @@
 #[case::hot_with_all_ending_together(6.0, Day { holder_dies: 4_000, all: true, ..Day::default() })]
 #[case::hot_with_cut_limiters(6.0, Day { holder_dies: 9_000, cut: true, ..Day::default() })]
 #[case::hot_with_all(6.0, Day { holder_dies: 9_000, doors_die: true, cut: true, ..Day::default() })]
+#[case::hot_with_a_count_that_moves(6.0, Day { moves: 3_000, cut: true, ..Day::default() })]
+#[case::hot_with_two_views(6.0, Day { moves: 5_000, flips: 170, ..Day::default() })]
+#[case::hot_with_views_that_flip_at_once(6.0, Day { moves: 5_000, flips: 10, late: true, ..Day::default() })]
+#[case::hot_with_late_requests(6.0, Day { moves: 2_000, flips: 170, late: true, ..Day::default() })]
+#[case::hot_with_deaf_limiters(6.0, Day { deaf: true, ..Day::default() })]
+#[case::hot_with_everything(6.0, Day { holder_dies: 9_000, moves: 7_000, doors_die: true, cut: true, deaf: true, flips: 170, late: true, ..Day::default() })]
 fn no_span_lets_in_more_than_the_rule(#[case] load: f64, #[case] day: Day) {
     for (seed, rate) in (0..12).flat_map(|s| [(s, 4.0), (s, 40.0)]) {
         let (most, _) = play(seed, rate, load, day);
@@ -179,6 +225,13 @@
     }
 }
 
+#[rstest]
+fn most_is_let_in_while_views_flip() {
+    let day = Day { flips: 170, ..Day::default() };
+    let shares: Vec<f64> = (0..6).map(|seed| play(seed, 40.0, 0.6, day).1).collect();
+    assert!(shares.iter().sum::<f64>() / 6.0 > 0.93, "{shares:?}");
+}
+
 #[rstest]
 fn most_is_let_in_while_holders_change() {
     let day = Day { holder_dies: 15_000, ..Day::default() };
--- /dev/null
+++ b/crates/toll/tests/count.rs
@@ -0,0 +1,87 @@
+//! What a count grants where requests are late, overtaken, lost, or of another life.
+
+use limeway_toll::count::Count;
+use limeway_toll::{Answer, Ask, Block, Micros, Request, Rule, Span, BLOCK};
+use rstest::rstest;
+use std::collections::BTreeSet;
+
+const RULE: Rule = Rule { window: 5_000_000, overshoot: 0.1, slack: 20.0 };
+const NOW: Micros = 100_000_000;
+const TERM: u64 = 7;
+const BUDGET: u32 = 40;
+
+fn span() -> Span {
+    Span { length: RULE.length(), budget: BUDGET }
+}
+
+fn count() -> Count {
+    Count::new(NOW, TERM, RULE.length(), &BTreeSet::from([0, 1]), true)
+}
+
+fn request(life: u64, number: u64, want: u32, held: u32, holds: Option<u32>) -> Request {
+    let ask = Ask { tenant: "t".into(), base: want, want, extra: 0, held };
+    let block = |units| Block { tenant: "t".into(), units, spent: 0, left: BLOCK };
+    let holds = holds.map(|units| vec![block(units)]);
+    Request { group: 0, asks: vec![ask], holds, term: TERM, life, number }
+}
+
+fn ask(count: &mut Count, now: Micros, node: u32, request: &Request) -> Option<Answer> {
+    count.answer(now, now + BLOCK, node, request, |_| Some(span()))
+}
+
+fn units(answer: Option<Answer>) -> u32 {
+    answer.map_or(0, |a| a.grants.iter().map(|g| g.units).sum())
+}
+
+#[rstest]
+fn what_is_told_to_another_life_of_the_count_is_not_taken() {
+    let mut count = count();
+    let stray = Request { term: TERM - 1, ..request(1, 1, 10, 0, Some(0)) };
+    let answer = ask(&mut count, NOW, 0, &stray).expect("answered");
+    assert!(answer.unknown && answer.grants.is_empty() && answer.term == TERM, "{answer:?}");
+}
+
+#[rstest]
+#[case::a_request_that_was_overtaken(request(1, 3, 1, 0, None))]
+#[case::a_telling_that_was_overtaken(request(1, 3, 1, 0, Some(0)))]
+#[case::a_telling_of_the_life_before(request(9, 8, 1, 0, Some(0)))]
+fn what_comes_late_frees_nothing(#[case] late: Request) {
+    let mut count = count();
+    ask(&mut count, NOW, 0, &request(9, 1, 0, 0, Some(0)));
+    let held = units(ask(&mut count, NOW, 0, &request(1, 4, BUDGET, 0, Some(0))));
+    assert!(held > 0);
+    // Two windows later only what is held then is kept back.
+    assert_eq!(ask(&mut count, NOW, 0, &late), None);
+    let later = NOW + 2 * RULE.length();
+    let other = units(ask(&mut count, later, 1, &request(2, 1, BUDGET, 0, Some(0))));
+    assert!(held + other <= BUDGET, "{held} and {other} of {BUDGET}");
+}
+
+/// A grant of less than is held may be lost: until the limiter asks again, it may go on with what it held.
+#[rstest]
+fn what_may_not_have_been_heard_is_not_granted_again() {
+    let mut count = count();
+    let held = units(ask(&mut count, NOW, 0, &request(1, 1, BUDGET, 0, Some(0))));
+    let less = units(ask(&mut count, NOW, 0, &request(1, 2, 3, held, None)));
+    assert!(less < held);
+    let later = NOW + 2 * RULE.length();
+    let other = units(ask(&mut count, later, 1, &request(2, 1, BUDGET, 0, Some(0))));
+    assert!(held + other <= BUDGET, "{held} and {other} of {BUDGET}");
+    // It asks again with what it was granted: the rest is free.
+    ask(&mut count, later, 0, &request(1, 3, 3, less, None));
+    let after = later + 2 * RULE.length();
+    let more = units(ask(&mut count, after, 1, &request(2, 2, BUDGET, other, None)));
+    assert!(more > other && less + more <= BUDGET, "{less} and {more}, {other} before");
+}
+
+/// A limiter's process ends and starts anew within a window: what its last life had of it may be spent.
+#[rstest]
+fn a_new_life_does_not_free_what_the_last_one_had_of_the_window() {
+    let mut count = count();
+    let had = units(ask(&mut count, NOW, 0, &request(1, 1, BUDGET, 0, Some(0))));
+    let own = units(ask(&mut count, NOW + 1_000, 0, &request(2, 1, 0, 0, Some(0))));
+    let other = units(ask(&mut count, NOW + 2_000, 1, &request(3, 1, BUDGET, 0, Some(0))));
+    assert!(had + own + other <= BUDGET, "{had}, {own} and {other} of {BUDGET}");
+    let later = NOW + RULE.length() + 1_000;
+    assert!(units(ask(&mut count, later, 1, &request(3, 2, BUDGET, other, None))) > other);
+}
