--- a/crates/marker/src/duties.rs
+++ b/crates/marker/src/duties.rs
@@ -5,7 +5,7 @@
 use limeway_ballot::Node;
 use limeway_roster::{Claim, GROUPS};
 use limeway_toll::count::Count;
-use limeway_toll::{Answer, Request};
+use limeway_toll::Request;
 use std::collections::BTreeMap;
 
 impl Marker {
@@ -74,7 +74,7 @@
     pub(crate) fn grant(&mut self, now: Micros, node: Node, requests: &[Request]) -> Reply {
         // Who is not agreed to be a limiter would not be asked by the next holder of a count.
         if !self.board.state.doors.contains(&node) {
-            return Reply::Grants(Vec::new());
+            return Reply::Not;
         }
         let (rule, plan) = (self.start.rule, self.plan.clone());
         let mut answers = Vec::new();
@@ -82,24 +82,11 @@
             let group = request.group;
             let holds = self.duties.holds(now, group);
             let Some(count) = self.counts[group].as_mut().filter(|_| holds) else { continue };
-            if let Some(blocks) = &request.holds {
-                count.tell(now, node, blocks);
-            }
-            if count.start() > now {
-                // Told, and nothing granted yet: the windows have not begun.
-                let phase = limeway_toll::Phase { term: 0, window: 0, left: count.start() - now };
-                answers.push(Answer { group, phase, unknown: !count.knows(node), grants: Vec::new() });
-                continue;
-            }
-            let unknown = !count.knows(node);
-            let mut grants = Vec::new();
-            for ask in request.asks.iter().filter(|a| !unknown && limeway_roster::group(&a.tenant) == group) {
-                let tenant = plan.tenants.get(&ask.tenant);
-                if let Some(span) = tenant.and_then(|t| rule.span(t.rate, t.burst)) {
-                    grants.push(count.ask(now, now + limeway_toll::BLOCK, node, ask, span));
-                }
-            }
-            answers.push(Answer { group, phase: count.phase(now), unknown, grants });
+            let span = |name: &str| {
+                let tenant = plan.tenants.get(name).filter(|_| limeway_roster::group(name) == group)?;
+                rule.span(tenant.rate, tenant.burst)
+            };
+            answers.extend(count.answer(now, now + limeway_toll::BLOCK, node, request, span));
         }
         Reply::Grants(answers)
     }
