Take following out of the limiter; believe only who is in touch; tell big news in parts

Cause: a board took holders, members and doubts from a teller that was not sure of its state, and asked it again every 1.5 s; whole states and big operations went in one frame that never fitted a limiter's 2 Mbit/s within the wait.

Change: tandem::follow::Follower decides whom to ask, what to believe and when to ask again, free of I/O; edge.rs keeps sockets and clock. Holders, members and doubts come only from a teller that was sure within 1.5 s, and as of no earlier than what is known; pauses double from 1 s to 8 s and end with the next sure word; members known from before and core machines that an unsure seed names are ways. Operations and states go sealed (zstd, level 1) in parts of 32 KB at most, which go on after a break and at another teller, known by a digest; a relay leaves what is big to the core. A teller that ceases to be sure ends the polls that it holds.

--- a/crates/exchange/src/core.rs
+++ b/crates/exchange/src/core.rs
@@ -186,7 +186,7 @@
                 self.learn(slot, &value).await;
                 Reply::Done
             }
-            Call::Fetch(slot) => Reply::Steps(self.board.borrow().steps(slot)),
+            Call::Fetch(want) => Reply::Steps(self.board.borrow().steps(&want)),
             Call::Read(node, incarnation) => {
                 let read = self.acceptor.borrow_mut().read_by(node, incarnation);
                 if !read || !self.keep(!self.disk.sound.get()).await {
@@ -317,15 +317,13 @@
         if changed {
             self.refresh();
         }
-        let until = tokio::time::Instant::now() + Duration::from_micros(poll.wait.min(HOLD_MOST));
         loop {
             let notified = self.news.notified();
-            if self.board.borrow().has_news(&poll) {
-                break;
-            }
-            if tokio::time::timeout_at(until, notified).await.is_err() {
+            let left = self.board.borrow().hold_until(t, &poll, HOLD_MOST).saturating_sub(now());
+            if left == 0 || self.board.borrow().has_news(&poll) {
                 break;
             }
+            let _ = tokio::time::timeout(Duration::from_micros(left), notified).await;
         }
         let end = now();
         self.board.borrow().feed(end, &poll, end - t)
--- a/crates/exchange/src/core/votes.rs
+++ b/crates/exchange/src/core/votes.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// Answers of one machine that are taken in one go, at most.
+const FRAMES_MOST: usize = 1_024;
+
 impl Core {
     /// Writes the part in ballots, and the state if it is given. Without a sound disk this machine does not vote.
     pub(super) async fn keep(&self, with_state: bool) -> bool {
@@ -65,13 +68,20 @@
 
     /// Fetches what a machine has that this one lacks.
     pub async fn catch_up(self: &Rc<Self>, from: Node) {
-        let slot = self.board.borrow().state.slot;
-        if let Ok(Reply::Steps(steps)) =
-            self.links.to(from).call(&Call::Fetch(slot), Duration::from_millis(700)).await
-        {
-            if self.board.borrow_mut().walk(slot, steps) {
+        for _ in 0..FRAMES_MOST {
+            let want = self.board.borrow().want();
+            let call = Call::Fetch(want);
+            let Ok(Reply::Steps(steps)) = self.links.to(from).call(&call, Duration::from_millis(700)).await
+            else {
+                return;
+            };
+            if self.board.borrow_mut().walk(want.slot, steps) {
                 self.applied().await;
             }
+            // Until it has no more, or what it has leads nowhere.
+            if self.board.borrow().want() == want {
+                return;
+            }
         }
     }
 
--- a/crates/exchange/src/edge.rs
+++ b/crates/exchange/src/edge.rs
@@ -11,7 +11,9 @@
 use limeway_numbering::Plan;
 use limeway_roster::{rank, Node, Presence};
 use limeway_selector::{cold_share, Candidate, Near, Selector, Tries};
-use limeway_tandem::{tree, Board, Feed, Poll};
+use limeway_tandem::follow::{Follower, Next};
+use limeway_tandem::parcel::Want;
+use limeway_tandem::{Board, Changed};
 use limeway_toll::escrow::{Escrow, Take};
 use limeway_toll::Rule;
 use limeway_watch::Phase;
@@ -27,18 +29,14 @@
 const HOLD: Micros = 600_000;
 /// Beyond the hold, an answer is waited for this long.
 const ANSWER: Duration = Duration::from_millis(700);
-/// Whoever has not answered, or was itself not sure of its state, is passed over for so long.
-const PASSED_OVER: Micros = 1_500_000;
-/// A teller that was last sure so long ago is passed over.
-const UNSURE: Micros = 1_500_000;
+/// Longest that a poll from below is held.
+const HOLD_MOST: Micros = 2_000_000;
 /// What a clock may be off, and what it takes to act.
 const REVOKE_MARGIN: Micros = 250_000;
 /// Limiters that may send to one cold server, at most.
 const SHARERS: usize = 4;
 /// Part of the bound for cold servers that is used.
 const COLD_USED: f64 = 0.95;
-/// Limiters below one relay, at most.
-const BELOW_MOST: usize = 4 * tree::FAN;
 
 /// A server as requests see it.
 #[derive(Debug, Clone)]
@@ -85,11 +83,8 @@
     links: Links,
     /// News for those below.
     news: Notify,
-    below: RefCell<BTreeMap<Node, Presence>>,
-    seeds: RefCell<Vec<std::net::SocketAddr>>,
-    /// What was last told from above: the life of its board, and the numbers of its changes.
-    above: Cell<(u64, u64, u64)>,
-    failed: RefCell<BTreeMap<Node, Micros>>,
+    /// Whom it asks, and what it believes.
+    follower: RefCell<Follower>,
     short: Notify,
     /// How long a count takes to answer, about.
     far: Cell<Micros>,
@@ -111,7 +106,7 @@
         let b = &settings.bounds;
         Rc::new(Edge {
             me: Node::from(settings.ip),
-            board: RefCell::new(Board::new(clock::draw() | 1)),
+            board: RefCell::new(Board::relay(clock::draw() | 1)),
             plan: RefCell::default(),
             table: RefCell::default(),
             selector: RefCell::default(),
@@ -121,10 +116,11 @@
             rule,
             links: Links::new(settings.inner.0),
             news: Notify::new(),
-            below: RefCell::default(),
-            seeds: RefCell::new(settings.seeds.clone()),
-            above: Cell::new((0, 0, 0)),
-            failed: RefCell::default(),
+            follower: RefCell::new(Follower::new(
+                Node::from(settings.ip),
+                &settings.zone,
+                link::nodes(&settings.seeds),
+            )),
             short: Notify::new(),
             far: Cell::new(0),
             waited: Cell::new(0),
@@ -190,84 +186,63 @@
         Presence { node: self.me, front, zone: self.settings.zone.clone(), ready: self.ready(), age: 0 }
     }
 
-    fn core(&self) -> Vec<Node> {
-        let mut core = self.board.borrow().state.core.clone();
-        // Should none of those that are known answer, the settings file may know better.
-        let seeds = self.seeds();
-        core.extend(seeds.into_iter().filter(|s| !self.board.borrow().state.core.contains(s)));
-        core
-    }
-
-    fn seeds(&self) -> Vec<Node> {
-        link::nodes(&self.seeds.borrow())
-    }
-
     /// The settings file has changed: what it says of seeds counts from now on.
     pub fn reload(&self, settings: &Settings) {
-        self.seeds.borrow_mut().clone_from(&settings.seeds);
+        self.follower.borrow_mut().seeds = link::nodes(&settings.seeds);
     }
 
-    /// Polls whoever is above, for ever.
+    /// Asks for news, for ever.
     pub async fn follow(self: Rc<Self>) {
         loop {
             let t = now();
-            self.failed.borrow_mut().retain(|_, until| *until > t);
-            let failed: Vec<Node> = self.failed.borrow().keys().copied().collect();
-            let order = tree::above(
-                self.me,
-                &self.settings.zone,
-                self.board.borrow().members(),
-                &self.core(),
-                &failed,
-            );
-            let Some(above) = order.first().copied() else {
-                sleep(Duration::from_millis(200)).await;
-                continue;
-            };
-            let below: Vec<Presence> = {
-                let mut below = self.below.borrow_mut();
-                below.retain(|_, p| t.saturating_sub(p.age) < limeway_roster::LEASE);
-                below.values().map(|p| Presence { age: t.saturating_sub(p.age), ..p.clone() }).collect()
-            };
-            let poll = {
-                let board = self.board.borrow();
-                let (epoch, servers, members) = self.above.get();
-                let wait = if self.leaving.get() || !self.ready() { HOLD / 4 } else { HOLD };
-                Poll { me: self.presence(), below, slot: board.state.slot, epoch, servers, members, wait }
-            };
-            let slot = poll.slot;
-            let link = self.links.to(above);
-            let call = Call::Poll(poll);
-            let asked = now();
-            let answer = tokio::select! {
-                answer = link.call(&call, Duration::from_micros(HOLD) + ANSWER) => Some(answer),
-                () = self.hurry.notified() => None,
-            };
-            match answer {
-                Some(Ok(Reply::Feed(feed))) => {
-                    let unsure = feed.age.is_none_or(|a| a > UNSURE);
-                    self.take(asked, slot, *feed);
-                    if unsure {
-                        self.failed.borrow_mut().insert(above, now() + PASSED_OVER);
-                        sleep(Duration::from_millis(60)).await;
-                    }
-                }
-                Some(other) => {
-                    log::info!(above, error = format!("{:?}", other.err()).as_str(); "no news from above");
-                    self.failed.borrow_mut().insert(above, now() + PASSED_OVER);
-                    sleep(Duration::from_millis(40 + clock::draw() % 40)).await;
-                }
-                // It leaves: that is told at once.
-                None => {}
+            let next = self.follower.borrow_mut().next(t, &self.board.borrow());
+            match next {
+                Next::Wait(until) => sleep(Duration::from_micros(until.saturating_sub(t).max(1_000))).await,
+                Next::Poll(above) => self.poll(above).await,
+                Next::Fetch(from, want) => self.fetch(from, want).await,
+            }
+        }
+    }
+
+    async fn poll(&self, above: Node) {
+        let asked = now();
+        let wait = if self.leaving.get() || !self.ready() { HOLD / 4 } else { HOLD };
+        let poll = self.follower.borrow_mut().poll(asked, &self.board.borrow(), self.presence(), wait);
+        let (want, link) = (poll.want, self.links.to(above));
+        let call = Call::Poll(poll);
+        let answer = tokio::select! {
+            answer = link.call(&call, Duration::from_micros(HOLD) + ANSWER) => answer,
+            // It leaves: that is told at once.
+            () = self.hurry.notified() => return,
+        };
+        match answer {
+            Ok(Reply::Feed(feed)) => {
+                self.take(|t, follower, board| follower.fed(t, asked, &want, above, *feed, board));
+            }
+            other => self.failed(above, other.err()),
+        }
+    }
+
+    async fn fetch(&self, from: Node, want: Want) {
+        let link = self.links.to(from);
+        match link.call(&Call::Fetch(want), Duration::from_micros(HOLD) + ANSWER).await {
+            Ok(Reply::Steps(steps)) => {
+                self.take(|t, follower, board| follower.fetched(t, &want, steps, board));
             }
+            other => self.failed(from, other.err()),
         }
     }
 
-    fn take(&self, asked: Micros, slot: u64, feed: Feed) {
+    fn failed(&self, node: Node, error: Option<link::LinkError>) {
+        log::info!(node, error = format!("{error:?}").as_str(); "no news from above");
+        self.follower.borrow_mut().failed(now(), node);
+    }
+
+    /// Takes in what came, and makes plan and table anew once for all of it.
+    fn take(&self, told: impl FnOnce(Micros, &mut Follower, &mut Board) -> Changed) {
         let t = now();
-        self.above.set((feed.epoch, feed.change, feed.members_change));
         let before = self.board.borrow().state.evacuated.clone();
-        let changed = self.board.borrow_mut().take(t, asked, slot, feed);
+        let changed = told(t, &mut self.follower.borrow_mut(), &mut self.board.borrow_mut());
         if changed.state {
             let board = self.board.borrow();
             if board.state.version != self.plan.borrow().version {
@@ -281,7 +256,7 @@
                 self.returned.borrow_mut().insert(zone.clone(), t);
             }
         }
-        if changed != limeway_tandem::Changed::default() {
+        if changed != Changed::default() {
             self.rebuild();
         }
         self.news.notify_waiters();
@@ -417,30 +392,21 @@
         let poll = match call {
             Call::Poll(poll) => poll,
             Call::Unit(tenant) => return self.lend(&tenant),
-            Call::Fetch(slot) => return Reply::Steps(self.board.borrow().steps(slot)),
+            Call::Fetch(want) => return Reply::Steps(self.board.borrow().steps(&want)),
             _ => return Reply::Not,
         };
         let t = now();
-        {
-            let mut below = self.below.borrow_mut();
-            for presence in std::iter::once(&poll.me).chain(&poll.below) {
-                if below.len() < BELOW_MOST || below.contains_key(&presence.node) {
-                    let age = t.saturating_sub(presence.age);
-                    let new = below.insert(presence.node, Presence { age, ..presence.clone() });
-                    if new.is_none_or(|p| p.ready != presence.ready) {
-                        // Who comes or leaves is told at once.
-                        self.hurry.notify_one();
-                    }
-                }
-            }
+        if self.follower.borrow_mut().hear_below(t, &poll) {
+            // Who comes or leaves is told at once.
+            self.hurry.notify_one();
         }
-        let until = tokio::time::Instant::now() + Duration::from_micros(poll.wait.min(2_000_000));
         loop {
             let notified = self.news.notified();
-            if self.board.borrow().has_news(&poll) || tokio::time::timeout_at(until, notified).await.is_err()
-            {
+            let left = self.board.borrow().hold_until(t, &poll, HOLD_MOST).saturating_sub(now());
+            if left == 0 || self.board.borrow().has_news(&poll) {
                 break;
             }
+            let _ = timeout(Duration::from_micros(left), notified).await;
         }
         let end = now();
         Reply::Feed(Box::new(self.board.borrow().feed(end, &poll, end - t)))
--- a/crates/exchange/src/messages.rs
+++ b/crates/exchange/src/messages.rs
@@ -2,6 +2,7 @@
 
 use limeway_ballot::{Ballot, Incarnation, Node, Slot, Told, Word};
 use limeway_roster::{Claim, Held, Presence};
+use limeway_tandem::parcel::Want;
 use limeway_tandem::{Feed, Poll, Steps};
 use limeway_toll::{Answer, Request};
 use limeway_watch::Report;
@@ -17,8 +18,8 @@
     Accept(Slot, Ballot, ByteBuf),
     /// A value is chosen.
     Chosen(Slot, ByteBuf),
-    /// What leads from a slot to the state.
-    Fetch(Slot),
+    /// What leads to the state, or the next piece of it.
+    Fetch(Want),
     /// A machine that lost its disk reads an intact one.
     Read(Node, Incarnation),
     /// A core machine's round to the others.
--- a/crates/ringer/src/slopes.rs
+++ b/crates/ringer/src/slopes.rs
@@ -91,7 +91,7 @@
     Poll {
         me: presence(1),
         below: Vec::new(),
-        slot: board.state.slot,
+        want: board.want(),
         epoch: if known.epoch == board.epoch { 0 } else { known.epoch },
         servers: known.watch.change,
         members: 0,
--- a/crates/tandem/src/lib.rs
+++ b/crates/tandem/src/lib.rs
@@ -5,6 +5,13 @@
 //! told what it lacks; the poll is held there until there is news. A relay answers from its own board just as the core
 //! does: ages add up on the way down, so that no limiter holds itself to be surer than its sources were.
 //!
+//! **Who is believed.** Chosen operations and steps of servers only go forward, so they are taken from anyone. Who holds a
+//! duty, who is a member and which servers are no more is taken only from a teller that was sure within [`UNSURE`], and as
+//! of no earlier than what is known already ([`Trust`]). [`follow::Follower`] decides whom to ask.
+//!
+//! **Steps** go compressed, as many operations as fit into an answer; what does not fit goes in parts ([`parcel`]). A relay
+//! has a thin link and many below it: it only says that there is something big, and they fetch it from the core.
+//!
 //! Free of I/O; times are those of each machine's own steady clock.
 #![forbid(unsafe_code)]
 
@@ -13,15 +20,31 @@
 use limeway_watch::{Report, Watch};
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
+use std::cell::RefCell;
 use std::collections::{BTreeSet, VecDeque};
 
+pub mod follow;
+pub mod parcel;
 pub mod tree;
 
+use parcel::{seal, unseal, Gathered, Gathering, Parcel, Part, Want, PART};
+
 /// A time or a length of time, in microseconds.
 pub type Micros = u64;
 
-/// Operations kept to be told as differences, and their bytes, at most; who lacks more is told the whole state.
+/// Operations kept to be told as differences, and their sealed bytes, at most; who lacks more is told the whole state.
 const RECENT: (usize, usize) = (256, 2 * 1024 * 1024);
+/// A teller that was sure no later than so long ago is not believed. A relay that holds a poll is told of a surety that is
+/// up to a round and a hold old itself, some 1.1 s.
+pub const UNSURE: Micros = 1_500_000;
+/// The whole state is told as it was at a multiple of so many slots, so that all tellers have the same bytes.
+const ANCHOR: u64 = 64;
+/// Whole states kept: who has begun with one has some 128 slots' time to end with it.
+const ANCHORS: usize = 3;
+/// Operations of so many sealed bytes are told as they are, whatever the whole state would take.
+const OPS_CHEAP: usize = 8 * 1024;
+/// Bytes of operations in one answer of a relay, at most.
+const RELAY_ROOM: usize = 4 * 1024;
 
 /// What a limiter tells the one above it, and what it has.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -32,9 +55,9 @@
     /// Those below it.
     #[serde(rename = "b")]
     pub below: Vec<Presence>,
-    /// The last slot that it has.
+    /// What it lacks of the agreed state.
     #[serde(rename = "s")]
-    pub slot: u64,
+    pub want: Want,
     /// The life of the board that the numbers below are of.
     #[serde(rename = "e")]
     pub epoch: u64,
@@ -49,15 +72,18 @@
     pub wait: Micros,
 }
 
-/// The state, or what leads to it.
+/// What leads to the state, or the next piece of it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Steps {
-    /// The operations of the slots that follow.
+    /// The operations of the slots that follow, each sealed; not all, if there are more than fit.
     #[serde(rename = "o")]
     Ops(Vec<ByteBuf>),
-    /// The whole state.
-    #[serde(rename = "w")]
-    Whole(ByteBuf),
+    /// A part of an operation, or of the whole state.
+    #[serde(rename = "p")]
+    Part(Part),
+    /// There is something big, which this teller leaves to others, and its slot: it is fetched from the core.
+    #[serde(rename = "e")]
+    Elsewhere(u64),
 }
 
 /// A member, as limiters know it: its machine and its zone.
@@ -102,14 +128,21 @@
 }
 
 /// What a process knows of the whole system.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub struct Board {
     /// This life of the process; told with each feed.
     pub epoch: u64,
     /// The agreed state.
     pub state: State,
+    /// The last operations, sealed.
     recent: VecDeque<ByteBuf>,
     recent_bytes: usize,
+    /// Whole states that are told, oldest first.
+    anchors: RefCell<VecDeque<Parcel>>,
+    /// What is being told to this process in parts.
+    gathering: Option<Gathering>,
+    /// It tells those below it on a thin link, and leaves what is big to the core.
+    relay: bool,
     /// The servers.
     pub watch: Watch,
     /// The live members.
@@ -147,14 +180,28 @@
     pub members: bool,
 }
 
+/// What a teller's word of members, holders and ends of servers is worth.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Trust {
+    /// It is not sure of its state: it may be cut off from the others.
+    Unsure,
+    /// It is sure, but as of earlier than what is known.
+    Older,
+    /// It is taken.
+    Current,
+}
+
 impl Board {
-    /// An empty board of a new life.
+    /// An empty board of a new life, of a core machine.
     pub fn new(epoch: u64) -> Self {
         Board {
             epoch,
             state: State::default(),
             recent: VecDeque::new(),
             recent_bytes: 0,
+            anchors: RefCell::default(),
+            gathering: None,
+            relay: false,
             watch: Watch::default(),
             members: Vec::new(),
             members_change: 0,
@@ -163,16 +210,43 @@
         }
     }
 
-    /// Takes the operation of the next slot. False if it cannot be read.
+    /// An empty board of a new life, of a limiter.
+    pub fn relay(epoch: u64) -> Self {
+        Board { relay: true, ..Board::new(epoch) }
+    }
+
+    /// Takes the packed operation of the next slot. False if it cannot be read.
     pub fn step(&mut self, bytes: &[u8]) -> bool {
         let Some(op) = unpack::<Op>(bytes) else { return false };
-        self.state.apply(&op);
-        self.recent_bytes += bytes.len();
-        self.recent.push_back(ByteBuf::from(bytes.to_vec()));
+        self.apply(&op, seal(bytes));
+        true
+    }
+
+    fn step_sealed(&mut self, sealed: Vec<u8>) -> bool {
+        let Some(op) = unseal(&sealed).and_then(|raw| unpack::<Op>(&raw)) else { return false };
+        self.apply(&op, sealed);
+        true
+    }
+
+    fn apply(&mut self, op: &Op, sealed: Vec<u8>) {
+        self.state.apply(op);
+        self.recent_bytes += sealed.len();
+        self.recent.push_back(ByteBuf::from(sealed));
         while self.recent.len() > RECENT.0 || self.recent_bytes > RECENT.1 {
             self.recent_bytes -= self.recent.pop_front().map_or(0, |b| b.len());
         }
-        true
+        if !self.relay && self.state.slot.is_multiple_of(ANCHOR) {
+            self.anchor();
+        }
+    }
+
+    /// Seals the state as it is, to be told.
+    fn anchor(&self) {
+        let mut anchors = self.anchors.borrow_mut();
+        if anchors.len() >= ANCHORS {
+            anchors.pop_front();
+        }
+        anchors.push_back(Parcel::new(true, self.state.slot, seal(&pack(&self.state))));
     }
 
     /// Takes a whole state, if it is newer.
@@ -183,34 +257,106 @@
         self.state = state;
         self.recent.clear();
         self.recent_bytes = 0;
+        self.anchors.borrow_mut().clear();
         true
     }
 
-    /// What leads from a slot to this state.
-    pub fn steps(&self, from: u64) -> Steps {
-        let lacks = self.state.slot.saturating_sub(from) as usize;
-        if lacks <= self.recent.len() {
-            Steps::Ops(self.recent.iter().skip(self.recent.len() - lacks).cloned().collect())
-        } else {
-            Steps::Whole(ByteBuf::from(pack(&self.state)))
+    /// What this board lacks, with room for as much as an answer may hold.
+    pub fn want(&self) -> Want {
+        let wanted = |g: &&Gathering| {
+            let label = g.have().label;
+            label.slot == self.state.slot + 1 || (label.whole && label.slot > self.state.slot)
+        };
+        let have = self.gathering.as_ref().filter(wanted).map(Gathering::have);
+        Want { slot: self.state.slot, have, room: PART as u32 }
+    }
+
+    /// The sealed operations after a slot, if all of them are kept.
+    fn after(&self, slot: u64) -> Option<impl Iterator<Item = &ByteBuf>> {
+        let lacks = usize::try_from(self.state.slot.saturating_sub(slot)).ok()?;
+        (lacks <= self.recent.len()).then(|| self.recent.iter().skip(self.recent.len() - lacks))
+    }
+
+    /// What leads to this state, or the next piece of it: no more than there is room for.
+    pub fn steps(&self, want: &Want) -> Steps {
+        if want.slot >= self.state.slot {
+            return Steps::Ops(Vec::new());
+        }
+        if let Some(label) = want.have.map(|h| h.label).filter(|l| l.whole && l.slot > want.slot) {
+            // What was begun is ended, if it is still told here, and leads on.
+            let begun = self.anchors.borrow().iter().find(|a| a.label == label).map(|a| a.part(want));
+            if let Some(part) = begun.filter(|_| self.after(label.slot).is_some()) {
+                return Steps::Part(part);
+            }
         }
+        let bytes = self.after(want.slot).map(|ops| ops.map(|op| op.len()).sum::<usize>());
+        if bytes.is_none_or(|bytes| bytes > OPS_CHEAP) {
+            if let Some(part) = self.whole(want, bytes) {
+                return Steps::Part(part);
+            }
+        }
+        let mut fit = Vec::new();
+        let mut room = want.bytes();
+        for op in self.after(want.slot).into_iter().flatten() {
+            if op.len() > room {
+                if fit.is_empty() {
+                    let parcel = Parcel::new(false, want.slot + 1, op.to_vec());
+                    return Steps::Part(parcel.part(want));
+                }
+                break;
+            }
+            room -= op.len();
+            fit.push(op.clone());
+        }
+        Steps::Ops(fit)
+    }
+
+    /// The next part of a whole state, unless the operations, if all are kept, are less.
+    fn whole(&self, want: &Want, ops: Option<usize>) -> Option<Part> {
+        let led = |slot: u64| self.after(slot).map(|ops| ops.map(|op| op.len()).sum::<usize>());
+        let newest = || {
+            let anchors = self.anchors.borrow();
+            let newest = anchors.back().filter(|a| a.label.slot > want.slot)?;
+            // What follows an old one may be more than a new one would be.
+            let more = led(newest.label.slot).filter(|more| *more <= newest.size() + OPS_CHEAP)?;
+            Some((newest.size() + more, newest.part(want)))
+        };
+        let (size, part) = newest().or_else(|| {
+            self.anchor();
+            newest()
+        })?;
+        ops.is_none_or(|ops| size < ops).then_some(part)
     }
 
     /// Takes steps that were asked for when this board's slot was `from`. True if the state changed.
     pub fn walk(&mut self, from: u64, steps: Steps) -> bool {
+        let before = self.state.slot;
         match steps {
             Steps::Ops(ops) => {
-                let known = self.state.slot.saturating_sub(from) as usize;
-                let before = self.state.slot;
-                for op in ops.iter().skip(known) {
-                    if !self.step(op) {
+                let known = usize::try_from(before.saturating_sub(from)).unwrap_or(usize::MAX);
+                for op in ops.into_iter().skip(known) {
+                    if !self.step_sealed(op.into_vec()) {
                         break;
                     }
                 }
-                self.state.slot > before
             }
-            Steps::Whole(bytes) => unpack::<State>(&bytes).is_some_and(|state| self.jump(state)),
+            Steps::Part(part) => {
+                if let Gathered::Whole(label, sealed) = Gathering::take(&mut self.gathering, part) {
+                    if label.whole {
+                        if let Some(state) = unseal(&sealed).and_then(|raw| unpack::<State>(&raw)) {
+                            if state.slot == label.slot && self.jump(state) {
+                                // It is told on as it came.
+                                self.anchors.borrow_mut().push_back(Parcel::new(true, label.slot, sealed));
+                            }
+                        }
+                    } else if label.slot == before + 1 {
+                        self.step_sealed(sealed);
+                    }
+                }
+            }
+            Steps::Elsewhere(_) => {}
         }
+        self.state.slot > before
     }
 
     /// The live members as this process knows them.
@@ -231,54 +377,99 @@
     /// Whether there is news for a poll.
     pub fn has_news(&self, poll: &Poll) -> bool {
         poll.epoch != self.epoch
-            || poll.slot < self.state.slot
+            || poll.want.slot < self.state.slot
             || poll.servers != self.watch.change
             || poll.members != self.members_change
     }
 
+    /// Whether this process was sure of its state lately.
+    pub fn is_sure(&self, now: Micros) -> bool {
+        self.sure > 0 && now.saturating_sub(self.sure) <= UNSURE
+    }
+
+    /// Until when a poll that came at `came` is held while there is no news: a teller that ceases to be sure says so at once.
+    pub fn hold_until(&self, came: Micros, poll: &Poll, most: Micros) -> Micros {
+        let ceases = if self.sure > 0 { self.sure + UNSURE } else { 0 };
+        (came + poll.wait.min(most)).min(ceases)
+    }
+
     /// Answers a poll that was held for so long.
     pub fn feed(&self, now: Micros, poll: &Poll, held: Micros) -> Feed {
-        let known = poll.epoch == self.epoch;
+        let (known, sure) = (poll.epoch == self.epoch, self.is_sure(now));
         let since = if known { poll.servers } else { 0 };
+        // A full list is for those who believe it.
+        let telling = sure || since > 0;
         Feed {
             held,
             age: (self.sure > 0).then(|| now.saturating_sub(self.sure)),
-            steps: self.steps(poll.slot),
+            steps: self.briefly(&poll.want),
             epoch: self.epoch,
-            change: self.watch.change,
-            servers: if known && since == self.watch.change {
+            change: if telling { self.watch.change } else { 0 },
+            servers: if !telling || (known && since == self.watch.change) {
                 Vec::new()
             } else {
                 self.watch.since(now, since)
             },
-            full: since == 0,
+            full: telling && since == 0,
             holders: self.holders.to_vec(),
             members_change: self.members_change,
             members: (!known || poll.members != self.members_change).then(|| self.members.clone()),
         }
     }
 
+    /// The steps of a poll's answer.
+    fn briefly(&self, want: &Want) -> Steps {
+        if !self.relay {
+            return self.steps(want);
+        }
+        let most = Want { room: want.bytes().min(RELAY_ROOM) as u32, have: None, ..*want };
+        match self.after(want.slot).map(|mut ops| ops.next().map_or(0, |op| op.len())) {
+            Some(first) if first <= most.bytes() => match self.steps(&most) {
+                Steps::Part(_) => Steps::Elsewhere(self.state.slot),
+                few => few,
+            },
+            _ => Steps::Elsewhere(self.state.slot),
+        }
+    }
+
+    /// What a feed's word of members, holders and ends of servers is worth, to a poll that was sent at `asked`.
+    pub fn trust(&self, asked: Micros, feed: &Feed) -> Trust {
+        match feed.age {
+            Some(age) if age <= UNSURE => {
+                // The teller was sure `age` before it answered, which was no sooner than `held` after the poll was sent.
+                if (asked + feed.held).saturating_sub(age) >= self.sure {
+                    Trust::Current
+                } else {
+                    Trust::Older
+                }
+            }
+            _ => Trust::Unsure,
+        }
+    }
+
     /// Takes the answer to a poll that was sent at `asked`, with the slot `slot`.
     pub fn take(&mut self, now: Micros, asked: Micros, slot: u64, feed: Feed) -> Changed {
+        let trust = self.trust(asked, &feed);
         let mut changed = Changed { state: self.walk(slot, feed.steps), ..Changed::default() };
         let before = self.watch.change;
         for report in &feed.servers {
             self.watch.hear(now, report);
         }
-        if feed.full {
+        if feed.full && trust != Trust::Unsure {
             // Who is not told of may be gone, or the teller may be new itself.
             let told: BTreeSet<&str> = feed.servers.iter().map(|r| r.id.as_str()).collect();
             self.watch.doubt(|id| !told.contains(id));
         }
         changed.servers = self.watch.change != before;
-        if let Some(members) = feed.members {
-            changed.members |= self.set_members(members);
+        if trust == Trust::Current {
+            if let Some(members) = feed.members {
+                changed.members |= self.set_members(members);
+            }
+            let mut holders = [(0, 0); GROUPS];
+            holders.iter_mut().zip(feed.holders).for_each(|(to, from)| *to = from);
+            changed.members |= holders != self.holders;
+            self.holders = holders;
         }
-        let mut holders = [(0, 0); GROUPS];
-        holders.iter_mut().zip(feed.holders).for_each(|(to, from)| *to = from);
-        changed.members |= holders != self.holders;
-        self.holders = holders;
-        // The teller was sure `age` before it answered, which was no sooner than `held` after the poll was sent.
         if let Some(age) = feed.age {
             self.sure = self.sure.max((asked + feed.held).saturating_sub(age));
         }
--- /dev/null
+++ b/crates/tandem/tests/common/mod.rs
@@ -0,0 +1,70 @@
+//! Boards, polls and operations for the tests of this package.
+#![allow(dead_code)]
+
+use limeway_numbering::document::{Item, Kind};
+use limeway_numbering::Op;
+use limeway_roster::Presence;
+use limeway_tandem::{pack, Board, Micros, Poll};
+use limeway_watch::{Phase, Report};
+use std::net::SocketAddrV4;
+
+pub fn presence(node: u32) -> Presence {
+    let front = SocketAddrV4::new([127, 0, 0, 1].into(), 1);
+    Presence { node, front, zone: "z".into(), ready: true, age: 0 }
+}
+
+/// A poll of one who knows so much of the teller's board.
+pub fn poll(board: &Board, epoch: u64, servers: u64, members: u64) -> Poll {
+    Poll { me: presence(1), below: Vec::new(), want: board.want(), epoch, servers, members, wait: 600_000 }
+}
+
+pub fn report(id: u64, count: u64, phase: Phase) -> Report {
+    Report {
+        id: format!("i-{id}"),
+        service: "s".into(),
+        address: SocketAddrV4::new([127, 0, (id / 250) as u8, (id % 250) as u8].into(), 80),
+        zone: "z".into(),
+        slots: 3,
+        phase,
+        cold_left: 0,
+        count,
+        age: 0,
+        silent: false,
+    }
+}
+
+/// Some routes with names that do not compress well: the same ones for the same `seed`.
+pub fn routes(seed: u64, count: u64) -> Vec<u8> {
+    let route = |n: u64| {
+        let draw = |salt: u64| limeway_roster::hash(&[seed, n, salt].map(u64::to_le_bytes).concat());
+        let spec = format!(
+            "{{\"hostname\":\"{:x}.example\",\"path-prefix\":\"/{:x}{:x}{:x}/\"}}",
+            draw(1),
+            draw(2),
+            draw(3),
+            draw(4)
+        );
+        Item { kind: Kind::Route, name: format!("r-{seed}-{n}"), spec }
+    };
+    let version = seed as u32;
+    let set = (0..count).map(route).collect();
+    pack(&Op::Config {
+        version,
+        base: version.saturating_sub(1),
+        whole: false,
+        set,
+        drop: vec![],
+        digest: seed,
+    })
+}
+
+/// A core machine that is sure at `now`, with so many operations and a big one among them.
+pub fn core(epoch: u64, now: Micros, machines: &[u32], big: u64) -> Board {
+    let mut board = Board::new(epoch);
+    board.step(&pack(&Op::Core(machines.to_vec())));
+    if big > 0 {
+        board.step(&routes(1, big));
+    }
+    board.sure = now;
+    board
+}
--- a/crates/tandem/tests/feeds.rs
+++ b/crates/tandem/tests/feeds.rs
@@ -1,38 +1,13 @@
 //! News as differences equals news as a whole, ages only ever add up, and the tree forms again.
 
+mod common;
+
+use common::{poll, report};
 use limeway_numbering::Op;
-use limeway_roster::Presence;
-use limeway_tandem::{pack, tree, Board, Member, Poll};
-use limeway_watch::{Phase, Report};
+use limeway_tandem::{pack, tree, Board, Member};
+use limeway_watch::Phase;
 use rstest::rstest;
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddrV4;
-
-fn poll(board: &Board, epoch: u64, servers: u64, members: u64) -> Poll {
-    let me = Presence {
-        node: 1,
-        front: SocketAddrV4::new([127, 0, 0, 1].into(), 1),
-        zone: "z".into(),
-        ready: true,
-        age: 0,
-    };
-    Poll { me, below: Vec::new(), slot: board.state.slot, epoch, servers, members, wait: 0 }
-}
-
-fn report(id: u64, count: u64, phase: Phase) -> Report {
-    Report {
-        id: format!("i-{id}"),
-        service: "s".into(),
-        address: SocketAddrV4::new([127, 0, (id / 250) as u8, (id % 250) as u8].into(), 80),
-        zone: "z".into(),
-        slots: 3,
-        phase,
-        cold_left: 0,
-        count,
-        age: 0,
-        silent: false,
-    }
-}
 
 /// A limiter that is fed differences, one that misses most of them, and one that comes late all end with the same.
 #[rstest]
@@ -42,16 +17,20 @@
         [1, 13, 400].map(|every| (Board::new(every), (0, 0, 0), every)).into();
     for step in 1..=400u64 {
         let now = 1_000_000 * step;
+        core.sure = now;
         core.step(&pack(&Op::Evacuate { zone: format!("z{}", step % 7), begun: step % 3 > 0 }));
         core.watch
             .hear(now, &report(step % 40, step, if step % 11 == 0 { Phase::Gone } else { Phase::Ready }));
         core.set_members(vec![(step as u32 % 5, "z".into())]);
         for (board, (epoch, servers, members), every) in &mut limiters {
             if step % *every == 0 {
-                let asked = poll(board, *epoch, *servers, *members);
-                let feed = core.feed(now, &asked, 0);
-                (*epoch, *servers, *members) = (feed.epoch, feed.change, feed.members_change);
-                board.take(now, now, asked.slot, feed);
+                // What is not told with one answer is told with the next ones.
+                while board.state.slot < core.state.slot {
+                    let asked = poll(board, *epoch, *servers, *members);
+                    let feed = core.feed(now, &asked, 0);
+                    (*epoch, *servers, *members) = (feed.epoch, feed.change, feed.members_change);
+                    board.take(now, now, asked.want.slot, feed);
+                }
             }
         }
     }
--- /dev/null
+++ b/crates/tandem/tests/following.rs
@@ -0,0 +1,164 @@
+//! Whom a limiter asks, in virtual time: pauses that grow and end, and ways past a cut side.
+
+mod common;
+
+use common::{core, presence};
+use limeway_roster::Node;
+use limeway_tandem::follow::{Follower, Next, GAP, PAUSE_FIRST, PAUSE_MOST};
+use limeway_tandem::{Board, Micros};
+use rstest::rstest;
+use std::collections::BTreeMap;
+
+/// A step of virtual time, in microseconds.
+const STEP: Micros = 1_000;
+
+/// What a machine does with a poll.
+#[derive(Clone, Copy, PartialEq)]
+enum Teller {
+    /// It is sure.
+    InTouch,
+    /// It is not sure, but answers.
+    CutOff,
+    /// It answers nothing: that takes 300 ms to be seen.
+    Silent,
+}
+
+struct Play {
+    follower: Follower,
+    board: Board,
+    tellers: BTreeMap<Node, Teller>,
+    core: Vec<Node>,
+    members: Vec<Node>,
+    now: Micros,
+    asked: Vec<(Micros, Node)>,
+}
+
+impl Play {
+    /// A limiter of machine 50, zone "z". What a machine is not said to be, it is not: it is silent.
+    fn new(seeds: &[Node], core: &[Node], tellers: &[(Node, Teller)]) -> Self {
+        Play {
+            follower: Follower::new(50, "z", seeds.to_vec()),
+            board: Board::relay(9),
+            tellers: tellers.iter().copied().collect(),
+            core: core.to_vec(),
+            members: Vec::new(),
+            now: 20_000_000,
+            asked: Vec::new(),
+        }
+    }
+
+    fn until(&mut self, end: Micros) {
+        while self.now < end {
+            match self.follower.next(self.now, &self.board) {
+                Next::Wait(until) => self.now = until.max(self.now + STEP).min(end),
+                Next::Fetch(..) => panic!("nothing big is told here"),
+                Next::Poll(node) => self.poll(node),
+            }
+        }
+    }
+
+    fn poll(&mut self, node: Node) {
+        let asked = self.now;
+        self.asked.push((asked, node));
+        let poll = self.follower.poll(asked, &self.board, presence(50), 600_000);
+        let how = self.tellers.get(&node).copied().unwrap_or(Teller::Silent);
+        if how == Teller::Silent {
+            self.now += 300_000;
+            return self.follower.failed(self.now, node);
+        }
+        let sure = if how == Teller::InTouch { asked - 200_000 } else { 1 };
+        let mut teller = core(u64::from(node), sure, &self.core, 0);
+        teller.set_members(self.members.iter().map(|n| (*n, "y".to_owned())).collect());
+        let held = if how == Teller::InTouch && !teller.has_news(&poll) { 600_000 } else { 0 };
+        teller.sure += if how == Teller::InTouch { held } else { 0 };
+        self.now += held + STEP;
+        let feed = teller.feed(self.now - STEP, &poll, held);
+        self.follower.fed(self.now, asked, &poll.want, node, feed, &mut self.board);
+    }
+
+    fn times(&self, node: Node) -> Vec<Micros> {
+        self.asked.iter().filter(|(_, n)| *n == node).map(|(t, _)| *t).collect()
+    }
+}
+
+/// The core machine that this limiter asks first.
+fn first_choice(core: &[Node]) -> Node {
+    let mut play = Play::new(core, core, &core.map_in_touch());
+    play.until(20_000_000 + STEP);
+    play.asked[0].1
+}
+
+trait MapInTouch {
+    fn map_in_touch(&self) -> Vec<(Node, Teller)>;
+}
+
+impl MapInTouch for [Node] {
+    fn map_in_touch(&self) -> Vec<(Node, Teller)> {
+        self.iter().map(|n| (*n, Teller::InTouch)).collect()
+    }
+}
+
+#[rstest]
+#[case::cut_off(Teller::CutOff)]
+#[case::silent(Teller::Silent)]
+fn who_is_not_in_touch_is_asked_again_with_a_pause_that_doubles(#[case] how: Teller) {
+    let core = [1, 2, 3];
+    let first = first_choice(&core);
+    let mut play = Play::new(&core, &core, &core.map_in_touch());
+    play.tellers.insert(first, how);
+    play.until(80_000_000);
+    let gaps: Vec<Micros> = play.times(first).windows(2).map(|t| t[1] - t[0]).collect();
+    let mut pause = PAUSE_FIRST;
+    for gap in &gaps {
+        assert!((pause..pause + 1_300_000).contains(gap), "{gap} after a pause of {pause}");
+        pause = (2 * pause).min(PAUSE_MOST);
+    }
+    assert!(gaps.len() >= 6, "it is asked again for ever: {gaps:?}");
+    // Another one was asked at once, and the limiter stays sure.
+    assert!(play.asked[1].0 <= play.asked[0].0 + 300_000 && play.asked[1].1 != first);
+    assert!(play.board.is_sure(play.now));
+
+    // In touch again, it is the first choice at once after its pause; the next pause is a short one.
+    play.tellers.insert(first, Teller::InTouch);
+    play.until(play.now + PAUSE_MOST + 1_000_000);
+    assert_eq!(play.asked.last().map(|(_, n)| *n), Some(first));
+    play.tellers.insert(first, how);
+    let back = play.now;
+    play.until(back + 1_000_000 + PAUSE_FIRST + 1_300_000);
+    assert!(play.times(first).iter().filter(|t| **t >= back).count() >= 2);
+}
+
+/// With the whole core out of touch nothing spins, and once one machine is back the limiter knows soon.
+#[rstest]
+fn all_out_of_touch_are_asked_by_turns() {
+    let core = [1, 2, 3, 4, 5];
+    let mut play = Play::new(&core, &core, &core.map(|n| (n, Teller::CutOff)));
+    play.members = vec![60, 61, 62];
+    play.until(50_000_000);
+    assert!(!play.board.is_sure(play.now));
+    let span = 50_000_000 - play.asked[core.len()].0;
+    assert!(play.asked.len() as u64 <= core.len() as u64 + 3 + span / GAP, "{} questions", play.asked.len());
+    for machine in core {
+        play.tellers.insert(machine, Teller::InTouch);
+    }
+    let back = play.now;
+    play.until(back + 1_000_000);
+    assert!(play.board.is_sure(play.now), "a second after the core is back");
+}
+
+#[rstest]
+#[case::by_the_core_that_a_seed_names(&[4, 5], &[])]
+#[case::by_a_member(&[], &[60])]
+fn a_new_process_gets_past_seeds_that_are_cut_off(#[case] reached: &[Node], #[case] relays: &[Node]) {
+    let core = [1, 2, 3, 4, 5];
+    let mut play = Play::new(&[1, 2], &core, &[(1, Teller::CutOff), (2, Teller::CutOff)]);
+    play.members = vec![60, 61];
+    for node in reached.iter().chain(relays) {
+        play.tellers.insert(*node, Teller::InTouch);
+    }
+    play.until(20_000_000 + 5_000_000);
+    assert!(play.board.is_sure(play.now), "asked {:?}", play.asked);
+    // What the seeds say of members is not believed, though it led the way.
+    assert_eq!(play.board.members().len(), 2);
+    assert!(play.asked.len() < 60, "{} questions", play.asked.len());
+}
--- /dev/null
+++ b/crates/tandem/tests/storm.rs
@@ -0,0 +1,224 @@
+//! A zone of limiters on thin links, in virtual time: the configuration grows, then changes four times a second, and all of
+//! them have the newest version soon.
+
+mod common;
+
+use common::{core, presence, routes};
+use limeway_roster::Node;
+use limeway_tandem::follow::{Follower, Next};
+use limeway_tandem::parcel::Want;
+use limeway_tandem::{Board, Feed, Member, Micros, Poll, Steps};
+use rstest::rstest;
+
+/// A step of virtual time, in microseconds.
+const TICK: Micros = 5_000;
+/// One way, in microseconds.
+const WAY: Micros = 55_000;
+/// A limiter's link: 2 Mbit/s, in bytes a second.
+const LINK: u64 = 250_000;
+/// A call waits so long for its answer.
+const ANSWER: Micros = 1_300_000;
+const CORE: [Node; 3] = [1, 2, 3];
+const LIMITERS: usize = 17;
+
+enum Asked {
+    Nothing,
+    Poll(Node, Box<Poll>),
+    Fetch(Node, Want),
+}
+
+enum Answer {
+    Feed(Box<Feed>),
+    Steps(Steps),
+}
+
+struct Limiter {
+    node: Node,
+    follower: Follower,
+    board: Board,
+    asked: Asked,
+    at: Micros,
+    answer: Option<(Micros, Answer)>,
+    busy_until: Micros,
+    late: u32,
+}
+
+fn size(message: &impl serde::Serialize) -> u64 {
+    limeway_tandem::pack(message).len() as u64 + 60
+}
+
+struct Zone {
+    now: Micros,
+    core: Board,
+    limiters: Vec<Limiter>,
+}
+
+impl Zone {
+    fn new() -> Self {
+        let mut board = core(7, 1, &CORE, 0);
+        let members: Vec<Member> = (0..LIMITERS).map(|n| (100 + n as Node, "z".to_owned())).collect();
+        board.set_members(members);
+        let limiter = |n: usize| Limiter {
+            node: 100 + n as Node,
+            follower: Follower::new(100 + n as Node, "z", CORE.to_vec()),
+            board: Board::relay(50 + n as u64),
+            asked: Asked::Nothing,
+            at: 0,
+            answer: None,
+            busy_until: 0,
+            late: 0,
+        };
+        Zone { now: 10_000_000, core: board, limiters: (0..LIMITERS).map(limiter).collect() }
+    }
+
+    /// An answer of this many bytes leaves now: when it is there. Links of limiters carry one thing after the other.
+    fn carry(&mut self, teller: Option<usize>, to: usize, bytes: u64) -> Micros {
+        let mut there = self.now;
+        for end in teller.into_iter().chain([to]) {
+            let link = &mut self.limiters[end].busy_until;
+            *link = (*link).max(there) + bytes * 1_000_000 / LINK;
+            there = *link;
+        }
+        there + if teller.is_some() { 1_000 } else { WAY }
+    }
+
+    fn tick(&mut self) {
+        self.now += TICK;
+        let now = self.now;
+        if now.is_multiple_of(250_000) {
+            self.core.sure = now - 100_000;
+        }
+        for n in 0..LIMITERS {
+            self.ask(n);
+            self.tell(n);
+            self.hear(n);
+        }
+    }
+
+    fn ask(&mut self, n: usize) {
+        let (now, l) = (self.now, &mut self.limiters[n]);
+        if !matches!(l.asked, Asked::Nothing) {
+            return;
+        }
+        l.asked = match l.follower.next(now, &l.board) {
+            Next::Wait(_) => return,
+            Next::Fetch(node, want) => Asked::Fetch(node, want),
+            Next::Poll(node) => {
+                let poll = l.follower.poll(now, &l.board, presence(l.node), 600_000);
+                Asked::Poll(node, Box::new(poll))
+            }
+        };
+        l.at = now;
+    }
+
+    fn tell(&mut self, n: usize) {
+        let l = &self.limiters[n];
+        let (now, at) = (self.now, l.at);
+        if l.answer.is_some() {
+            return;
+        }
+        let (Asked::Poll(node, _) | Asked::Fetch(node, _)) = &l.asked else { return };
+        let relay = (*node >= 100).then(|| (*node - 100) as usize);
+        let came = at + if relay.is_some() { 1_000 } else { WAY };
+        if now < came {
+            return;
+        }
+        let board = relay.map_or(&self.core, |r| &self.limiters[r].board);
+        let (answer, bytes) = match &l.asked {
+            Asked::Poll(_, poll) => {
+                if !board.has_news(poll) && now < board.hold_until(came, poll, 2_000_000) {
+                    return;
+                }
+                let feed = board.feed(now, poll, now - came);
+                let bytes = size(&feed);
+                (Answer::Feed(Box::new(feed)), bytes)
+            }
+            Asked::Fetch(_, want) => {
+                let steps = board.steps(want);
+                let bytes = size(&steps);
+                (Answer::Steps(steps), bytes)
+            }
+            Asked::Nothing => return,
+        };
+        let there = self.carry(relay, n, bytes);
+        self.limiters[n].answer = Some((there, answer));
+    }
+
+    fn hear(&mut self, n: usize) {
+        let (now, l) = (self.now, &mut self.limiters[n]);
+        let late = now > l.at + ANSWER;
+        let there = l.answer.as_ref().is_some_and(|(there, _)| *there <= now);
+        let (Asked::Poll(node, _) | Asked::Fetch(node, _)) = &l.asked else { return };
+        let node = *node;
+        if late && !there {
+            l.follower.failed(now, node);
+            (l.asked, l.answer, l.late) = (Asked::Nothing, None, l.late + 1);
+        } else if there {
+            match (std::mem::replace(&mut l.asked, Asked::Nothing), l.answer.take()) {
+                (Asked::Poll(_, poll), Some((_, Answer::Feed(feed)))) => {
+                    l.follower.fed(now, l.at, &poll.want, node, *feed, &mut l.board);
+                }
+                (Asked::Fetch(_, want), Some((_, Answer::Steps(steps)))) => {
+                    l.follower.fetched(now, &want, steps, &mut l.board);
+                }
+                _ => panic!("an answer to another question"),
+            }
+        }
+    }
+
+    fn lag(&self) -> u64 {
+        let slot = self.limiters.iter().map(|l| l.board.state.slot).min().unwrap_or(0);
+        self.core.state.slot - slot
+    }
+
+    fn until(&mut self, end: Micros, mut each: impl FnMut(&mut Self)) {
+        while self.now < end {
+            self.tick();
+            each(self);
+        }
+    }
+}
+
+#[rstest]
+fn a_storm_on_thin_links_comes_to_the_newest_version_within_two_seconds() {
+    let mut zone = Zone::new();
+    zone.until(14_000_000, |_| {});
+    assert_eq!(zone.lag(), 0);
+    // Some 70 KB sealed: 16 of them are over four seconds of the relay's link.
+    zone.core.step(&routes(1, 3_000));
+    zone.until(18_000_000, |_| {});
+    assert_eq!(zone.lag(), 0, "four seconds after it grew");
+    let mut version = 1;
+    let mut most = 0;
+    zone.until(26_000_000, |zone| {
+        if zone.now.is_multiple_of(250_000) {
+            version += 1;
+            zone.core.step(&routes(version, 2));
+        }
+        most = most.max(zone.lag());
+    });
+    assert!(most <= 8, "two seconds' changes: {most}");
+    zone.until(28_000_000, |_| {});
+    assert_eq!(zone.lag(), 0);
+    assert!(zone.limiters.iter().all(|l| l.late == 0 && l.board.is_sure(zone.now)));
+}
+
+/// All start anew while it storms: they get the whole state, and what follows it.
+#[rstest]
+fn a_zone_that_starts_in_a_storm_catches_up_within_four_seconds() {
+    let mut zone = Zone::new();
+    zone.core.step(&routes(1, 3_000));
+    for version in 2..200 {
+        zone.core.step(&routes(version, 2));
+    }
+    let mut version = 200;
+    let end = zone.now + 4_000_000;
+    zone.until(end, |zone| {
+        if zone.now.is_multiple_of(250_000) {
+            version += 1;
+            zone.core.step(&routes(version, 2));
+        }
+    });
+    assert!(zone.lag() <= 8, "{}", zone.lag());
+    assert!(zone.limiters.iter().all(|l| l.board.is_sure(zone.now)));
+}
