Space small changes, send lists compressed, work out cold shares only for cold servers

Need: in a storm of changes a limiter made its plan and table anew for each, and a full list of servers to sixteen below a relay (26 KB each) is longer on its link than a poll waits.

Change: after a small change of the state a limiter asks again 150 ms later, so that what follows comes as one; lists of servers in feeds go sealed; a share of a cold server is worked out only while it is cold.

--- a/crates/exchange/src/edge.rs
+++ b/crates/exchange/src/edge.rs
@@ -282,12 +282,14 @@
                 Near::Far
             };
             let service = plan.services.get(&server.service);
-            let cold_rate = service.map_or(0.0, |c| self.cold_rate(id, &server.zone, region, c.cold_rate));
             // Until it has reported again, a server of a zone that is taken back may be cold.
             let since = returned.get(&server.zone).copied().unwrap_or(0);
             let hidden = service.map_or(0, |c| c.cold);
             let cold_until =
                 if since > 0 { server.cold_until.max(since + hidden) } else { server.cold_until };
+            // A server that is warm gets no share: it turns cold only by news, which brings a new table.
+            let cold = service.filter(|_| cold_until > t);
+            let cold_rate = cold.map_or(0.0, |c| self.cold_rate(id, &server.zone, region, c.cold_rate));
             // Members are counted as they are known; a few more than those may be on their way.
             let members = board.members().len().max(3) as f64 + 1.0;
             let connections = service.map_or(0.0, |c| c.connections);
--- a/crates/tandem/src/follow.rs
+++ b/crates/tandem/src/follow.rs
@@ -27,6 +27,8 @@
 pub const FETCHING: Micros = 400_000;
 /// While all else is passed over, each question of so many goes to a member.
 const MEMBER_EACH: u64 = 4;
+/// After a small change of the state: those that follow within it come as one, and plan and table are made anew once.
+pub const SPACING: Micros = 150_000;
 /// Members remembered as ways, at most.
 const HEARD_MOST: usize = 256;
 /// Machines remembered as passed over, at most.
@@ -231,10 +233,15 @@
             Trust::Unsure => self.pass_over(now, teller),
         }
         let told = feed.steps != Steps::Ops(Vec::new());
+        // An answer that was cut for room is fuller.
+        let all = matches!(&feed.steps, Steps::Ops(ops) if ops.iter().map(|op| op.len()).sum::<usize>() < PART_LEAST);
         let changed = board.take(now, asked, want.slot, feed);
         if told && self.lacks.is_none_or(|l| l.slot <= board.state.slot) {
             self.progress(now, want, board);
         }
+        if all && changed.state {
+            self.not_before = self.not_before.max(now + SPACING);
+        }
         changed
     }
 
--- a/crates/tandem/src/lib.rs
+++ b/crates/tandem/src/lib.rs
@@ -111,7 +111,7 @@
     #[serde(rename = "c")]
     pub change: u64,
     /// Servers that changed; all if `full`.
-    #[serde(rename = "v")]
+    #[serde(rename = "v", with = "parcel::list")]
     pub servers: Vec<Report>,
     /// The servers told are all that there are.
     #[serde(rename = "f")]
--- a/crates/tandem/src/parcel.rs
+++ b/crates/tandem/src/parcel.rs
@@ -192,3 +192,26 @@
         }
     }
 }
+
+/// Lists in messages go sealed: a full one is long, and much of it repeats.
+pub(crate) mod list {
+    use super::{seal, unseal};
+    use crate::{pack, unpack};
+    use serde::de::{DeserializeOwned, Error};
+    use serde::{Deserialize, Deserializer, Serialize, Serializer};
+    use serde_bytes::ByteBuf;
+
+    pub fn serialize<T: Serialize, S: Serializer>(list: &Vec<T>, to: S) -> Result<S::Ok, S::Error> {
+        ByteBuf::from(if list.is_empty() { Vec::new() } else { seal(&pack(list)) }).serialize(to)
+    }
+
+    pub fn deserialize<'de, T: DeserializeOwned, D: Deserializer<'de>>(from: D) -> Result<Vec<T>, D::Error> {
+        let sealed = ByteBuf::deserialize(from)?;
+        if sealed.is_empty() {
+            return Ok(Vec::new());
+        }
+        unseal(&sealed)
+            .and_then(|raw| unpack(&raw))
+            .ok_or_else(|| D::Error::custom("a list that cannot be read"))
+    }
+}
--- a/crates/tandem/tests/feeds.rs
+++ b/crates/tandem/tests/feeds.rs
@@ -105,3 +105,17 @@
         assert!(below.values().all(|n| *n <= tree::FAN), "{below:?}");
     }
 }
+
+/// Sixteen below a relay that all want all servers must not fill its link.
+#[rstest]
+fn a_full_list_goes_compressed_and_is_read_as_it_was() {
+    let mut core = Board::new(7);
+    core.sure = 1_000_000;
+    for n in 1..=300 {
+        core.watch.hear(1_000_000, &report(n, n, Phase::Ready));
+    }
+    let feed = core.feed(1_000_000, &poll(&Board::relay(1), 0, 0, 0), 0);
+    let bytes = pack(&feed);
+    assert!(bytes.len() < pack(&feed.servers).len() / 4, "{} bytes", bytes.len());
+    assert_eq!(limeway_tandem::unpack::<limeway_tandem::Feed>(&bytes), Some(feed));
+}
