--- a/crates/marker/src/ballots.rs
+++ b/crates/marker/src/ballots.rs
@@ -4,13 +4,13 @@
 use crate::paper::After;
 use crate::{Action, Asked, Marker, Micros, Token};
 use limeway_ballot::{Ballot, Next, Node, Round, Slot, Word};
-use limeway_tandem::Steps;
+use limeway_tandem::parcel::Want;
 use serde_bytes::ByteBuf;
 
 /// A voter's word counts for so long.
 const WORD_WAIT: Micros = 450_000;
-/// Longest time that a machine takes to hand over what another lacks.
-const FETCH_WAIT: Micros = 2_500_000;
+/// Longest time that a machine takes to hand over a part of what another lacks.
+const FETCH_WAIT: Micros = 700_000;
 /// Two who outbid each other part by chance: the least pause, and the most that chance adds, doubled with each loss in a row.
 const PARTING: (Micros, Micros) = (4_000, 24_000);
 /// Losses in a row that lengthen the pause.
@@ -195,7 +195,7 @@
         if self.board.state.slot + 1 != slot || !self.board.step(value) {
             return false;
         }
-        self.paper.applied(slot, value);
+        self.gather(slot - 1);
         self.applied(now, Vec::new(), out);
         true
     }
@@ -217,7 +217,7 @@
             if !self.board.step(value) {
                 return out.push(Action::Reply(token, Reply::Not));
             }
-            self.paper.applied(slot, value);
+            self.gather(slot - 1);
             return self.applied(now, vec![After::Kept(token)], out);
         }
         let kept = self.paper.kept() >= slot;
@@ -253,15 +253,15 @@
         if from == self.start.me || self.ballots.fetching.is_some_and(|until| now < until) {
             return;
         }
-        let slot = self.board.state.slot;
+        let want = self.board.want();
         self.ballots.fetching = Some(now + FETCH_WAIT);
-        self.send(from, Call::Fetch(slot), FETCH_WAIT, Asked::Fetch(from, slot), out);
+        self.send(from, Call::Fetch(want), FETCH_WAIT, Asked::Fetch(from, want), out);
     }
 
     pub(crate) fn fetched(
         &mut self,
         now: Micros,
-        (from, slot): (Node, Slot),
+        (from, want): (Node, Want),
         reply: Option<Reply>,
         out: &mut Vec<Action>,
     ) {
@@ -271,24 +271,21 @@
             return;
         };
         let before = self.board.state.slot;
-        match steps {
-            Steps::Ops(ops) => {
-                let known = before.saturating_sub(slot) as usize;
-                for op in ops.iter().skip(known) {
-                    if !self.board.step(op) {
-                        break;
-                    }
-                    self.paper.applied(self.board.state.slot, op);
-                }
-            }
-            whole @ Steps::Whole(_) => {
-                if self.board.walk(before, whole) {
-                    self.paper.jumped();
-                }
-            }
-        }
-        if self.board.state.slot > before {
+        if self.board.walk(want.slot, steps) {
+            self.gather(before);
             self.applied(now, Vec::new(), out);
         }
+        if self.board.want() != want {
+            // There may be more.
+            self.fetch(now, from, out);
+        }
+    }
+
+    /// What was applied after a slot goes to disk: the operations, or all if they were not told.
+    fn gather(&mut self, slot: Slot) {
+        match self.board.sealed_after(slot) {
+            Some(ops) => (slot + 1..).zip(ops).for_each(|(at, op)| self.paper.applied(at, op)),
+            None => self.paper.jumped(),
+        }
     }
 }
--- a/crates/marker/src/lib.rs
+++ b/crates/marker/src/lib.rs
@@ -26,6 +26,7 @@
 use limeway_ballot::{Acceptor, Life, Node, Seat, Slot};
 use limeway_numbering::{BadConfig, Order, Plan, State};
 use limeway_roster::{Duties, Presence, Roster, Votes, GROUPS};
+use limeway_tandem::parcel::Want;
 use limeway_tandem::Board;
 use limeway_toll::count::Count;
 use limeway_toll::Rule;
@@ -168,7 +169,7 @@
 pub struct Record {
     /// The part in ballots.
     pub votes: Acceptor,
-    /// Operations of slots that follow on those written before, or on `snapshot`.
+    /// Operations of slots that follow on those written before, or on `snapshot`; each sealed.
     pub ops: Vec<(Slot, ByteBuf)>,
     /// The state of a slot, in place of all that was written before; the operations follow on it.
     pub snapshot: Option<(Slot, Vec<u8>)>,
@@ -225,7 +226,7 @@
 enum Asked {
     Round(u64, Node),
     Ballot(u64, Node),
-    Fetch(Node, Slot),
+    Fetch(Node, Want),
     Chosen(Node, Slot),
     Spread(u64),
 }
@@ -301,7 +302,7 @@
             }
             Call::Chosen(slot, value) => return self.chosen_elsewhere(now, token, slot, &value, out),
             Call::Poll(poll) => return self.poll(now, token, *poll, out),
-            Call::Fetch(slot) => Reply::Steps(self.board.steps(slot)),
+            Call::Fetch(want) => Reply::Steps(self.board.steps(&want)),
             Call::Ping(ping) => Reply::Pong(self.pong(now, *ping, out)),
             Call::Push(reports) => {
                 self.hear_all(now, &reports, false);
@@ -317,7 +318,7 @@
         match self.asked.remove(&ticket) {
             Some(Asked::Round(round, node)) => self.round_reply(now, round, node, reply, out),
             Some(Asked::Ballot(ballot, node)) => self.ballot_reply(now, ballot, node, reply, out),
-            Some(Asked::Fetch(node, slot)) => self.fetched(now, (node, slot), reply, out),
+            Some(Asked::Fetch(node, want)) => self.fetched(now, (node, want), reply, out),
             Some(Asked::Chosen(node, slot)) => {
                 if let (Some(Reply::Done), Some(shown)) = (reply, self.shown.get_mut(&node)) {
                     shown.standing.kept = shown.standing.kept.max(slot);
--- a/crates/marker/src/paper.rs
+++ b/crates/marker/src/paper.rs
@@ -82,8 +82,8 @@
         self.failed && self.waiting.is_empty()
     }
 
-    pub(crate) fn applied(&mut self, slot: Slot, op: &[u8]) {
-        self.fresh.push((slot, ByteBuf::from(op.to_vec())));
+    pub(crate) fn applied(&mut self, slot: Slot, op: ByteBuf) {
+        self.fresh.push((slot, op));
     }
 
     /// The state was told whole.
--- a/crates/tandem/tests/feeds.rs
+++ b/crates/tandem/tests/feeds.rs
@@ -1,38 +1,13 @@
 //! News as differences equals news as a whole, ages only ever add up, and the tree forms again.
 
+mod common;
+
+use common::{poll, report};
 use limeway_numbering::Op;
-use limeway_roster::Presence;
-use limeway_tandem::{pack, tree, Board, Member, Poll};
-use limeway_watch::{Phase, Report};
+use limeway_tandem::{pack, tree, Board, Member};
+use limeway_watch::Phase;
 use rstest::rstest;
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddrV4;
-
-fn poll(board: &Board, epoch: u64, servers: u64, members: u64) -> Poll {
-    let me = Presence {
-        node: 1,
-        front: SocketAddrV4::new([127, 0, 0, 1].into(), 1),
-        zone: "z".into(),
-        ready: true,
-        age: 0,
-    };
-    Poll { me, below: Vec::new(), slot: board.state.slot, epoch, servers, members, wait: 0 }
-}
-
-fn report(id: u64, count: u64, phase: Phase) -> Report {
-    Report {
-        id: format!("i-{id}"),
-        service: "s".into(),
-        address: SocketAddrV4::new([127, 0, (id / 250) as u8, (id % 250) as u8].into(), 80),
-        zone: "z".into(),
-        slots: 3,
-        phase,
-        cold_left: 0,
-        count,
-        age: 0,
-        silent: false,
-    }
-}
 
 /// A limiter that is fed differences, one that misses most of them, and one that comes late all end with the same.
 #[rstest]
@@ -42,6 +17,7 @@
         [1, 13, 400].map(|every| (Board::new(every), (0, 0, 0), every)).into();
     for step in 1..=400u64 {
         let now = 1_000_000 * step;
+        core.sure = now;
         core.step(&pack(&Op::Evacuate {
             zone: format!("z{}", step % 7),
             begun: step % 3 > 0,
@@ -53,10 +29,13 @@
         core.set_members(vec![(step as u32 % 5, "z".into())]);
         for (board, (epoch, servers, members), every) in &mut limiters {
             if step % *every == 0 {
-                let asked = poll(board, *epoch, *servers, *members);
-                let feed = core.feed(now, &asked, 0);
-                (*epoch, *servers, *members) = (feed.epoch, feed.change, feed.members_change);
-                board.take(now, now, asked.slot, feed);
+                // What is not told with one answer is told with the next ones.
+                while board.state.slot < core.state.slot {
+                    let asked = poll(board, *epoch, *servers, *members);
+                    let feed = core.feed(now, &asked, 0);
+                    (*epoch, *servers, *members) = (feed.epoch, feed.change, feed.members_change);
+                    board.take(now, now, asked.want.slot, feed);
+                }
             }
         }
     }
@@ -131,3 +110,17 @@
         assert!(below.values().all(|n| *n <= tree::FAN), "{below:?}");
     }
 }
+
+/// Sixteen below a relay that all want all servers must not fill its link.
+#[rstest]
+fn a_full_list_goes_compressed_and_is_read_as_it_was() {
+    let mut core = Board::new(7);
+    core.sure = 1_000_000;
+    for n in 1..=300 {
+        core.watch.hear(1_000_000, &report(n, n, Phase::Ready));
+    }
+    let feed = core.feed(1_000_000, &poll(&Board::relay(1), 0, 0, 0), 0);
+    let bytes = pack(&feed);
+    assert!(bytes.len() < pack(&feed.servers).len() / 4, "{} bytes", bytes.len());
+    assert_eq!(limeway_tandem::unpack::<limeway_tandem::Feed>(&bytes), Some(feed));
+}
