--- a/crates/numbering/examples/changes.rs
+++ b/crates/numbering/examples/changes.rs
@@ -82,7 +82,9 @@
     if let [routes, tenants] = args[..] {
         return held(routes, tenants);
     }
-    println!("routes tenants | order          | check us | apply us | plan us | bytes of the operation");
+    println!(
+        "routes tenants | order          | read us | check us | apply us | plan us | bytes of the operation"
+    );
     for (routes, tenants) in [(100, 20), (1_500, 20), (2_000, 47_000)] {
         for (is_whole, changed) in [(false, 1), (true, 20), (true, routes)] {
             let mut state = State::default();
@@ -90,7 +92,7 @@
             state.check(&first).expect("valid");
             state.apply(&Op::from(first));
             let mut plan = state.plan_from(&Plan::default()).expect("plan");
-            let (mut check, mut apply, mut make) = Default::default();
+            let (mut read, mut check, mut apply, mut make) = Default::default();
             let mut bytes = 0;
             for version in 2..2 + CHANGES {
                 let (n, timeout) = (version as usize, 1_200 + version);
@@ -99,7 +101,7 @@
                 } else {
                     update(version, &route(n, timeout))
                 };
-                let order = Order::read(text.as_bytes(), is_whole).expect("form");
+                let order = timed(&mut read, || Order::read(text.as_bytes(), is_whole)).expect("form");
                 let op = timed(&mut check, || state.admit(&order, &plan)).expect("valid");
                 if let Op::Config { set, drop, .. } = &op {
                     bytes += set.iter().map(|i| i.name.len() + i.spec.len()).sum::<usize>() + drop.len() * 20;
@@ -109,8 +111,9 @@
             }
             let us = |sum: Duration| sum.as_micros() / u128::from(CHANGES);
             println!(
-                "{routes:6} {tenants:7} | {:14} | {:8} | {:8} | {:7} | {}",
+                "{routes:6} {tenants:7} | {:14} | {:7} | {:8} | {:8} | {:7} | {}",
                 format!("{changed} {}", if is_whole { "by whole" } else { "alone" }),
+                us(read),
                 us(check),
                 us(apply),
                 us(make),
