Bound the items of a configuration over all orders; confirm an order by the state

Updates could add items without end: only one order's list was bounded. After a ballot the answer 200 is given only if the state holds the order as taken.

--- a/crates/exchange/src/propose.rs
+++ b/crates/exchange/src/propose.rs
@@ -196,12 +196,13 @@
                 }
             };
             match self.propose(&op, |state| state.fits(&op)).await {
-                Ok(()) => {
+                // The state says so, not the ballot.
+                Ok(()) if self.board.borrow().state.has_taken(&order) => {
                     log::info!(version, digest; "configuration taken");
                     return Ok(());
                 }
                 // Another change came first: the state tells what becomes of this one.
-                Err(Declined::Unfit) => refreshed = false,
+                Ok(()) | Err(Declined::Unfit) => refreshed = false,
                 Err(e) => return Err(e),
             }
             if Instant::now() >= until {
--- a/crates/numbering/src/items.rs
+++ b/crates/numbering/src/items.rs
@@ -106,6 +106,12 @@
         changes.iter().map(step).collect()
     }
 
+    /// How many there are after changes.
+    pub fn len_after(&self, changes: &Changes) -> usize {
+        let len = self.0.iter().map(BTreeMap::len).sum::<usize>() + changes.values().flatten().count();
+        len - changes.keys().filter(|(kind, name)| self.get(*kind, name).is_some()).count()
+    }
+
     /// What leads from these items to others.
     pub fn until<'a>(&'a self, others: &'a Items) -> Changes<'a> {
         let mut to: Changes = self.iter().map(|e| ((e.kind, e.name), None)).collect();
--- a/crates/numbering/src/state.rs
+++ b/crates/numbering/src/state.rs
@@ -1,6 +1,6 @@
 //! The agreed state: what the chosen operations have made, one after the other, alike on every machine.
 
-use crate::document::{self, BadConfig, Item, Kind, Order};
+use crate::document::{self, BadConfig, Item, Kind, Order, ITEMS_MOST};
 use crate::items::{Changes, Entry, Items, Step};
 use crate::plan::Plan;
 use crate::Version;
@@ -213,8 +213,8 @@
         Op::Config { version, base, whole: false, set, drop, digest }
     }
 
-    /// Whether an order may be taken at all, before what it says is looked at.
-    fn comes_next(&self, order: &Order) -> Result<(), Refusal> {
+    /// What an order changes, if it may be taken at all; what its items say is not looked at.
+    fn changes<'a>(&'a self, order: &'a Order) -> Result<Changes<'a>, Refusal> {
         if order.base != self.version {
             let forgotten = order.version <= self.forgotten;
             return Err(if forgotten { Refusal::Forgotten } else { Refusal::Stale(self.version) });
@@ -223,21 +223,23 @@
             let at = format!("config-version {:08x}", order.version);
             return Err(Refusal::Invalid(BadConfig::new(at, "does not exceed the current one")));
         }
-        Ok(())
+        let changes = self.items.changes(order.whole, &order.set, &order.drop);
+        if self.items.len_after(&changes) > ITEMS_MOST {
+            return Err(Refusal::Invalid(BadConfig::new("resource-list", "makes too many items")));
+        }
+        Ok(changes)
     }
 
     /// The snapshot that an order would make, made anew. Nothing is changed.
     pub fn check(&self, order: &Order) -> Result<Plan, Refusal> {
-        self.comes_next(order)?;
-        let changes = self.items.changes(order.whole, &order.set, &order.drop);
+        let changes = self.changes(order)?;
         self.anew(order.version, &changes).map_err(Refusal::Invalid)
     }
 
     /// The operation to propose for an order, with `plan` the snapshot of what is in place. It refuses just what
     /// [`State::check`] refuses, and looks only at what the order changes.
     pub fn admit(&self, order: &Order, plan: &Plan) -> Result<Op, Refusal> {
-        self.comes_next(order)?;
-        let changes = self.items.changes(order.whole, &order.set, &order.drop);
+        let changes = self.changes(order)?;
         let fits =
             plan.version == self.version && plan.next(order.version, &self.items.steps(&changes)).is_ok();
         if !fits {
--- a/crates/numbering/tests/known.rs
+++ b/crates/numbering/tests/known.rs
@@ -1,6 +1,6 @@
 //! One number to one change: how an order is known again, and what each kind of bad one is answered.
 
-use limeway_numbering::document::Order;
+use limeway_numbering::document::{Order, ITEMS_MOST};
 use limeway_numbering::state::TAKEN_MOST;
 use limeway_numbering::{Kind, Op, Refusal, State};
 use rstest::rstest;
@@ -84,6 +84,23 @@
     }
 }
 
+#[rstest]
+fn a_configuration_grows_to_its_bound_by_no_number_of_orders() {
+    let mut state = State::default();
+    let item = |n| limeway_numbering::Item { kind: Kind::Service, name: format!("{n}"), spec: "{}".into() };
+    let set = (0..ITEMS_MOST).map(item).collect();
+    state.apply(&Op::Config { version: 1, base: 0, whole: true, set, drop: vec![], digest: 0 });
+    let update = |name: &str| {
+        let service = ITEMS.split(",{").next().unwrap_or("").replace("\"s\"", &format!("\"{name}\""));
+        let text = format!("{{\"config-version\":2,\"base-version\":1,\"upsert\":{{\"resource-list\":[{service}]}},\"remove\":{{\"services\":[\"7\"]}}}}");
+        Order::read(text.as_bytes(), false).expect("form")
+    };
+    assert!(state.check(&update("one in the place of another")).is_ok());
+    let mut more = update("one more");
+    more.drop.clear();
+    assert!(matches!(state.check(&more), Err(Refusal::Invalid(e)) if e.reason == "makes too many items"));
+}
+
 #[rstest]
 fn a_change_on_top_of_another_version_is_none() {
     let mut state = state(3);
