Leave proposing and claiming only to machines that hold their seat

A machine back with an empty disk and the lowest address counted as the lowest seat that is well, so nobody proposed to give its seat to the new life of its disk, and groups that it ranked first for were held by nobody. Who is well is asked of the seat now, with the life of its disk.

--- a/crates/marker/src/contact.rs
+++ b/crates/marker/src/contact.rs
@@ -335,10 +335,15 @@
         }
     }
 
-    /// Whether another machine has shown itself lately, and is in touch itself.
-    pub(crate) fn well(&self, now: Micros, node: Node) -> bool {
-        self.shown.get(&node).is_some_and(|s| {
-            now < s.last + SHOWS && s.standing.touch && s.standing.sound && !s.standing.leaving
+    /// Whether the holder of a seat has shown itself lately, and is in touch itself. A machine that has lost the disk that its
+    /// seat is of holds it no more.
+    pub(crate) fn well(&self, now: Micros, seat: &Seat) -> bool {
+        self.shown.get(&seat.node).is_some_and(|s| {
+            now < s.last + SHOWS
+                && s.standing.life == seat.life
+                && s.standing.touch
+                && s.standing.sound
+                && !s.standing.leaving
         })
     }
 }
--- a/crates/marker/src/duties.rs
+++ b/crates/marker/src/duties.rs
@@ -19,8 +19,9 @@
             return Vec::new();
         }
         let me = self.start.me;
-        let seats = self.board.state.core_nodes();
-        let live: Vec<Node> = seats.into_iter().filter(|n| *n == me || self.well(now, *n)).collect();
+        let seats = self.board.state.core.iter();
+        let live = seats.filter(|s| s.node == me || self.well(now, s)).map(|s| s.node);
+        let live: Vec<Node> = live.collect();
         self.duties.claims(now, me, self.start.boot, &live, &self.votes)
     }
 
--- a/crates/marker/src/seats.rs
+++ b/crates/marker/src/seats.rs
@@ -54,11 +54,11 @@
     /// Whether this machine proposes what any may propose: the lowest that is well, or all would outbid each other.
     fn proposes(&self, now: Micros) -> bool {
         let me = self.start.me;
-        let mut seats = self.board.state.core.iter().map(|s| s.node);
+        let mut seats = self.board.state.core.iter();
         self.seat().is_some()
             && self.touch(now)
             && self.leaving.is_none()
-            && !seats.any(|n| n < me && self.well(now, n))
+            && !seats.any(|s| s.node < me && self.well(now, s))
     }
 
     /// A machine that may be given a seat.
