--- a/crates/marker/src/contact.rs
+++ b/crates/marker/src/contact.rs
@@ -252,7 +252,11 @@
         }
         let Some(round) = self.contact.rounds.remove(&number) else { return };
         for claim in round.claims.iter().filter(|c| !c.holds && !self.duties.holds(now, c.group)) {
-            self.votes.release(self.start.me, *claim);
+            // Another round under way may count the own vote, and win by it.
+            let counted = |r: &Round| r.claims.iter().any(|c| c.group == claim.group);
+            if !self.contact.rounds.values().any(counted) {
+                self.votes.release(self.start.me, *claim);
+            }
         }
         if round.newest.0 > self.board.state.slot {
             self.fetch(now, round.newest.1, out);
