Let another machine's ballot go on for a while before outbidding it

Where links take 60 ms one way a ballot takes some 300 ms. Pauses after a loss of 4 to 28 ms, and the finishing of what was pending for two rounds, outbid ballots that were only slow: slots stood for seconds, and with them the surety of everyone. Who has given its word to another's ballot lets it go on for 250 ms without a further word.

--- a/crates/marker/src/ballots.rs
+++ b/crates/marker/src/ballots.rs
@@ -13,6 +13,9 @@
 const FETCH_WAIT: Micros = 2_500_000;
 /// Two who outbid each other part by chance: the least pause, and the most that chance adds, doubled with each loss in a row.
 const PARTING: (Micros, Micros) = (4_000, 24_000);
+/// Another machine's ballot that this one has just given its word to goes on for so long at the most without a further word:
+/// a round trip on the longest links, and the writes of others.
+const YIELDS: Micros = 250_000;
 /// Losses in a row that lengthen the pause.
 const LOSSES_MOST: u32 = 3;
 
@@ -36,6 +39,8 @@
     /// The highest round that this machine lost against.
     outbid: u64,
     rest: Micros,
+    /// Until when another machine's ballot on this slot is let go on: who outbids it only because it is slow ends both.
+    yields: Micros,
     losses: u32,
     /// Another machine hands over what this one lacks.
     fetching: Option<Micros>,
@@ -43,12 +48,13 @@
 
 impl Ballots {
     pub(crate) fn wake(&self, now: Micros, waits: bool) -> Option<Micros> {
-        self.held.as_ref().map(|h| h.until).or((waits && self.rest > now).then_some(self.rest))
+        let free = self.rest.max(self.yields);
+        self.held.as_ref().map(|h| h.until).or((waits && free > now).then_some(free))
     }
 
     /// Whether a ballot may be begun.
     pub(crate) fn free(&self, now: Micros) -> bool {
-        self.held.is_none() && now >= self.rest
+        self.held.is_none() && now >= self.rest.max(self.yields)
     }
 }
 
@@ -65,6 +71,7 @@
     ) {
         match self.word(now, slot, ballot, value) {
             word @ (Word::Promise { .. } | Word::Accepted { .. }) => {
+                self.ballots.yields = now + YIELDS;
                 self.write(vec![After::Word(token, word)], out);
             }
             word => {
@@ -228,6 +235,7 @@
     pub(crate) fn applied(&mut self, now: Micros, after: Vec<After>, out: &mut Vec<Action>) {
         let seated = self.contact.seated;
         self.acceptor.advance(self.board.state.slot);
+        self.ballots.yields = 0;
         if self.ballots.held.as_ref().is_some_and(|h| h.round.slot <= self.acceptor.applied) {
             // Decided without this ballot.
             self.ballots.held = None;
