Play the core machines' state machines under simulated faults, from a seed

crates/rig: Marker and Board themselves under a network, disks, operators, limiters and servers in virtual time; faults within the fault model; what was promised is checked at every step; a failing schedule is cut down; guards are taken away by tampering with what goes in or out. Marker tells how much waits in its queues.

--- a/crates/marker/src/contact.rs
+++ b/crates/marker/src/contact.rs
@@ -72,6 +72,10 @@
         }
     }
 
+    pub(crate) fn queued(&self) -> usize {
+        self.rounds.len() + self.waiting.len()
+    }
+
     /// Whether a round has begun since, or is about to.
     fn asks_since(&self, since: Micros) -> bool {
         self.rounds.values().any(|r| r.asked >= since && !r.concluded)
--- a/crates/marker/src/lib.rs
+++ b/crates/marker/src/lib.rs
@@ -425,6 +425,17 @@
         &self.acceptor
     }
 
+    /// What waits here for answers, writes or time, all queues together: bounded, whatever happens.
+    pub fn queued(&self) -> usize {
+        let paper = self.paper.queued();
+        self.asked.len()
+            + self.spreads.len()
+            + self.orders.queued()
+            + self.news.queued()
+            + paper
+            + self.contact.queued()
+    }
+
     /// The groups whose counts are held here at this moment.
     pub fn held(&self, now: Micros) -> Vec<usize> {
         (0..GROUPS).filter(|g| self.duties.holds(now, *g)).collect()
--- a/crates/marker/src/news.rs
+++ b/crates/marker/src/news.rs
@@ -28,6 +28,10 @@
 }
 
 impl News {
+    pub(crate) fn queued(&self) -> usize {
+        self.held.len()
+    }
+
     pub(crate) fn wake(&self) -> Option<Micros> {
         self.held.iter().map(|h| h.until).min()
     }
--- a/crates/marker/src/orders.rs
+++ b/crates/marker/src/orders.rs
@@ -89,6 +89,10 @@
         !self.waiting.is_empty()
     }
 
+    pub(crate) fn queued(&self) -> usize {
+        self.waiting.len()
+    }
+
     pub(crate) fn wake(&self) -> Option<Micros> {
         self.waiting.iter().map(|w| w.until).min()
     }
--- a/crates/marker/src/paper.rs
+++ b/crates/marker/src/paper.rs
@@ -77,6 +77,10 @@
         self.kept
     }
 
+    pub(crate) fn queued(&self) -> usize {
+        self.waiting.len() + self.fresh.len()
+    }
+
     /// Whether it failed, and nothing is under way that may tell otherwise.
     pub(crate) fn retry(&self) -> bool {
         self.failed && self.waiting.is_empty()
--- /dev/null
+++ b/crates/rig/src/chance.rs
@@ -0,0 +1,36 @@
+//! Chance from a seed: SplitMix64.
+
+/// Numbers drawn by chance, the same for the same seed.
+#[derive(Debug, Clone)]
+pub struct Chance(pub u64);
+
+impl Chance {
+    /// Any number.
+    pub fn draw(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.0;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        z ^ (z >> 31)
+    }
+
+    /// A number below `n`; 0 where `n` is 0.
+    pub fn below(&mut self, n: u64) -> u64 {
+        self.draw() % n.max(1)
+    }
+
+    /// A number from `low` on, below `high`.
+    pub fn between(&mut self, low: u64, high: u64) -> u64 {
+        low + self.below(high.saturating_sub(low))
+    }
+
+    /// True in so many of a thousand cases.
+    pub fn happens(&mut self, permille: u64) -> bool {
+        self.below(1_000) < permille
+    }
+
+    /// One of these.
+    pub fn pick<'a, T>(&mut self, all: &'a [T]) -> Option<&'a T> {
+        all.get(self.below(all.len() as u64) as usize)
+    }
+}
--- /dev/null
+++ b/crates/rig/src/disk.rs
@@ -0,0 +1,100 @@
+//! A simulated disk: records reach it one after the other, each in its time; what is under way at a kill is kept or lost.
+
+use crate::chance::Chance;
+use crate::Micros;
+use limeway_ballot::Acceptor;
+use limeway_marker::{Job, Record};
+use limeway_numbering::State;
+use std::collections::VecDeque;
+
+/// What a machine has on disk, and what is on its way there.
+#[derive(Debug, Clone)]
+pub struct Disk {
+    /// The part in ballots.
+    pub votes: Acceptor,
+    /// The state.
+    pub state: State,
+    queue: VecDeque<(Job, Record)>,
+    failed: bool,
+    /// It refuses writes.
+    pub full: bool,
+    /// It does nothing until then.
+    pub hangs: Micros,
+    /// How long a write takes.
+    pub sync: Micros,
+}
+
+impl Disk {
+    /// An empty disk of this life.
+    pub fn new(life: u64, sync: Micros) -> Self {
+        Disk {
+            votes: Acceptor { life, ..Acceptor::default() },
+            state: State::default(),
+            queue: VecDeque::new(),
+            failed: false,
+            full: false,
+            hangs: 0,
+            sync,
+        }
+    }
+
+    /// Takes a record in. True if none was under way: its end is to be waited for.
+    pub fn push(&mut self, job: Job, record: Record) -> bool {
+        self.queue.push_back((job, record));
+        self.queue.len() == 1
+    }
+
+    /// The first record under way ends: its job, and whether it is on disk.
+    pub fn end(&mut self) -> Option<(Job, Result<bool, String>)> {
+        let (job, record) = self.queue.pop_front()?;
+        if self.full || (self.failed && record.snapshot.is_none()) {
+            self.failed = true;
+            return Some((job, Ok(false)));
+        }
+        self.failed = false;
+        Some((job, self.apply(record).map(|()| true)))
+    }
+
+    /// Records under way.
+    pub fn waits(&self) -> usize {
+        self.queue.len()
+    }
+
+    fn apply(&mut self, record: Record) -> Result<(), String> {
+        if record.votes.life != self.votes.life {
+            return Err(format!(
+                "a record of life {} on a disk of life {}",
+                record.votes.life, self.votes.life
+            ));
+        }
+        if let Some((slot, bytes)) = record.snapshot {
+            let state: Option<State> = limeway_tandem::unpack(&bytes);
+            self.state = state.filter(|s| s.slot == slot).ok_or("a snapshot that cannot be read")?;
+        }
+        for (slot, op) in record.ops {
+            if slot != self.state.slot + 1 {
+                return Err(format!("operation {slot} written on a state of slot {}", self.state.slot));
+            }
+            self.state.apply(&limeway_tandem::unpack(&op).ok_or("an operation that cannot be read")?);
+        }
+        if record.votes.applied != self.state.slot {
+            let (votes, state) = (record.votes.applied, self.state.slot);
+            return Err(format!("votes of slot {votes} beside a state of slot {state}"));
+        }
+        self.votes = record.votes;
+        Ok(())
+    }
+
+    /// The process or the power ends: some of what is under way is still written, in order.
+    pub fn cut_short(&mut self, chance: &mut Chance) -> Result<(), String> {
+        let kept = chance.below(self.queue.len() as u64 + 1);
+        let writes = !self.full && !self.failed;
+        for (_, record) in std::mem::take(&mut self.queue).into_iter().take(kept as usize) {
+            if writes {
+                self.apply(record)?;
+            }
+        }
+        self.failed = false;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/rig/src/main.rs
@@ -0,0 +1,98 @@
+//! The simulator's command line.
+#![forbid(unsafe_code)]
+
+use limeway_rig::{off, play, Off, Schedule};
+use std::process::ExitCode;
+
+/// The command line.
+mod flags {
+    #![allow(missing_docs, reason = "what the macro writes has none")]
+    xflags::xflags! {
+        /// The core machines' state machines under simulated faults, in virtual time.
+        cmd rig {
+            /// Plays schedules until one fails, and cuts that down.
+            cmd play {
+                /// How many (1000).
+                optional --seeds seeds: u64
+                /// The first (0).
+                optional --from from: u64
+                /// Play on until so many have failed (1).
+                optional --most most: usize
+                /// Threads (2).
+                optional --jobs jobs: usize
+                /// A guard to take away, by its name.
+                optional --off off: String
+            }
+            /// Plays one schedule again, and shows it.
+            cmd replay {
+                /// Its seed.
+                required seed: u64
+                /// A guard to take away, by its name.
+                optional --off off: String
+                /// Do not cut it down.
+                optional --whole
+            }
+        }
+    }
+}
+use flags::{Rig, RigCmd};
+
+fn guard(name: Option<String>) -> Option<Off> {
+    let Some(name) = name else { return Some(Off::Nothing) };
+    let found = off::ALL.into_iter().find(|o| format!("{o:?}") == name);
+    if found.is_none() {
+        eprintln!("rig: no such guard; there are {:?}", off::ALL);
+    }
+    found
+}
+
+fn show(seed: u64, off: Off, whole: bool) -> ExitCode {
+    let schedule = Schedule::draw(seed);
+    let schedule = if whole { schedule } else { play::shrink(&schedule, off) };
+    let (broken, world) = play::once(schedule.clone(), off);
+    println!("{} machines, {} spares, {} losses", schedule.machines, schedule.spares, schedule.losses);
+    for timed in &schedule.faults {
+        println!("{:>10.3} s for {:.3} s: {:?}", timed.at as f64 / 1e6, timed.long as f64 / 1e6, timed.fault);
+    }
+    println!("faults end at {} s; {} events", schedule.heal / 1_000_000, world.steps);
+    for line in world.account() {
+        println!("{line}");
+    }
+    match broken {
+        Some(broken) => {
+            println!("broken {broken}");
+            ExitCode::FAILURE
+        }
+        None => {
+            println!("nothing broken");
+            ExitCode::SUCCESS
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    match Rig::from_env_or_exit().subcommand {
+        RigCmd::Play(flags) => {
+            let Some(off) = guard(flags.off) else { return ExitCode::FAILURE };
+            let from = flags.from.unwrap_or(0);
+            let seeds = from..from.saturating_add(flags.seeds.unwrap_or(1_000));
+            let outcome = play::play(seeds, off, flags.jobs.unwrap_or(2), flags.most.unwrap_or(1));
+            let [done, refused, reads] = outcome.tally;
+            println!(
+                "{} seeds, {} events, {done} orders done, {refused} refused, {reads} reads",
+                outcome.seeds, outcome.steps
+            );
+            for (seed, broken) in &outcome.broken {
+                println!("seed {seed}: {broken}");
+            }
+            match outcome.broken.first() {
+                Some((seed, _)) => show(*seed, off, false),
+                None => ExitCode::SUCCESS,
+            }
+        }
+        RigCmd::Replay(flags) => match guard(flags.off) {
+            Some(off) => show(flags.seed, off, flags.whole),
+            None => ExitCode::FAILURE,
+        },
+    }
+}
--- /dev/null
+++ b/crates/rig/src/play.rs
@@ -0,0 +1,79 @@
+//! Plays seeds, side by side, and cuts failing schedules down.
+
+use crate::schedule::{Schedule, Timed};
+use crate::{Off, World};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Mutex;
+
+/// Plays of one shrink, at most.
+const PLAYS_MOST: usize = 300;
+
+/// What came of some seeds.
+#[derive(Debug, Clone, Default)]
+pub struct Outcome {
+    /// Failing seeds, in their order, and what was broken.
+    pub broken: Vec<(u64, String)>,
+    /// Seeds played.
+    pub seeds: u64,
+    /// Events over all.
+    pub steps: u64,
+    /// Orders told done, refused, and reads.
+    pub tally: [usize; 3],
+}
+
+/// Plays one schedule: what was broken, if anything.
+pub fn once(schedule: Schedule, off: Off) -> (Option<String>, World) {
+    let mut world = World::new(schedule, off);
+    (world.play(), world)
+}
+
+/// Plays these seeds with so many threads, until so many fail.
+pub fn play(seeds: std::ops::Range<u64>, off: Off, jobs: usize, most: usize) -> Outcome {
+    let (next, stop) = (AtomicU64::new(seeds.start), AtomicBool::new(false));
+    let all = Mutex::new(Outcome::default());
+    std::thread::scope(|scope| {
+        for _ in 0..jobs.max(1) {
+            scope.spawn(|| loop {
+                let seed = next.fetch_add(1, Ordering::Relaxed);
+                if seed >= seeds.end || stop.load(Ordering::Relaxed) {
+                    return;
+                }
+                let (broken, world) = once(Schedule::draw(seed), off);
+                let Ok(mut all) = all.lock() else { return };
+                (all.seeds, all.steps) = (all.seeds + 1, all.steps + world.steps);
+                all.tally.iter_mut().zip(world.judge.tally).for_each(|(a, b)| *a += b);
+                if let Some(broken) = broken {
+                    all.broken.push((seed, broken));
+                    stop.fetch_or(all.broken.len() >= most, Ordering::Relaxed);
+                }
+            });
+        }
+    });
+    let mut all = all.into_inner().unwrap_or_default();
+    all.broken.sort();
+    all
+}
+
+/// What is broken, without its figures.
+fn kind(broken: &str) -> String {
+    broken.chars().filter(|c| c.is_alphabetic()).take(60).collect()
+}
+
+/// The smallest schedule found that still fails in the same way: faults are taken out one by one.
+pub fn shrink(schedule: &Schedule, off: Off) -> Schedule {
+    let fails = |schedule: Schedule| once(schedule, off).0.map(|b| kind(&b));
+    let first = fails(schedule.clone());
+    let with = |faults: Vec<Timed>| Schedule { faults, ..schedule.clone() };
+    let (mut best, mut plays, mut at) = (schedule.faults.clone(), 0, 0);
+    while at < best.len() && plays < PLAYS_MOST {
+        let mut less = best.clone();
+        less.remove(at);
+        plays += 1;
+        if fails(with(less.clone())) == first {
+            (best, at) = (less, 0);
+        } else {
+            at += 1;
+        }
+    }
+    with(best)
+}
--- /dev/null
+++ b/crates/rig/src/schedule.rs
@@ -0,0 +1,173 @@
+//! A deployment and its faults, drawn from a seed within the fault model.
+
+use crate::chance::Chance;
+use crate::{Micros, CATCH_UP, SECOND};
+
+/// A trouble. Machines are numbered from 0; each lasts for `long` and then ends.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Fault {
+    /// The process is killed and comes back. `wipe`: with an empty disk. `power`: nothing tells its peers.
+    Down {
+        /// Who.
+        who: usize,
+        /// Its disk is lost.
+        wipe: bool,
+        /// The machine is silent, where else its ports would refuse.
+        power: bool,
+    },
+    /// All processes are killed at one moment; disks stay.
+    AllDown,
+    /// The process is told to end, and starts again.
+    Restart(usize),
+    /// A machine is cut off from these others.
+    Cut {
+        /// Who.
+        who: usize,
+        /// From whom.
+        peers: Vec<usize>,
+        /// What it says does not arrive.
+        out: bool,
+        /// What is said to it does not arrive.
+        into: bool,
+    },
+    /// The process stands still; clocks go on.
+    Freeze(usize),
+    /// All links of a machine are slow and thin.
+    Slow(usize),
+    /// All connections between two machines are reset.
+    Reset(usize, usize),
+    /// The disk refuses writes.
+    DiskFull(usize),
+    /// The disk does nothing.
+    DiskHangs(usize),
+    /// The disk is slow.
+    DiskSlow(usize),
+    /// All links lose messages; nothing is promised but what was acknowledged.
+    Storm,
+    /// A new machine comes, another is told to end and is gone for good.
+    Replace(usize),
+}
+
+/// A fault and its time.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Timed {
+    /// When it begins.
+    pub at: Micros,
+    /// How long it lasts.
+    pub long: Micros,
+    /// What.
+    pub fault: Fault,
+}
+
+/// See the module.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Schedule {
+    /// All else is drawn from it.
+    pub seed: u64,
+    /// Core machines at the start.
+    pub machines: usize,
+    /// Core machines that come later, without a seat at first.
+    pub spares: usize,
+    /// Machines that may be lost at once.
+    pub losses: usize,
+    /// In the order of their times.
+    pub faults: Vec<Timed>,
+    /// All faults have ended by then.
+    pub heal: Micros,
+}
+
+impl Fault {
+    /// Who is lost by it; nobody named means all.
+    pub fn lost(&self) -> Option<Vec<usize>> {
+        match self {
+            Fault::AllDown | Fault::Storm => None,
+            Fault::Reset(..) => Some(Vec::new()),
+            Fault::Down { who, .. }
+            | Fault::Cut { who, .. }
+            | Fault::Restart(who)
+            | Fault::Freeze(who)
+            | Fault::Slow(who)
+            | Fault::DiskFull(who)
+            | Fault::DiskHangs(who)
+            | Fault::DiskSlow(who)
+            | Fault::Replace(who) => Some(vec![*who]),
+        }
+    }
+}
+
+impl Schedule {
+    /// Draws a deployment and its faults.
+    pub fn draw(seed: u64) -> Self {
+        let mut chance = Chance(seed ^ 0x005e_ed0f_5c8e_d01e);
+        let (machines, losses) = [(3, 1), (3, 1), (3, 1), (4, 1), (5, 2)][chance.below(5) as usize];
+        let spares = [0, 0, 1, 2][chance.below(4) as usize];
+        let heal = chance.between(15, 35) * SECOND;
+        let mut schedule = Schedule { seed, machines, spares, losses, faults: Vec::new(), heal };
+        // Until when each machine counts as lost; those that are gone for good are no more.
+        let mut lost = vec![0; machines];
+        let mut replaced = vec![false; machines];
+        let mut replacements = 0;
+        let mut t = chance.between(0, 4) * SECOND;
+        loop {
+            t += chance.between(0, 3 * SECOND);
+            let free: Vec<usize> = (0..machines).filter(|m| lost[*m] <= t && !replaced[*m]).collect();
+            let down = (0..machines).filter(|m| lost[*m] > t).count();
+            let all = chance.happens(120);
+            let who = chance.pick(&free).copied();
+            let fault = match who {
+                _ if all && chance.happens(600) => Fault::AllDown,
+                _ if all && down == 0 => Fault::Storm,
+                Some(who) if down < losses => schedule.single(who, &mut chance, replacements < 2),
+                _ => reset(machines, &mut chance),
+            };
+            let long = match &fault {
+                Fault::AllDown => chance.between(100_000, SECOND),
+                Fault::Restart(_) => SECOND,
+                Fault::Replace(_) => 9 * SECOND,
+                Fault::Reset(..) => 0,
+                _ => chance.between(50_000, 6 * SECOND),
+            };
+            if t + long + CATCH_UP > heal {
+                break;
+            }
+            let until = t + long + CATCH_UP;
+            match fault.lost() {
+                None => lost.iter_mut().for_each(|l| *l = (*l).max(until)),
+                Some(who) => who.into_iter().for_each(|w| lost[w] = lost[w].max(until)),
+            }
+            if let Fault::Replace(who) = fault {
+                replaced[who] = true;
+                replacements += 1;
+            }
+            schedule.faults.push(Timed { at: t, long, fault });
+        }
+        schedule
+    }
+
+    fn single(&self, who: usize, chance: &mut Chance, replace: bool) -> Fault {
+        match chance.below(20) {
+            0..=2 => Fault::Down { who, wipe: false, power: chance.happens(500) },
+            3..=7 => Fault::Down { who, wipe: true, power: chance.happens(500) },
+            8..=11 => {
+                let mut peers: Vec<usize> = (0..self.machines).filter(|m| *m != who).collect();
+                if chance.happens(300) {
+                    peers.retain(|_| chance.happens(600));
+                }
+                let way = chance.below(4);
+                Fault::Cut { who, peers, out: way != 1, into: way != 2 }
+            }
+            12 => Fault::Freeze(who),
+            13 => Fault::Slow(who),
+            14 => Fault::DiskFull(who),
+            15 => Fault::DiskHangs(who),
+            16 => Fault::DiskSlow(who),
+            17 => Fault::Restart(who),
+            _ if replace => Fault::Replace(who),
+            _ => Fault::Restart(who),
+        }
+    }
+}
+
+fn reset(machines: usize, chance: &mut Chance) -> Fault {
+    Fault::Reset(chance.below(machines as u64) as usize, chance.below(machines as u64) as usize)
+}
