Seat the machines of the first settings file at their first start, and nobody by a later one

Until the core was founded the seats were what the settings file names now. A founder begins with its seeds as the seats of slot 0, on disk with its first write; the other machines of the first start are added as before. Who has nothing is handed the whole state, as the first slot builds on it.

--- a/crates/marker/src/ballots.rs
+++ b/crates/marker/src/ballots.rs
@@ -216,7 +216,7 @@
         value: &[u8],
         out: &mut Vec<Action>,
     ) {
-        if slot > self.board.state.slot + 1 {
+        if slot > self.board.state.slot + 1 || self.board.state.core.is_empty() {
             // Who tells is not known from the call; the next round finds out.
             return out.push(Action::Reply(token, Reply::Not));
         }
--- a/crates/marker/src/lib.rs
+++ b/crates/marker/src/lib.rs
@@ -230,7 +230,12 @@
     /// A core machine that starts with what was found on its disk.
     pub fn new(now: Micros, start: Start, out: &mut Vec<Action>) -> Self {
         let mut board = Board::new(start.boot);
-        board.jump(start.state.clone());
+        board.state = start.state.clone();
+        if start.founder && board.state.core.is_empty() {
+            // The same list for all at the first start, and never again: what the settings file says later decides nothing.
+            let seeds: BTreeSet<Node> = start.seeds.iter().copied().collect();
+            board.state.core = seeds.into_iter().map(|node| Seat { node, life: 0 }).collect();
+        }
         let plan = board.state.plan().unwrap_or_default();
         let mut marker = Marker {
             started: now,
@@ -280,9 +285,7 @@
             Event::Ask(token, ask) => self.ask(now, token, ask, out),
             Event::Written(job, done) => self.written(now, job, done, out),
             Event::Tick => {}
-            // The founding set is the same for all, as it was at the first start.
-            Event::Seeds(seeds) if !self.start.founder => self.start.seeds = seeds,
-            Event::Seeds(_) => {}
+            Event::Seeds(seeds) => self.start.seeds = seeds,
             Event::Leave => self.leave(now, out),
         }
         self.turn(now, out);
@@ -361,16 +364,9 @@
         limeway_roster::hash(&self.chance.to_le_bytes())
     }
 
-    /// The seats that vote on the next slot. Before any are agreed, those that the settings file names found the core.
+    /// The seats that vote on the next slot; none on a machine that has heard of no core yet.
     fn seats(&self) -> Vec<Seat> {
-        if self.board.state.core.is_empty() {
-            let mut seeds = self.start.seeds.clone();
-            seeds.sort_unstable();
-            seeds.dedup();
-            seeds.into_iter().map(|node| Seat { node, life: 0 }).collect()
-        } else {
-            self.board.state.core.clone()
-        }
+        self.board.state.core.clone()
     }
 
     fn majority(&self) -> usize {
@@ -387,9 +383,13 @@
         self.seats().into_iter().find(|s| *s == own)
     }
 
-    /// The other machines that this one talks to: those that hold a seat, and newcomers that have shown themselves.
+    /// The other machines that this one talks to: those that hold a seat, and newcomers that have shown themselves. A newcomer
+    /// that has heard of no core begins with those that its settings file names.
     fn others(&self) -> Vec<Node> {
         let mut all: BTreeSet<Node> = self.seats().iter().map(|s| s.node).collect();
+        if all.is_empty() {
+            all.extend(&self.start.seeds);
+        }
         all.extend(self.shown.iter().filter(|(_, s)| s.standing.counted).map(|(n, _)| *n));
         all.remove(&self.start.me);
         all.into_iter().collect()
--- a/crates/marker/src/seats.rs
+++ b/crates/marker/src/seats.rs
@@ -15,10 +15,13 @@
 use limeway_numbering::Op;
 use std::collections::BTreeSet;
 
-/// The first set of seats is agreed this long after the start, when all have shown themselves.
+/// The first seats are those of the machines that the settings file of the first start names. The others of that start are
+/// given theirs this long after it, when all have shown themselves.
 const FOUNDING: Micros = 1_000_000;
 /// The next seed founds so much later.
 const FOUNDING_NEXT: Micros = 400_000;
+/// The first start is over then.
+const FOUNDED: Micros = 2_500_000;
 /// A seat whose machine has not shown itself for so long is given to a newcomer, if there is one.
 const DEAD: Micros = 3_000_000;
 /// A newcomer has shown itself for so long.
@@ -83,7 +86,7 @@
 
     /// The next set of seats, if there is to be one.
     pub(crate) fn next_seats(&mut self, now: Micros) -> Option<Op> {
-        if self.board.state.core.is_empty() {
+        if self.start.founder && now < self.started + FOUNDED {
             return self.founding(now);
         }
         if !self.proposes(now) {
@@ -127,12 +130,17 @@
         if self.seat().is_none() || now < self.started + FOUNDING + place as u64 * FOUNDING_NEXT {
             return None;
         }
-        let fresh = |s: &&Shown| s.standing.counted && now < s.last + TOUCH;
+        let slot = self.board.state.slot;
+        let fresh = |s: &&Shown| {
+            let first = s.standing.counted && s.standing.life == 0;
+            first && s.standing.kept >= slot && now < s.last + TOUCH
+        };
         let shown = self.shown.values().filter(fresh);
         let shown = shown.map(|s| Seat { node: s.standing.node, life: s.standing.life });
         let mut all: BTreeSet<Seat> = seats.iter().copied().collect();
         all.extend(shown.filter(|new| !seats.iter().any(|s| s.node == new.node)));
-        Some(Op::Core { seats: all.into_iter().take(CORE_MOST).collect(), former: Vec::new() })
+        let all: Vec<Seat> = all.into_iter().take(CORE_MOST).collect();
+        (all != seats).then_some(Op::Core { seats: all, former: Vec::new() })
     }
 
     /// Those that held a seat hold no duty any more.
--- a/crates/tandem/src/lib.rs
+++ b/crates/tandem/src/lib.rs
@@ -186,10 +186,10 @@
         true
     }
 
-    /// What leads from a slot to this state.
+    /// What leads from a slot to this state. Who has nothing yet lacks what the first slot builds on, too.
     pub fn steps(&self, from: u64) -> Steps {
         let lacks = self.state.slot.saturating_sub(from) as usize;
-        if lacks <= self.recent.len() {
+        if from > 0 && lacks <= self.recent.len() {
             Steps::Ops(self.recent.iter().skip(self.recent.len() - lacks).cloned().collect())
         } else {
             Steps::Whole(ByteBuf::from(pack(&self.state)))
