Give up a ballot at once when no more words can come

A word lost with a reset connection held its ballot up for 450 ms, and all orders behind it, though every other word was in. Words that may still come are counted now, for each of the two phases; at none the ballot is lost.

--- a/crates/marker/src/ballots.rs
+++ b/crates/marker/src/ballots.rs
@@ -117,18 +117,23 @@
     ) {
         let seats = self.seats();
         let me = self.start.me;
+        let votes = self.seat().is_some();
+        let open = seats.iter().filter(|s| s.node != me).count() + usize::from(votes);
         for seat in seats.iter().filter(|s| s.node != me) {
             self.send(seat.node, call.clone(), WORD_WAIT, Asked::Ballot(number, seat.node), out);
         }
         let Some(held) = &mut self.ballots.held else { return };
         let (slot, ballot) = (held.round.slot, held.round.ballot);
-        (held.until, held.open) = (now + WORD_WAIT, seats.len());
-        if self.seat().is_some() {
+        (held.until, held.open) = (now + WORD_WAIT, open);
+        if votes {
             match self.word(now, slot, ballot, value) {
                 word @ (Word::Promise { .. } | Word::Accepted { .. }) => {
                     self.write(vec![After::Own(number, word)], out);
                 }
-                word => self.heard(now, number, self.start.me, word, out),
+                word => {
+                    self.heard(now, number, me, word, out);
+                    self.word_less(now, number);
+                }
             }
         }
     }
@@ -144,6 +149,16 @@
         if let Some(Reply::Word(word)) = reply {
             self.heard(now, ballot, node, word, out);
         }
+        self.word_less(now, ballot);
+    }
+
+    /// One word fewer may still come. A ballot that nothing can come of any more is not waited for.
+    pub(crate) fn word_less(&mut self, now: Micros, number: u64) {
+        let Some(held) = self.ballots.held.as_mut().filter(|h| h.number == number) else { return };
+        held.open = held.open.saturating_sub(1);
+        if held.open == 0 {
+            self.lost(now);
+        }
     }
 
     /// A word on the ballot of this number has come.
@@ -154,6 +169,10 @@
             Next::Wait => {}
             Next::Accept { value, .. } => {
                 held.accepting = Some(value.clone());
+                // Words that are still to come on the promise count no more.
+                self.ballots.last += 1;
+                let number = self.ballots.last;
+                held.number = number;
                 self.canvass(now, number, Call::Accept(slot, ballot, value.clone()), Some(value), out);
             }
             Next::Chosen => {
--- a/crates/marker/src/paper.rs
+++ b/crates/marker/src/paper.rs
@@ -140,6 +140,7 @@
                         After::Word(token, word) => out.push(Action::Reply(token, Reply::Word(word))),
                         After::Own(ballot, word) => {
                             self.heard(now, ballot, self.start.me, word, out);
+                            self.word_less(now, ballot);
                         }
                         After::Kept(token) => out.push(Action::Reply(token, Reply::Done)),
                     }
@@ -157,7 +158,7 @@
         for after in after {
             match after {
                 After::Word(token, _) => out.push(Action::Reply(token, Reply::Word(Word::Abstains))),
-                After::Own(..) => {}
+                After::Own(ballot, _) => self.word_less(self.paper.now(), ballot),
                 After::Kept(token) => out.push(Action::Reply(token, Reply::Not)),
             }
         }
