Close a slot that stands with a change of nothing

A value accepted by a minority was finished with an empty ballot. The ballot proposes a change of no limiters now, so the slot passes.

--- a/crates/marker/src/ballots.rs
+++ b/crates/marker/src/ballots.rs
@@ -94,7 +94,7 @@
         }
     }
 
-    /// Holds a ballot on the next slot; an empty value only finishes what is found.
+    /// Holds a ballot on the next slot.
     pub(crate) fn hold(&mut self, now: Micros, value: ByteBuf, out: &mut Vec<Action>) {
         let slot = self.acceptor.applied + 1;
         let round = self.acceptor.open.promised.round.max(self.ballots.outbid) + 1;
@@ -178,16 +178,11 @@
             Next::Chosen => {
                 let value = held.accepting.take().unwrap_or_default();
                 (self.ballots.held, self.ballots.losses, self.ballots.rest) = (None, 0, 0);
-                // Where it is empty nothing had been accepted: there was nothing to finish.
-                if !value.is_empty() {
-                    self.learn(now, slot, &value, out);
-                    // Others learn it at once; who does not hear it fetches it in its next round.
-                    for node in self.others() {
-                        let call = Call::Chosen(slot, value.clone());
-                        self.send(node, call, WORD_WAIT, Asked::Chosen(node, slot), out);
-                    }
-                } else {
-                    self.contact.nothing_found(slot);
+                self.learn(now, slot, &value, out);
+                // Others learn it at once; who does not hear it fetches it in its next round.
+                for node in self.others() {
+                    let call = Call::Chosen(slot, value.clone());
+                    self.send(node, call, WORD_WAIT, Asked::Chosen(node, slot), out);
                 }
             }
             Next::CatchUp(_) => {
--- a/crates/marker/src/contact.rs
+++ b/crates/marker/src/contact.rs
@@ -7,6 +7,7 @@
 use crate::messages::{Call, Ping, Pong, Reply};
 use crate::{Action, Asked, Marker, Micros, Shown, CORE_MOST, SHOWN_MOST, SHOWS};
 use limeway_ballot::{Node, Seat, Slot};
+use limeway_numbering::Op;
 use limeway_roster::{Claim, Presence};
 use limeway_watch::Report;
 use serde_bytes::ByteBuf;
@@ -65,13 +66,6 @@
 }
 
 impl Contact {
-    /// A ballot on this slot found nothing: nothing lower can be chosen for it any more.
-    pub(crate) fn nothing_found(&mut self, slot: Slot) {
-        for (_, target) in self.waiting.iter_mut().filter(|(_, t)| *t == slot) {
-            *target -= 1;
-        }
-    }
-
     pub(crate) fn queued(&self) -> usize {
         self.rounds.len() + self.waiting.len()
     }
@@ -274,12 +268,14 @@
         }
     }
 
-    /// Finishes what was found pending. True if a ballot was begun.
+    /// Finishes what was found pending, or closes its slot with a change of nothing: a ballot that finds nothing at a majority would
+    /// leave the value pending where it is, and everyone unsure. True if a ballot was begun.
     pub(crate) fn finish(&mut self, now: Micros, out: &mut Vec<Action>) -> bool {
         let due =
             std::mem::take(&mut self.contact.finish) && self.contact.pending == self.board.state.slot + 1;
         if due {
-            self.hold(now, ByteBuf::new(), out);
+            let nothing = Op::Doors { add: Vec::new(), drop: Vec::new() };
+            self.hold(now, ByteBuf::from(limeway_tandem::pack(&nothing)), out);
         }
         due
     }
