--- a/crates/marker/src/ballots.rs
+++ b/crates/marker/src/ballots.rs
@@ -13,6 +13,9 @@
 const FETCH_WAIT: Micros = 700_000;
 /// Two who outbid each other part by chance: the least pause, and the most that chance adds, doubled with each loss in a row.
 const PARTING: (Micros, Micros) = (4_000, 24_000);
+/// Another machine's ballot that this one has just given its word to goes on for so long at the most without a further word:
+/// a round trip on the longest links, and the writes of others.
+const YIELDS: Micros = 250_000;
 /// Losses in a row that lengthen the pause.
 const LOSSES_MOST: u32 = 3;
 
@@ -36,6 +39,8 @@
     /// The highest round that this machine lost against.
     outbid: u64,
     rest: Micros,
+    /// Until when another machine's ballot on this slot is let go on: who outbids it only because it is slow ends both.
+    yields: Micros,
     losses: u32,
     /// Another machine hands over what this one lacks.
     fetching: Option<Micros>,
@@ -43,12 +48,13 @@
 
 impl Ballots {
     pub(crate) fn wake(&self, now: Micros, waits: bool) -> Option<Micros> {
-        self.held.as_ref().map(|h| h.until).or((waits && self.rest > now).then_some(self.rest))
+        let free = self.rest.max(self.yields);
+        self.held.as_ref().map(|h| h.until).or((waits && free > now).then_some(free))
     }
 
     /// Whether a ballot may be begun.
     pub(crate) fn free(&self, now: Micros) -> bool {
-        self.held.is_none() && now >= self.rest
+        self.held.is_none() && now >= self.rest.max(self.yields)
     }
 }
 
@@ -65,6 +71,7 @@
     ) {
         match self.word(now, slot, ballot, value) {
             word @ (Word::Promise { .. } | Word::Accepted { .. }) => {
+                self.ballots.yields = now + YIELDS;
                 self.write(vec![After::Word(token, word)], out);
             }
             word => {
@@ -87,7 +94,7 @@
         }
     }
 
-    /// Holds a ballot on the next slot; an empty value only finishes what is found.
+    /// Holds a ballot on the next slot.
     pub(crate) fn hold(&mut self, now: Micros, value: ByteBuf, out: &mut Vec<Action>) {
         let slot = self.acceptor.applied + 1;
         let round = self.acceptor.open.promised.round.max(self.ballots.outbid) + 1;
@@ -110,18 +117,23 @@
     ) {
         let seats = self.seats();
         let me = self.start.me;
+        let votes = self.seat().is_some();
+        let open = seats.iter().filter(|s| s.node != me).count() + usize::from(votes);
         for seat in seats.iter().filter(|s| s.node != me) {
             self.send(seat.node, call.clone(), WORD_WAIT, Asked::Ballot(number, seat.node), out);
         }
         let Some(held) = &mut self.ballots.held else { return };
         let (slot, ballot) = (held.round.slot, held.round.ballot);
-        (held.until, held.open) = (now + WORD_WAIT, seats.len());
-        if self.seat().is_some() {
+        (held.until, held.open) = (now + WORD_WAIT, open);
+        if votes {
             match self.word(now, slot, ballot, value) {
                 word @ (Word::Promise { .. } | Word::Accepted { .. }) => {
                     self.write(vec![After::Own(number, word)], out);
                 }
-                word => self.heard(now, number, self.start.me, word, out),
+                word => {
+                    self.heard(now, number, me, word, out);
+                    self.word_less(now, number);
+                }
             }
         }
     }
@@ -137,6 +149,16 @@
         if let Some(Reply::Word(word)) = reply {
             self.heard(now, ballot, node, word, out);
         }
+        self.word_less(now, ballot);
+    }
+
+    /// One word fewer may still come. A ballot that nothing can come of any more is not waited for.
+    pub(crate) fn word_less(&mut self, now: Micros, number: u64) {
+        let Some(held) = self.ballots.held.as_mut().filter(|h| h.number == number) else { return };
+        held.open = held.open.saturating_sub(1);
+        if held.open == 0 {
+            self.lost(now);
+        }
     }
 
     /// A word on the ballot of this number has come.
@@ -147,21 +169,20 @@
             Next::Wait => {}
             Next::Accept { value, .. } => {
                 held.accepting = Some(value.clone());
+                // Words that are still to come on the promise count no more.
+                self.ballots.last += 1;
+                let number = self.ballots.last;
+                held.number = number;
                 self.canvass(now, number, Call::Accept(slot, ballot, value.clone()), Some(value), out);
             }
             Next::Chosen => {
                 let value = held.accepting.take().unwrap_or_default();
                 (self.ballots.held, self.ballots.losses, self.ballots.rest) = (None, 0, 0);
-                // Where it is empty nothing had been accepted: there was nothing to finish.
-                if !value.is_empty() {
-                    self.learn(now, slot, &value, out);
-                    // Others learn it at once; who does not hear it fetches it in its next round.
-                    for node in self.others() {
-                        let call = Call::Chosen(slot, value.clone());
-                        self.send(node, call, WORD_WAIT, Asked::Chosen(node, slot), out);
-                    }
-                } else {
-                    self.contact.nothing_found(slot);
+                self.learn(now, slot, &value, out);
+                // Others learn it at once; who does not hear it fetches it in its next round.
+                for node in self.others() {
+                    let call = Call::Chosen(slot, value.clone());
+                    self.send(node, call, WORD_WAIT, Asked::Chosen(node, slot), out);
                 }
             }
             Next::CatchUp(_) => {
@@ -209,7 +230,7 @@
         value: &[u8],
         out: &mut Vec<Action>,
     ) {
-        if slot > self.board.state.slot + 1 {
+        if slot > self.board.state.slot + 1 || self.board.state.core.is_empty() {
             // Who tells is not known from the call; the next round finds out.
             return out.push(Action::Reply(token, Reply::Not));
         }
@@ -228,6 +249,7 @@
     pub(crate) fn applied(&mut self, now: Micros, after: Vec<After>, out: &mut Vec<Action>) {
         let seated = self.contact.seated;
         self.acceptor.advance(self.board.state.slot);
+        self.ballots.yields = 0;
         if self.ballots.held.as_ref().is_some_and(|h| h.round.slot <= self.acceptor.applied) {
             // Decided without this ballot.
             self.ballots.held = None;
--- a/crates/marker/src/contact.rs
+++ b/crates/marker/src/contact.rs
@@ -7,6 +7,7 @@
 use crate::messages::{Call, Ping, Pong, Reply};
 use crate::{Action, Asked, Marker, Micros, Shown, CORE_MOST, SHOWN_MOST, SHOWS};
 use limeway_ballot::{Node, Seat, Slot};
+use limeway_numbering::Op;
 use limeway_roster::{Claim, Presence};
 use limeway_watch::Report;
 use serde_bytes::ByteBuf;
@@ -65,11 +66,8 @@
 }
 
 impl Contact {
-    /// A ballot on this slot found nothing: nothing lower can be chosen for it any more.
-    pub(crate) fn nothing_found(&mut self, slot: Slot) {
-        for (_, target) in self.waiting.iter_mut().filter(|(_, t)| *t == slot) {
-            *target -= 1;
-        }
+    pub(crate) fn queued(&self) -> usize {
+        self.rounds.len() + self.waiting.len()
     }
 
     /// Whether a round has begun since, or is about to.
@@ -252,7 +250,11 @@
         }
         let Some(round) = self.contact.rounds.remove(&number) else { return };
         for claim in round.claims.iter().filter(|c| !c.holds && !self.duties.holds(now, c.group)) {
-            self.votes.release(self.start.me, *claim);
+            // Another round under way may count the own vote, and win by it.
+            let counted = |r: &Round| r.claims.iter().any(|c| c.group == claim.group);
+            if !self.contact.rounds.values().any(counted) {
+                self.votes.release(self.start.me, *claim);
+            }
         }
         if round.newest.0 > self.board.state.slot {
             self.fetch(now, round.newest.1, out);
@@ -266,12 +268,14 @@
         }
     }
 
-    /// Finishes what was found pending. True if a ballot was begun.
+    /// Finishes what was found pending, or closes its slot with a change of nothing: a ballot that finds nothing at a majority would
+    /// leave the value pending where it is, and everyone unsure. True if a ballot was begun.
     pub(crate) fn finish(&mut self, now: Micros, out: &mut Vec<Action>) -> bool {
         let due =
             std::mem::take(&mut self.contact.finish) && self.contact.pending == self.board.state.slot + 1;
         if due {
-            self.hold(now, ByteBuf::new(), out);
+            let nothing = Op::Doors { add: Vec::new(), drop: Vec::new() };
+            self.hold(now, ByteBuf::from(limeway_tandem::pack(&nothing)), out);
         }
         due
     }
@@ -335,11 +339,12 @@
         }
     }
 
-    /// Whether the machine of a seat has shown itself lately, in that life of its disk, and is in touch itself.
-    pub(crate) fn well(&self, now: Micros, seat: Seat) -> bool {
+    /// Whether the holder of a seat has shown itself lately, and is in touch itself. A machine that has lost the disk that its
+    /// seat is of holds it no more.
+    pub(crate) fn well(&self, now: Micros, seat: &Seat) -> bool {
         self.shown.get(&seat.node).is_some_and(|s| {
-            s.standing.life == seat.life
-                && now < s.last + SHOWS
+            now < s.last + SHOWS
+                && s.standing.life == seat.life
                 && s.standing.touch
                 && s.standing.sound
                 && !s.standing.leaving
--- a/crates/marker/src/duties.rs
+++ b/crates/marker/src/duties.rs
@@ -19,8 +19,9 @@
             return Vec::new();
         }
         let me = self.start.me;
-        let seats = self.board.state.core.iter().filter(|s| s.node == me || self.well(now, **s));
-        let live: Vec<Node> = seats.map(|s| s.node).collect();
+        let seats = self.board.state.core.iter();
+        let live = seats.filter(|s| s.node == me || self.well(now, s)).map(|s| s.node);
+        let live: Vec<Node> = live.collect();
         self.duties.claims(now, me, self.start.boot, &live, &self.votes)
     }
 
@@ -39,20 +40,13 @@
         let length = self.start.rule.length();
         for claim in claims.iter().filter(|c| given.get(&c.group).copied().unwrap_or(0) >= majority) {
             if self.duties.won(now, asked, *claim) {
-                // The very first holder of all has no one before it. Any other begins a whole window after the last one,
-                // which at the latest ended when this holding began, or before this process started.
+                // It begins a whole window after the last holding, which at the latest ended when this one began, or before
+                // this process started. So does the very first one: who is first cannot be told from who has just come back.
                 let young = now < self.started + limeway_roster::TERM;
-                let first = self.start.founder && young;
-                let begin = if first {
-                    now
-                } else if young {
-                    now.max(self.started + length)
-                } else {
-                    now + length
-                };
+                let begin = if young { now.max(self.started + length) } else { now + length };
                 let term = self.start.boot ^ now.rotate_left(32);
                 let doors = &self.board.state.doors;
-                self.counts[claim.group] = Some(Count::new(begin, term, length, doors, first));
+                self.counts[claim.group] = Some(Count::new(begin, term, length, doors, false));
                 log::info!(group = claim.group; "holds a duty");
                 self.news.look = true;
             }
--- a/crates/marker/src/orders.rs
+++ b/crates/marker/src/orders.rs
@@ -85,6 +85,10 @@
         !self.waiting.is_empty()
     }
 
+    pub(crate) fn queued(&self) -> usize {
+        self.waiting.len()
+    }
+
     pub(crate) fn wake(&self, now: Micros) -> Option<Micros> {
         self.waiting.iter().map(|w| w.until.min(if w.after > now { w.after } else { Micros::MAX })).min()
     }
--- a/crates/numbering/src/state.rs
+++ b/crates/numbering/src/state.rs
@@ -230,7 +230,7 @@
     /// What an order changes, if it may be taken at all; what its items say is not looked at.
     fn changes<'a>(&'a self, order: &'a Order) -> Result<Changes<'a>, Refusal> {
         if order.base != self.version {
-            let forgotten = order.version <= self.forgotten;
+            let forgotten = order.version != 0 && order.version <= self.forgotten;
             return Err(if forgotten { Refusal::Forgotten } else { Refusal::Stale(self.version) });
         }
         if order.version <= self.version {
--- a/crates/tandem/src/lib.rs
+++ b/crates/tandem/src/lib.rs
@@ -45,6 +45,8 @@
 const OPS_CHEAP: usize = 8 * 1024;
 /// Bytes of operations in one answer of a relay, at most.
 const RELAY_ROOM: usize = 4 * 1024;
+/// Sureties of states to come that are remembered, at most.
+const OWED_MOST: usize = 16;
 
 /// What a limiter tells the one above it, and what it has.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -101,6 +103,9 @@
     /// How long ago the teller was last sure of its state; nothing if it never was.
     #[serde(rename = "a")]
     pub age: Option<Micros>,
+    /// The last slot that the teller has: its age counts for whoever has that.
+    #[serde(rename = "n")]
+    pub slot: u64,
     /// What the poll's slot lacks.
     #[serde(rename = "s")]
     pub steps: Steps,
@@ -152,6 +157,10 @@
     pub holders: [Holder; GROUPS],
     /// When this process was last sure of `state`; 0 for never.
     pub sure: Micros,
+    /// As of when members and holders were told.
+    told: Micros,
+    /// Tellers that were sure of a slot that this board has not come to yet: the slot, and as of when.
+    owed: VecDeque<(u64, Micros)>,
 }
 
 /// Packs an operation or a state.
@@ -207,6 +216,8 @@
             members_change: 0,
             holders: [(0, 0); GROUPS],
             sure: 0,
+            told: 0,
+            owed: VecDeque::new(),
         }
     }
 
@@ -271,10 +282,10 @@
         Want { slot: self.state.slot, have, room: PART as u32 }
     }
 
-    /// The sealed operations after a slot, if all of them are kept.
+    /// The sealed operations after a slot, if all of them are kept. Who has nothing yet lacks what the first slot builds on, too.
     fn after(&self, slot: u64) -> Option<impl Iterator<Item = &Parcel>> {
         let lacks = usize::try_from(self.state.slot.saturating_sub(slot)).ok()?;
-        (lacks <= self.recent.len()).then(|| self.recent.iter().skip(self.recent.len() - lacks))
+        (slot > 0 && lacks <= self.recent.len()).then(|| self.recent.iter().skip(self.recent.len() - lacks))
     }
 
     /// The operations after a slot, each sealed, if all of them are kept.
@@ -360,9 +371,18 @@
             }
             Steps::Elsewhere(_) => {}
         }
+        self.settle();
         self.state.slot > before
     }
 
+    /// Whoever was sure of a slot that is reached now makes this board as sure.
+    fn settle(&mut self) {
+        let slot = self.state.slot;
+        let reached = self.owed.iter().filter(|(s, _)| *s <= slot).map(|(_, sure)| *sure);
+        self.sure = reached.max().unwrap_or(0).max(self.sure);
+        self.owed.retain(|(s, _)| *s > slot);
+    }
+
     /// The live members as this process knows them.
     pub fn members(&self) -> &[Member] {
         &self.members
@@ -406,6 +426,7 @@
         Feed {
             held,
             age: (self.sure > 0).then(|| now.saturating_sub(self.sure)),
+            slot: self.state.slot,
             steps: self.briefly(&poll.want),
             epoch: self.epoch,
             change: if telling { self.watch.change } else { 0 },
@@ -441,7 +462,7 @@
         match feed.age {
             Some(age) if age <= UNSURE => {
                 // The teller was sure `age` before it answered, which was no sooner than `held` after the poll was sent.
-                if (asked + feed.held).saturating_sub(age) >= self.sure {
+                if (asked + feed.held).saturating_sub(age) >= self.told.max(self.sure) {
                     Trust::Current
                 } else {
                     Trust::Older
@@ -474,8 +495,17 @@
             changed.members |= holders != self.holders;
             self.holders = holders;
         }
+        // The teller was sure of its own slot: this board is once it has come so far, be it by later answers.
         if let Some(age) = feed.age {
-            self.sure = self.sure.max((asked + feed.held).saturating_sub(age));
+            let sure = (asked + feed.held).saturating_sub(age);
+            if trust == Trust::Current {
+                self.told = self.told.max(sure);
+            }
+            if self.owed.len() >= OWED_MOST {
+                self.owed.pop_front();
+            }
+            self.owed.push_back((feed.slot, sure));
+            self.settle();
         }
         changed
     }
