--- a/crates/exchange/src/core/votes.rs
+++ b/crates/exchange/src/core/votes.rs
@@ -7,7 +7,7 @@
     pub(super) async fn keep(&self, with_state: bool) -> bool {
         let acceptor = self.acceptor.borrow().clone();
         let state = with_state.then(|| pack(&self.board.borrow().state));
-        self.disk.keep(acceptor, state).await
+        self.disk.keep(&acceptor, state).await
     }
 
     /// Votes in a ballot; the word is given once it is on disk.
--- a/crates/exchange/src/service.rs
+++ b/crates/exchange/src/service.rs
@@ -14,7 +14,6 @@
 use limeway_line::inbound::{Bounds, Inbound};
 use limeway_numbering::State;
 use limeway_tandem::unpack;
-use limeway_vault::Vault;
 use std::cell::Cell;
 use std::fmt;
 use std::net::SocketAddr;
@@ -93,11 +92,11 @@
 ) -> Result<(), Report<StartError>> {
     let (acceptor, state, empty, disk) = match &settings.data {
         Some(folder) => {
-            let (vault, found) = Vault::open(folder, Node::from(settings.ip), clock::draw())
-                .change_context(StartError::Disk)?;
-            let state: State = unpack(&found.state).unwrap_or_default();
-            let disk = Disk::start(vault).change_context(StartError::Disk)?;
-            (found.acceptor, state, found.empty, disk)
+            let (disk, (acceptor, state, empty)) =
+                Disk::open_former(folder.clone(), Node::from(settings.ip), clock::draw())
+                    .await
+                    .change_context(StartError::Disk)?;
+            (acceptor, unpack(&state).unwrap_or_default(), empty, disk)
         }
         None => (Acceptor::default(), State::default(), true, Disk::none()),
     };
--- a/crates/vault/src/lib.rs
+++ b/crates/vault/src/lib.rs
@@ -1,36 +1,78 @@
-//! What a core machine keeps on disk: its part in ballots, and the state that the ballots have made.
+//! What a core machine keeps on disk: its part in ballots, and a log of the operations that the ballots have chosen, with
+//! a snapshot of the state that it starts from.
 //!
-//! One `redb` file with one table of blobs. Each write is one transaction that is on disk when the call returns. A file of
-//! another format or one that cannot be opened is set aside under another name and **never** taken for an empty one: the
-//! machine then counts as one that lost its disk.
+//! One `redb` file. A [`Record`] is one transaction, on disk when the call returns; several go as one ([`Vault::write_all`]).
+//! A write costs what has changed: operations, not the state. The state is written where [`Vault::due`] asks for it.
+//!
+//! **Bounds.** A snapshot is due after [`OPS_DUE`] operations or [`BYTES_DUE`] of them (or as many bytes as the last snapshot
+//! has, if that is more). The log takes no more than [`OPS_MOST`] and [`BYTES_MOST`]: what comes on top is refused
+//! until a snapshot has been written. A snapshot holds [`SNAPSHOT_MOST`] at most. Values are cut into parts, so no page of the file,
+//! and no buffer here, is larger than 64 KiB. A file that is mostly free ([`SIZE_LEAST`], [`SPACE_MOST`]) is
+//! written anew with the next snapshot.
+//!
+//! **After a failure.** What holds, for each kind:
+//!
+//! | failure | a call says | on disk then |
+//! | --- | --- | --- |
+//! | a record out of order, or past a bound | an error, at once | all that was acknowledged; nothing of the record |
+//! | the disk is full or refuses a write or a sync | an error | all that was acknowledged; the record whole or not at all |
+//! | the disk hangs | nothing until it goes on | as after a kill, if the process ends meanwhile |
+//! | the process is killed | | all that was acknowledged; the record under way whole or not at all |
+//! | power is lost | | the same, whatever became of writes that were not synced |
+//! | the file is torn, of a newer format, or another machine's | [`Found::empty`] | the file, as `state.redb.aside` |
+//! | the disk refuses while the file is opened | [`VaultError::Open`] | the file as it was: it is **not** set aside |
+//!
+//! After any error nothing counts until the whole picture is on disk again: every record without a snapshot is refused
+//! ([`VaultError::Unsure`]). So no record builds on one that may be missing. After a write that failed, one with a snapshot
+//! goes to a **new file**: a system may drop what it could not sync and take it for written, so that what is read back from the old
+//! file by this process proves nothing about the disk.
+//!
+//! **Names.** After a loss of power a name that was made, renamed or removed since its folder was synced may be kept or lost by
+//! itself. The file is `state.redb` or `state.redb.2`; a new one gets the name that the old one has not, so that none is ever
+//! renamed but a spoilt one, to `state.redb.aside`.
+//!
+//! 1. *Nothing is acknowledged while two files may be on disk*, nor while a change of names is not synced. [`Vault::open`] removes all
+//!    but one and syncs the folder before it returns, in each start (an earlier process may have ended before its own sync), and
+//!    a write to a new file returns after the last sync. So any file that a loss of power brings back held all that was
+//!    acknowledged by then, and nothing has been acknowledged since.
+//! 2. *A new file* is written and synced, then its name, then the old one is removed, and that is synced. At any time the name of one
+//!    whole file has lasted. Both files hold all that was acknowledged, so either may be used; the later turn is. One that is not
+//!    whole has no identity, as all of it is one transaction, and is set aside.
+//! 3. *A spoilt file* is renamed to `aside` and a new one is made. Whatever is lost of it, the name then stands for the spoilt file
+//!    (set aside again), a new one with its first write (used as empty) or without (set aside), or nothing (made). Each is an
+//!    empty disk to the machine, which has voted on none of them since.
 #![forbid(unsafe_code)]
 
-use error_stack::{Report, ResultExt};
-use limeway_ballot::{Acceptor, Incarnation, Node, Open, Slot};
-use redb::{Database, TableDefinition};
-use serde::de::DeserializeOwned;
+mod file;
+mod format;
+mod former;
+mod log;
+mod medium;
+
+pub use file::{Vault, SIZE_LEAST, SPACE_MOST};
+pub use former::{Former, FormerFound};
+pub use log::{BYTES_DUE, BYTES_MOST, OPS_DUE, OPS_MOST, SNAPSHOT_MOST};
+pub use medium::{Folder, Medium, Name};
+
+use limeway_ballot::{Incarnation, Open, Slot};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
 use std::fmt;
-use std::path::{Path, PathBuf};
-
-/// Version of the file's format.
-const FORMAT: u32 = 1;
-/// Name of the file.
-const FILE: &str = "state.redb";
-/// Memory that the file's pages may take, in bytes: memory is dear, the state is small.
-const CACHE: usize = 256 * 1024;
-const TABLE: TableDefinition<'static, &'static str, &'static [u8]> = TableDefinition::new("state");
 
 /// Why the disk cannot be read or written.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum VaultError {
-    /// The file cannot be opened or made.
+    /// The disk refuses to open or make the file.
     Open,
-    /// A write did not reach the disk.
+    /// A write did not reach the disk, or may not have.
     Write,
-    /// What is there cannot be read.
+    /// What is there is torn, of a newer format, or another machine's.
     Read,
+    /// A record does not follow what is on disk.
+    Order,
+    /// A record goes past a bound of the log.
+    Bound,
+    /// A write failed before, and the whole picture has not been written since.
+    Unsure,
 }
 
 impl fmt::Display for VaultError {
@@ -39,160 +81,47 @@
             VaultError::Open => "the state file cannot be opened",
             VaultError::Write => "a write did not reach the disk",
             VaultError::Read => "the state file cannot be read",
+            VaultError::Order => "a record does not follow what is on disk",
+            VaultError::Bound => "a record goes past a bound of the log",
+            VaultError::Unsure => "a snapshot has to be written first",
         })
     }
 }
 
 impl std::error::Error for VaultError {}
 
-#[derive(Serialize, Deserialize)]
-struct Identity {
-    format: u32,
-    node: Node,
-    own: Incarnation,
+/// A machine's part in ballots.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Votes {
+    /// This disk's life.
+    pub life: Incarnation,
+    /// Last slot whose operation is applied; the log reaches at least as far.
+    pub applied: Slot,
+    /// What is promised and accepted for the slot after it.
+    pub open: Open,
 }
 
-#[derive(Serialize, Deserialize)]
-struct Votes {
-    applied: Slot,
-    open: Open,
-    known: BTreeMap<Node, Incarnation>,
-    votes: bool,
-}
-
-/// The open file.
-pub struct Vault {
-    db: Database,
-    path: PathBuf,
+/// What is written together.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Record {
+    /// The part in ballots; takes the place of the last one.
+    pub votes: Votes,
+    /// Operations that are chosen, with their slots: the first follows the end of the log, each the one before it.
+    pub ops: Vec<(Slot, Vec<u8>)>,
+    /// The state that the slots up to this one have made. It goes before `ops`, and takes the place of the last snapshot and of
+    /// all operations up to its slot. It is never older than the last.
+    pub snapshot: Option<(Slot, Vec<u8>)>,
 }
 
 /// What was found on disk at the start.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Found {
-    /// The machine's part in ballots.
-    pub acceptor: Acceptor,
-    /// The state that the slots up to `acceptor.applied` have made; empty before the first.
-    pub state: Vec<u8>,
-    /// Nothing was there: a new machine, or one that lost its disk.
+    /// The machine's part in ballots; `life` is set in any case.
+    pub votes: Votes,
+    /// The last snapshot, with its slot.
+    pub snapshot: Option<(Slot, Vec<u8>)>,
+    /// The operations since (or since slot 0), without a gap.
+    pub ops: Vec<(Slot, Vec<u8>)>,
+    /// Nothing was there, or nothing that had a vote: a new machine, or one that lost its disk.
     pub empty: bool,
 }
-
-fn pack(value: &impl Serialize) -> Result<Vec<u8>, Report<VaultError>> {
-    let mut bytes = Vec::new();
-    ciborium::into_writer(value, &mut bytes).change_context(VaultError::Write)?;
-    Ok(bytes)
-}
-
-fn unpack<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Report<VaultError>> {
-    ciborium::from_reader(bytes).change_context(VaultError::Read)
-}
-
-impl Vault {
-    /// Opens the file in `folder`, or makes one for `node` with the incarnation `fresh`.
-    pub fn open(folder: &Path, node: Node, fresh: Incarnation) -> Result<(Self, Found), Report<VaultError>> {
-        std::fs::create_dir_all(folder).change_context(VaultError::Open)?;
-        let path = folder.join(FILE);
-        // The library ends the process on some torn files, which would end every later start as well.
-        let loaded = std::panic::catch_unwind(|| Self::load(&path, node))
-            .unwrap_or_else(|_| Err(Report::new(VaultError::Read).attach("torn")));
-        match loaded {
-            Ok(Some(all)) => return Ok(all),
-            Ok(None) => {}
-            Err(e) => {
-                // Torn or foreign: kept for whoever looks into it, and not used.
-                let aside = folder.join(format!("{FILE}.aside"));
-                log::error!("state file set aside: {e:?}");
-                std::fs::rename(&path, aside).change_context(VaultError::Open)?;
-            }
-        }
-        let db = Self::builder().create(&path).change_context(VaultError::Open)?;
-        let vault = Vault { db, path };
-        let acceptor = Acceptor { own: fresh, ..Acceptor::default() };
-        vault.put(&[("identity", pack(&Identity { format: FORMAT, node, own: fresh })?)])?;
-        // The new name lasts once its folder is on disk.
-        if let Ok(folder) = std::fs::File::open(folder) {
-            folder.sync_all().change_context(VaultError::Write)?;
-        }
-        Ok((vault, Found { acceptor, state: Vec::new(), empty: true }))
-    }
-
-    fn builder() -> redb::Builder {
-        let mut builder = Database::builder();
-        builder.set_cache_size(CACHE);
-        builder
-    }
-
-    fn load(path: &Path, node: Node) -> Result<Option<(Self, Found)>, Report<VaultError>> {
-        if !path.exists() {
-            return Ok(None);
-        }
-        let db = Self::builder().open(path).change_context(VaultError::Open)?;
-        let read = db.begin_read().change_context(VaultError::Read)?;
-        let table = match read.open_table(TABLE) {
-            Ok(table) => table,
-            // Made, but its first write did not reach the disk.
-            Err(redb::TableError::TableDoesNotExist(_)) => return Err(Report::new(VaultError::Read)),
-            Err(e) => return Err(Report::new(e).change_context(VaultError::Read)),
-        };
-        let get = |name: &str| -> Result<Option<Vec<u8>>, Report<VaultError>> {
-            Ok(table.get(name).change_context(VaultError::Read)?.map(|v| v.value().to_vec()))
-        };
-        let identity: Identity =
-            unpack(&get("identity")?.ok_or_else(|| Report::new(VaultError::Read).attach("no identity"))?)?;
-        if identity.format != FORMAT || identity.node != node {
-            return Err(Report::new(VaultError::Read).attach("another format or another machine's file"));
-        }
-        let mut acceptor = Acceptor { own: identity.own, ..Acceptor::default() };
-        let mut empty = true;
-        if let Some(votes) = get("votes")? {
-            let votes: Votes = unpack(&votes)?;
-            acceptor.applied = votes.applied;
-            acceptor.open = votes.open;
-            acceptor.known = votes.known;
-            acceptor.votes = votes.votes;
-            empty = !votes.votes;
-        }
-        let state = get("state")?.unwrap_or_default();
-        drop(table);
-        drop(read);
-        Ok(Some((Vault { db, path: path.to_owned() }, Found { acceptor, state, empty })))
-    }
-
-    fn put(&self, rows: &[(&str, Vec<u8>)]) -> Result<(), Report<VaultError>> {
-        let write = self.db.begin_write().change_context(VaultError::Write)?;
-        {
-            let mut table = write.open_table(TABLE).change_context(VaultError::Write)?;
-            for (name, bytes) in rows {
-                table.insert(*name, bytes.as_slice()).change_context(VaultError::Write)?;
-            }
-        }
-        write.commit().change_context(VaultError::Write)
-    }
-
-    fn votes(acceptor: &Acceptor) -> Result<Vec<u8>, Report<VaultError>> {
-        pack(&Votes {
-            applied: acceptor.applied,
-            open: acceptor.open.clone(),
-            known: acceptor.known.clone(),
-            votes: acceptor.votes,
-        })
-    }
-
-    /// Writes the part in ballots.
-    pub fn keep_votes(&self, acceptor: &Acceptor) -> Result<(), Report<VaultError>> {
-        self.put(&[("votes", Self::votes(acceptor)?)])
-    }
-
-    /// Writes the part in ballots and the state of the slots applied, together.
-    pub fn keep_all(&self, acceptor: &Acceptor, state: Vec<u8>) -> Result<(), Report<VaultError>> {
-        self.put(&[("votes", Self::votes(acceptor)?), ("state", state)])
-    }
-
-    /// Opens the file anew after a write that failed: `redb` takes no more writes then.
-    pub fn again(&mut self) -> Result<(), Report<VaultError>> {
-        // Two handles on one file must not be open at once; a placeholder in memory takes its place meanwhile.
-        let memory = Self::builder().create_with_backend(redb::backends::InMemoryBackend::new());
-        self.db = memory.change_context(VaultError::Open)?;
-        self.db = Self::builder().open(&self.path).change_context(VaultError::Open)?;
-        Ok(())
-    }
-}
--- a/crates/vault/tests/disk.rs
+++ b/crates/vault/tests/disk.rs
@@ -23,7 +23,7 @@
     }
 }
 
-fn voted(vault: &Vault, own: u64) -> Acceptor {
+fn voted(vault: &mut Vault, own: u64) -> Acceptor {
     let mut acceptor = Acceptor { own, votes: true, ..Acceptor::default() };
     acceptor.advance(4);
     acceptor.accept(5, Ballot { round: 3, node: 1 }, ByteBuf::from(vec![1, 2, 3]));
@@ -34,23 +34,23 @@
 #[rstest]
 fn votes_and_state_outlive_the_process() {
     let folder = Folder::new("outlive");
-    let (vault, found) = Vault::open(&folder.0, 7, 42).expect("made");
-    assert!(found.empty && found.acceptor.own == 42);
-    let kept = voted(&vault, 42);
+    let (mut vault, (acceptor, _, empty)) = Vault::open_former(&folder.0, 7, 42).expect("made");
+    assert!(empty && acceptor.own == 42);
+    let kept = voted(&mut vault, 42);
     drop(vault);
-    let (_vault, found) = Vault::open(&folder.0, 7, 43).expect("opened");
-    assert!(!found.empty);
-    assert_eq!((found.acceptor.own, found.acceptor.applied), (42, 4));
-    assert_eq!((found.acceptor.open, found.state), (kept.open, vec![9; 100]));
+    let (_vault, (acceptor, state, empty)) = Vault::open_former(&folder.0, 7, 43).expect("opened");
+    assert!(!empty);
+    assert_eq!((acceptor.own, acceptor.applied), (42, 4));
+    assert_eq!((acceptor.open, state), (kept.open, vec![9; 100]));
 }
 
 /// A machine that was killed before it was ever allowed to vote is empty still: it has to read others first.
 #[rstest]
 fn a_file_without_votes_counts_as_empty() {
     let folder = Folder::new("unvoted");
-    drop(Vault::open(&folder.0, 7, 42).expect("made"));
-    let (_vault, found) = Vault::open(&folder.0, 7, 43).expect("opened");
-    assert!(found.empty && !found.acceptor.votes);
+    drop(Vault::open_former(&folder.0, 7, 42).expect("made"));
+    let (_vault, (acceptor, _, empty)) = Vault::open_former(&folder.0, 7, 43).expect("opened");
+    assert!(empty && !acceptor.votes);
 }
 
 #[rstest]
@@ -59,22 +59,22 @@
 #[case::not_ours(|path: &PathBuf| std::fs::write(path, b"something else").expect("written"))]
 fn a_spoilt_file_is_set_aside_and_the_machine_has_lost_its_disk(#[case] spoil: fn(&PathBuf)) {
     let folder = Folder::new(&format!("spoilt-{:?}", spoil as usize));
-    let (vault, _) = Vault::open(&folder.0, 7, 42).expect("made");
-    voted(&vault, 42);
+    let (mut vault, _) = Vault::open_former(&folder.0, 7, 42).expect("made");
+    voted(&mut vault, 42);
     drop(vault);
     spoil(&folder.0.join("state.redb"));
-    let (_vault, found) = Vault::open(&folder.0, 7, 43).expect("opened");
-    assert!(found.empty && !found.acceptor.votes, "it must read others before it votes");
-    assert_eq!(found.acceptor.own, 43, "a new incarnation");
+    let (_vault, (acceptor, _, empty)) = Vault::open_former(&folder.0, 7, 43).expect("opened");
+    assert!(empty && !acceptor.votes, "it must read others before it votes");
+    assert_eq!(acceptor.own, 43, "a new incarnation");
     assert!(folder.0.join("state.redb.aside").exists(), "kept for whoever looks into it");
 }
 
 #[rstest]
 fn another_machines_file_is_not_used() {
     let folder = Folder::new("foreign");
-    let (vault, _) = Vault::open(&folder.0, 7, 42).expect("made");
-    voted(&vault, 42);
+    let (mut vault, _) = Vault::open_former(&folder.0, 7, 42).expect("made");
+    voted(&mut vault, 42);
     drop(vault);
-    let (_vault, found) = Vault::open(&folder.0, 8, 43).expect("opened");
-    assert!(found.empty && found.acceptor.applied == 0);
+    let (_vault, (acceptor, _, empty)) = Vault::open_former(&folder.0, 8, 43).expect("opened");
+    assert!(empty && acceptor.applied == 0);
 }
--- /dev/null
+++ b/crates/vault/tests/faults.rs
@@ -0,0 +1,82 @@
+//! A scripted run is ended, or refused, at every one of its steps on disk; what the next process finds is compared with what was
+//! acknowledged.
+
+mod script;
+mod sim;
+
+use limeway_vault::{Vault, VaultError};
+use rstest::rstest;
+use script::{Picture, NODE};
+use sim::{Loss, Sim, Trouble};
+
+/// Runs the script; the pictures that may be on disk.
+fn run(sim: &Sim) -> Vec<Picture> {
+    let Ok((mut vault, found)) = Vault::open(sim.clone(), NODE, 42) else { return vec![Picture::default()] };
+    script::run(&mut vault, found.votes.life, |_| {}, || sim.ended())
+}
+
+fn check(sim: &Sim, loss: Loss, may: &[Picture], what: &str) {
+    let next = sim.after(loss, Trouble::None);
+    let (_vault, found) = Vault::open(next, NODE, 43).unwrap_or_else(|e| panic!("{what}: {e:?}"));
+    assert!(may.iter().any(|p| p.fits(&found)), "{what}: may be {may:?}, found {found:?}");
+    let voted = may.iter().all(|p| p.end > 0);
+    assert!(!(voted && found.empty), "{what}: taken for an empty disk");
+}
+
+/// Steps of an undisturbed run.
+fn steps() -> usize {
+    let sim = Sim::new(Trouble::None);
+    let may = run(&sim);
+    assert_eq!((may.len(), may[0].end), (1, 26), "the script runs to its end");
+    sim.steps()
+}
+
+const POWER: [Loss; 6] =
+    [Loss::All, Loss::Some(1), Loss::Some(2), Loss::Some(3), Loss::Some(4), Loss::Some(5)];
+
+#[rstest]
+#[case::killed(&[Loss::Killed])]
+#[case::power(&POWER)]
+fn what_was_acknowledged_outlives_an_end_at_any_step(#[case] losses: &[Loss]) {
+    for at in 0..=steps() {
+        let sim = Sim::new(Trouble::End(at));
+        let may = run(&sim);
+        for loss in losses {
+            check(&sim, *loss, &may, &format!("ended at {at}, {loss:?}"));
+        }
+    }
+}
+
+/// A disk that is full for a while: one step, some, or many; and power may be lost later.
+#[rstest]
+#[case::once(1)]
+#[case::some(7)]
+#[case::long(60)]
+fn a_disk_that_refuses_for_a_while_loses_nothing(#[case] count: usize) {
+    for at in 0..steps() {
+        let sim = Sim::new(Trouble::Refuse(at, at + count));
+        let may = run(&sim);
+        for loss in [Loss::Killed, Loss::All, Loss::Some(at as u64)] {
+            check(&sim, loss, &may, &format!("refused from {at}, {loss:?}"));
+        }
+    }
+}
+
+/// Trouble at the start of a process must not cost a machine its disk.
+#[rstest]
+fn a_disk_that_refuses_while_it_is_opened_is_not_set_aside() {
+    let sim = Sim::new(Trouble::End(steps() * 2 / 3));
+    let may = run(&sim);
+    let whole = sim.after(Loss::Killed, Trouble::None);
+    drop(Vault::open(whole.clone(), NODE, 43));
+    for at in 0..whole.steps() {
+        let next = sim.after(Loss::Killed, Trouble::Refuse(at, usize::MAX));
+        if let Err(e) = Vault::open(next.clone(), NODE, 43) {
+            assert_eq!(*e.current_context(), VaultError::Open);
+        }
+        check(&next, Loss::Killed, &may, &format!("refused from {at}"));
+        let next = sim.after(Loss::Some(at as u64), Trouble::End(at));
+        drop(Vault::open(next.clone(), NODE, 43));
+        check(&next, Loss::Some(at as u64), &may, &format!("ended at {at}"));
+    }
+}
--- /dev/null
+++ b/crates/vault/tests/script/mod.rs
@@ -0,0 +1,144 @@
+//! A run of records as a machine would write them, and the picture that they make.
+
+use limeway_ballot::{Ballot, Open, Slot};
+use limeway_vault::{Found, Record, Vault, Votes};
+use serde_bytes::ByteBuf;
+
+/// Whose file it is.
+pub const NODE: u32 = 7;
+
+/// What a machine does.
+#[derive(Debug, Clone)]
+pub enum Step {
+    /// It accepts a value for the open slot.
+    Accept(u64),
+    /// The next slots are chosen and applied.
+    Choose(&'static [usize]),
+    /// It writes a snapshot of so many bytes with the next record.
+    Snapshot(usize),
+    /// It is told a state some slots ahead.
+    Jump(u64),
+}
+
+/// What a machine holds.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Picture {
+    pub life: u64,
+    pub end: Slot,
+    pub round: u64,
+}
+
+/// The operation of a slot.
+pub fn op(slot: Slot, size: usize) -> Vec<u8> {
+    vec![slot as u8; size]
+}
+
+/// The state of a slot, in so many bytes and eight.
+pub fn state(slot: Slot, size: usize) -> Vec<u8> {
+    [&slot.to_be_bytes()[..], &vec![slot as u8; size]].concat()
+}
+
+impl Picture {
+    fn take(&mut self, step: &Step) {
+        match step {
+            Step::Accept(round) => self.round = *round,
+            Step::Choose(sizes) => (self.end, self.round) = (self.end + sizes.len() as u64, 0),
+            Step::Snapshot(_) => {}
+            Step::Jump(ahead) => (self.end, self.round) = (self.end + ahead, 0),
+        }
+    }
+
+    fn open(&self) -> Open {
+        if self.round == 0 {
+            return Open::default();
+        }
+        let ballot = Ballot { round: self.round, node: 1 };
+        Open { promised: ballot, accepted: Some((ballot, ByteBuf::from(op(self.end + 1, 40)))) }
+    }
+
+    /// Takes a step, and makes its record; `whole` brings all that the machine holds.
+    pub fn record(&mut self, step: &Step, whole: bool) -> Record {
+        let before = self.end;
+        self.take(step);
+        let votes = Votes { life: self.life, applied: self.end, open: self.open() };
+        let mut record = Record { votes, ..Record::default() };
+        match step {
+            _ if whole => record.snapshot = Some((self.end, state(self.end, 3_000))),
+            Step::Choose(sizes) => {
+                let ops = (before + 1..).zip(sizes.iter());
+                record.ops = ops.map(|(slot, size)| (slot, op(slot, *size))).collect();
+            }
+            Step::Snapshot(size) => record.snapshot = Some((self.end, state(self.end, *size))),
+            Step::Jump(_) => record.snapshot = Some((self.end, state(self.end, 5_000))),
+            Step::Accept(_) => {}
+        }
+        record
+    }
+
+    /// Whether what was found makes this picture.
+    pub fn fits(&self, found: &Found) -> bool {
+        let mut end = 0;
+        if let Some((slot, bytes)) = &found.snapshot {
+            end = *slot;
+            if bytes.len() < 8 || *bytes != state(end, bytes.len() - 8) {
+                return false;
+            }
+        }
+        for (slot, bytes) in &found.ops {
+            if *slot != end + 1 || *bytes != op(*slot, bytes.len()) {
+                return false;
+            }
+            end = *slot;
+        }
+        let votes = Votes { life: found.votes.life, applied: self.end, open: self.open() };
+        end == self.end && found.votes == votes && (self.life == 0 || votes.life == self.life)
+    }
+}
+
+/// The run: each group is written together.
+pub fn groups() -> Vec<Vec<Step>> {
+    use Step::{Accept, Choose, Jump, Snapshot};
+    vec![
+        vec![Snapshot(2_000)],
+        vec![Accept(3)],
+        vec![Choose(&[300])],
+        vec![Accept(1), Accept(2), Choose(&[500]), Accept(9)],
+        vec![Choose(&[70_000, 10, 0])],
+        vec![Snapshot(200_000), Accept(1)],
+        vec![Choose(&[100])],
+        vec![Choose(&[100]), Snapshot(1_000), Choose(&[200])],
+        vec![Jump(5)],
+        vec![Choose(&[100, 100, 100])],
+        vec![Snapshot(0), Choose(&[50])],
+        vec![Jump(7), Choose(&[150_000]), Accept(4)],
+        vec![Choose(&[20])],
+    ]
+}
+
+/// Runs the script as a machine does, until its end or until `ended`. Returns the pictures that may be on disk: the last that was
+/// acknowledged, and those since.
+pub fn run(
+    vault: &mut Vault,
+    life: u64,
+    mut told: impl FnMut(usize),
+    ended: impl Fn() -> bool,
+) -> Vec<Picture> {
+    let mut memory = Picture { life, ..Picture::default() };
+    let mut may = vec![memory.clone()];
+    for (at, group) in groups().iter().enumerate() {
+        let whole = vault.unsure();
+        let records: Vec<_> =
+            group.iter().enumerate().map(|(n, step)| memory.record(step, whole && n == 0)).collect();
+        let answers = vault.write_all(&records);
+        assert!(answers.iter().all(|a| *a == answers[0]), "one transaction: {answers:?}");
+        if answers[0].is_ok() {
+            may.clear();
+            told(at);
+        }
+        may.push(memory.clone());
+        if ended() {
+            break;
+        }
+    }
+    may
+}
