--- /dev/null
+++ b/crates/exchange/tests/system/mod.rs
@@ -0,0 +1,142 @@
+//! A system of real processes over loopback, as tests start it.
+//!
+//! Every machine has an address of its own in 127.0.0.0/8, as in the system every machine has the same ports.
+
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+/// Ports of all machines.
+const CONTROL: u16 = 28383;
+pub const DIRECTORY: u16 = 28385;
+pub const FRONT: u16 = 28389;
+const READY: u16 = 28384;
+const INNER: u16 = 27460;
+/// Whatever should come about does so within it, on a machine that is busy with other tests too.
+pub const SOON: Duration = Duration::from_secs(25);
+
+pub struct Machine {
+    pub ip: Ipv4Addr,
+    edge: bool,
+    child: Mutex<Option<Child>>,
+}
+
+pub struct System {
+    pub folder: PathBuf,
+    pub machines: Vec<Machine>,
+}
+
+impl System {
+    /// Addresses 127.`net`.0.1 and up: three core machines, then limiters.
+    pub fn start(net: u8, limiters: u8) -> Self {
+        let folder = std::env::temp_dir().join(format!("limeway-whole-{}-{net}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&folder);
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let machine =
+            |n: u8| Machine { ip: Ipv4Addr::new(127, net, 0, n), edge: n > 3, child: Mutex::default() };
+        let system = System { folder, machines: (1..=3 + limiters).map(machine).collect() };
+        (0..system.machines.len()).for_each(|at| system.run(at, true));
+        system
+    }
+
+    pub fn run(&self, at: usize, first: bool) {
+        let seeds: Vec<String> = self.machines[..3].iter().map(|m| format!("{}:{CONTROL}", m.ip)).collect();
+        let (ip, edge) = (self.machines[at].ip, self.machines[at].edge);
+        let zone = ["z1", "z1", "z2", "z1", "z1", "z2"][at];
+        let listens = if edge {
+            format!("listen-addresses.frontend={ip}:{FRONT}\nlisten-addresses.readiness={ip}:{READY}\n")
+        } else {
+            let data = self.folder.join(format!("data-{at}"));
+            let data = data.display();
+            format!(
+                "listen-addresses.control-plane={ip}:{CONTROL}\nlisten-addresses.directory-api={ip}:{DIRECTORY}\n\
+                 data-directory={data}\nloss-counted=true\n"
+            )
+        };
+        let text = format!(
+            "node-name=m{at}\nip-address={ip}\nzone={zone}\nregion=r1\nzones.z1=r1\nzones.z2=r1\n{listens}\
+             internal-ports={INNER},{INNER}\nseed-nodes={}\ninitial-start={first}\n\
+             fault-tolerance.machine-losses=1\nheartbeat=500ms\n\
+             bounds=contact=4s,revoke=5s,revocation-strict=true,grace-period=6s,quota-window=5s,quota-overshoot=0.1,quota-slack=20,retry-budget-ratio=0.2,retry-slack=50\n",
+            seeds.join(",")
+        );
+        let path = self.folder.join(format!("settings-{at}"));
+        std::fs::write(&path, text).expect("settings");
+        let log =
+            std::fs::File::options().create(true).append(true).open(self.folder.join("log")).expect("log");
+        let child = Command::new(env!("CARGO_BIN_EXE_exchange"))
+            .args(["serve", "--log", "warn", "--settings"])
+            .arg(&path)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .expect("starts");
+        *self.machines[at].child.lock().expect("lock") = Some(child);
+    }
+
+    pub fn kill(&self, at: usize) {
+        let mut child = self.machines[at].child.lock().expect("lock").take().expect("runs");
+        child.kill().expect("killed");
+        child.wait().expect("ended");
+    }
+
+    pub fn control(&self, at: usize, call: &str, body: &str) -> Option<(u16, String)> {
+        ask((self.machines[at].ip, CONTROL).into(), "POST", &format!("/-/rpc?call={call}"), &[], body)
+    }
+
+    /// As an operator does: to any core machine, until there is a clear answer.
+    pub fn order(&self, call: &str, body: &str) -> (u16, String) {
+        let (begun, mut at) = (Instant::now(), 0);
+        loop {
+            if let Some((status, text)) = self.control(at % 3, call, body).filter(|(s, _)| *s < 500) {
+                return (status, text);
+            }
+            at += 1;
+            assert!(begun.elapsed() < SOON, "no clear answer to {call}: {}", self.log());
+        }
+    }
+
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.folder.join("log")).unwrap_or_default()
+    }
+}
+
+impl Drop for System {
+    fn drop(&mut self) {
+        for child in self.machines.iter_mut().filter_map(|m| m.child.get_mut().ok()?.as_mut()) {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// One request on a connection of its own.
+pub fn ask(
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Option<(u16, String)> {
+    let mut stream = TcpStream::connect_timeout(&to, Duration::from_millis(500)).ok()?;
+    stream.set_read_timeout(Some(Duration::from_millis(2_500))).ok()?;
+    let mut text =
+        format!("{method} {path} HTTP/1.1\r\nConnection: close\r\nContent-Length: {}\r\n", body.len());
+    headers.iter().for_each(|(n, v)| text.push_str(&format!("{n}: {v}\r\n")));
+    stream.write_all(format!("{text}\r\n{body}").as_bytes()).ok()?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).ok()?;
+    let status = answer.get(9..12)?.parse().ok()?;
+    Some((status, answer.split_once("\r\n\r\n")?.1.to_owned()))
+}
+
+pub fn config(version: u32, base: u32, prefix: &str, keys: &str) -> String {
+    format!(
+        r#"{{"config-version":"{version:08x}","base-version":"{base:08x}","resource-list":[{{"resource-kind":"routes","metadata":{{"name":"r"}},"specification":{{"hostname":"a.example","path-prefix":"{prefix}","route-type":"idempotent","timeout":"2s","target-service":"s","max-attempts":3}}}},{{"resource-kind":"services","metadata":{{"name":"s"}},"specification":{{"health-path":"/health"}}}},{{"resource-kind":"tenants","metadata":{{"name":"t"}},"specification":{{"api-keys":[{keys}],"rate-per-s":200,"burst-size":200}}}}]}}"#
+    )
+}
--- a/crates/exchange/tests/whole.rs
+++ b/crates/exchange/tests/whole.rs
@@ -2,104 +2,16 @@
 //!
 //! Every machine has an address of its own in 127.0.0.0/8, as in the system every machine has the same ports.
 
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+mod system;
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{Ipv4Addr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
-
-/// Ports of all machines.
-const CONTROL: u16 = 28383;
-const DIRECTORY: u16 = 28385;
-const FRONT: u16 = 28389;
-const READY: u16 = 28384;
-const INNER: u16 = 27460;
-/// Whatever should come about does so within it, on a machine that is busy with other tests too.
-const SOON: Duration = Duration::from_secs(25);
-
-struct Machine {
-    ip: Ipv4Addr,
-    edge: bool,
-    child: Option<Child>,
-}
-
-struct System {
-    folder: PathBuf,
-    machines: Vec<Machine>,
-}
+use std::time::Instant;
+use system::{ask, config, System, DIRECTORY, FRONT, SOON};
 
 impl System {
-    /// Addresses 127.`net`.0.1 and up: three core machines, then three limiters.
-    fn start(net: u8) -> Self {
-        let folder = std::env::temp_dir().join(format!("limeway-whole-{}-{net}", std::process::id()));
-        let _ = std::fs::remove_dir_all(&folder);
-        std::fs::create_dir_all(&folder).expect("a folder");
-        let machine = |n: u8| Machine { ip: Ipv4Addr::new(127, net, 0, n), edge: n > 3, child: None };
-        let mut system = System { folder, machines: (1..=6).map(machine).collect() };
-        (0..6).for_each(|at| system.run(at, true));
-        system
-    }
-
-    fn run(&mut self, at: usize, first: bool) {
-        let seeds: Vec<String> = self.machines[..3].iter().map(|m| format!("{}:{CONTROL}", m.ip)).collect();
-        let (ip, edge) = (self.machines[at].ip, self.machines[at].edge);
-        let zone = ["z1", "z1", "z2", "z1", "z1", "z2"][at];
-        let listens = if edge {
-            format!("listen-addresses.frontend={ip}:{FRONT}\nlisten-addresses.readiness={ip}:{READY}\n")
-        } else {
-            let data = self.folder.join(format!("data-{at}"));
-            let data = data.display();
-            format!(
-                "listen-addresses.control-plane={ip}:{CONTROL}\nlisten-addresses.directory-api={ip}:{DIRECTORY}\n\
-                 data-directory={data}\nloss-counted=true\n"
-            )
-        };
-        let text = format!(
-            "node-name=m{at}\nip-address={ip}\nzone={zone}\nregion=r1\nzones.z1=r1\nzones.z2=r1\n{listens}\
-             internal-ports={INNER},{INNER}\nseed-nodes={}\ninitial-start={first}\n\
-             fault-tolerance.machine-losses=1\nheartbeat=500ms\n\
-             bounds=contact=4s,revoke=5s,revocation-strict=true,grace-period=6s,quota-window=5s,quota-overshoot=0.1,quota-slack=20,retry-budget-ratio=0.2,retry-slack=50\n",
-            seeds.join(",")
-        );
-        let path = self.folder.join(format!("settings-{at}"));
-        std::fs::write(&path, text).expect("settings");
-        let log =
-            std::fs::File::options().create(true).append(true).open(self.folder.join("log")).expect("log");
-        let child = Command::new(env!("CARGO_BIN_EXE_exchange"))
-            .args(["serve", "--log", "warn", "--settings"])
-            .arg(&path)
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(log)
-            .spawn()
-            .expect("starts");
-        self.machines[at].child = Some(child);
-    }
-
-    fn kill(&mut self, at: usize) {
-        let mut child = self.machines[at].child.take().expect("runs");
-        child.kill().expect("killed");
-        child.wait().expect("ended");
-    }
-
-    fn control(&self, at: usize, call: &str, body: &str) -> Option<(u16, String)> {
-        ask((self.machines[at].ip, CONTROL).into(), "POST", &format!("/-/rpc?call={call}"), &[], body)
-    }
-
-    /// As an operator does: to any core machine, until there is a clear answer.
-    fn order(&self, call: &str, body: &str) -> (u16, String) {
-        let (begun, mut at) = (Instant::now(), 0);
-        loop {
-            if let Some((status, text)) = self.control(at % 3, call, body).filter(|(s, _)| *s < 500) {
-                return (status, text);
-            }
-            at += 1;
-            assert!(begun.elapsed() < SOON, "no clear answer to {call}: {}", self.log());
-        }
-    }
-
     fn get(&self, at: usize, path: &str, key: &str, id: &str) -> Option<(u16, String)> {
         let key = format!("Bearer {key}");
         let headers = [
@@ -111,10 +23,6 @@
         ask((self.machines[at].ip, FRONT).into(), "GET", path, &headers, "")
     }
 
-    fn log(&self) -> String {
-        std::fs::read_to_string(self.folder.join("log")).unwrap_or_default()
-    }
-
     fn until(&self, what: &str, mut so: impl FnMut(&Self) -> bool) {
         let begun = Instant::now();
         while !so(self) {
@@ -123,36 +31,6 @@
     }
 }
 
-impl Drop for System {
-    fn drop(&mut self) {
-        for child in self.machines.iter_mut().filter_map(|m| m.child.as_mut()) {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-        let _ = std::fs::remove_dir_all(&self.folder);
-    }
-}
-
-/// One request on a connection of its own.
-fn ask(
-    to: SocketAddr,
-    method: &str,
-    path: &str,
-    headers: &[(&str, &str)],
-    body: &str,
-) -> Option<(u16, String)> {
-    let mut stream = TcpStream::connect_timeout(&to, Duration::from_millis(500)).ok()?;
-    stream.set_read_timeout(Some(Duration::from_millis(2_500))).ok()?;
-    let mut text =
-        format!("{method} {path} HTTP/1.1\r\nConnection: close\r\nContent-Length: {}\r\n", body.len());
-    headers.iter().for_each(|(n, v)| text.push_str(&format!("{n}: {v}\r\n")));
-    stream.write_all(format!("{text}\r\n{body}").as_bytes()).ok()?;
-    let mut answer = String::new();
-    stream.read_to_string(&mut answer).ok()?;
-    let status = answer.get(9..12)?.parse().ok()?;
-    Some((status, answer.split_once("\r\n\r\n")?.1.to_owned()))
-}
-
 /// A server that counts what it runs, and checks that it is meant.
 fn server(ip: Ipv4Addr, port: u16, life: &'static str) -> Arc<AtomicU32> {
     let listener = TcpListener::bind((ip, port)).expect("listens");
@@ -193,12 +71,6 @@
     }
 }
 
-fn config(version: u32, base: u32, prefix: &str, keys: &str) -> String {
-    format!(
-        r#"{{"config-version":"{version:08x}","base-version":"{base:08x}","resource-list":[{{"resource-kind":"routes","metadata":{{"name":"r"}},"specification":{{"hostname":"a.example","path-prefix":"{prefix}","route-type":"idempotent","timeout":"2s","target-service":"s","max-attempts":3}}}},{{"resource-kind":"services","metadata":{{"name":"s"}},"specification":{{"health-path":"/health"}}}},{{"resource-kind":"tenants","metadata":{{"name":"t"}},"specification":{{"api-keys":[{keys}],"rate-per-s":200,"burst-size":200}}}}]}}"#
-    )
-}
-
 fn beat(system: &System, life: &str, address: (Ipv4Addr, u16), state: &str, count: u32) -> u16 {
     let body = format!(
         r#"{{"target-service":"s","address":"{}:{}","zone":"z1","config-version":"v1","capacity-slots":4,"state":"{state}","cold-left":"0ms","call-count":{count}}}"#,
@@ -210,7 +82,7 @@
 #[test]
 fn the_whole_path_serves_and_outlives_a_kill_of_each() {
     let net = 80 + (std::process::id() % 100) as u8;
-    let mut system = System::start(net);
+    let system = System::start(net, 3);
     let address = (Ipv4Addr::new(127, net, 0, 99), 28100);
     let ran = server(address.0, address.1, "i-1");
     let mut beats = 0;
