--- a/crates/vault/src/file.rs
+++ b/crates/vault/src/file.rs
@@ -23,10 +23,22 @@
 
 /// A database and the file that it is in.
 struct File {
-    db: Database,
+    /// None only while it is dropped.
+    db: Option<Database>,
     seen: Arc<Seen>,
 }
 
+impl Drop for File {
+    fn drop(&mut self) {
+        let db = self.db.take();
+        // Closing may write, and the library end the thread if that is refused: nothing counts on it.
+        drop(guarded(|| {
+            drop(db);
+            Ok(())
+        }));
+    }
+}
+
 /// Whose file it is, and how often one has taken the place of another.
 #[derive(Clone, Copy)]
 struct Owner {
@@ -74,7 +86,7 @@
         Ok((db, value))
     });
     match result {
-        Ok((db, value)) => Ok((File { db, seen }, value)),
+        Ok((db, value)) => Ok((File { db: Some(db), seen }, value)),
         Err(e) => {
             let kind = if seen.refused() { VaultError::Open } else { VaultError::Read };
             Err(e.change_context(kind))
@@ -235,7 +247,7 @@
                 ::log::warn!("{e:?}");
                 answers.iter_mut().filter(|a| a.is_ok()).for_each(|a| *a = Err(VaultError::Write));
                 self.unsure = true;
-                self.close();
+                self.file = None;
             }
         }
         answers
@@ -246,8 +258,8 @@
         // A new file holds what is written now and nothing else.
         let whole = snapshot.is_some_and(|(slot, _)| *slot >= self.log.end());
         let wide = self.size() > SIZE_LEAST.max(SPACE_MOST * after.bytes() as u64);
-        match &self.file {
-            Some(file) if !(whole && wide) => guarded(|| commit(&file.db, |write| put(write, taken))),
+        match self.file.as_ref().and_then(|f| f.db.as_ref()) {
+            Some(db) if !(whole && wide) => guarded(|| commit(db, |write| put(write, taken))),
             _ if whole => self.renew(taken),
             _ => Err(Report::new(VaultError::Unsure)),
         }
@@ -255,7 +267,7 @@
 
     /// Writes all that counts to a new file, which takes the place of the old one.
     fn renew(&mut self, rows: &[Row]) -> Outcome<()> {
-        self.close();
+        self.file = None;
         self.owner.turn += 1;
         let (medium, new) = (self.medium.as_ref(), self.name.other());
         medium.remove(new).change_context(VaultError::Write)?;
@@ -268,13 +280,4 @@
         self.file = Some(file);
         Ok(())
     }
-
-    fn close(&mut self) {
-        let file = self.file.take();
-        // Closing may write, and fail at that: nothing counts on it.
-        drop(guarded(|| {
-            drop(file);
-            Ok(())
-        }));
-    }
 }
