--- /dev/null
+++ b/crates/exchange/tests/disk.rs
@@ -0,0 +1,167 @@
+//! The writing thread before a disk that hangs or refuses: the caller goes on, and nothing counts that may be missing.
+
+use limeway_exchange::disk::Disk;
+use limeway_vault::{Folder, Medium, Name, Record, StorageBackend, Vault, Votes};
+use std::future::Future;
+use std::io;
+use std::path::PathBuf;
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::{Duration, Instant};
+
+/// Whatever should come about does so within it.
+const SOON: Duration = Duration::from_secs(25);
+/// More records than the queue takes.
+const MANY: usize = 200;
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Mode {
+    Goes,
+    Hangs,
+    Refuses,
+}
+
+/// What the disk does with each sync.
+#[derive(Debug, Clone)]
+struct Gate(Arc<(Mutex<Mode>, Condvar)>);
+
+impl Gate {
+    fn set(&self, mode: Mode) {
+        *self.0 .0.lock().expect("lock") = mode;
+        self.0 .1.notify_all();
+    }
+
+    fn pass(&self) -> io::Result<()> {
+        let mode = self.0 .0.lock().expect("lock");
+        let mode = self.0 .1.wait_while(mode, |m| *m == Mode::Hangs).expect("lock");
+        if *mode == Mode::Refuses {
+            return Err(io::Error::from(io::ErrorKind::StorageFull));
+        }
+        Ok(())
+    }
+}
+
+struct Gated(Folder, Gate);
+
+#[derive(Debug)]
+struct Handle(Box<dyn StorageBackend>, Gate);
+
+impl Medium for Gated {
+    fn exists(&self, name: Name) -> io::Result<bool> {
+        self.0.exists(name)
+    }
+
+    fn open(&self, name: Name) -> io::Result<Box<dyn StorageBackend>> {
+        Ok(Box::new(Handle(self.0.open(name)?, self.1.clone())))
+    }
+
+    fn set_aside(&self, name: Name) -> io::Result<()> {
+        self.0.set_aside(name)
+    }
+
+    fn remove(&self, name: Name) -> io::Result<()> {
+        self.0.remove(name)
+    }
+
+    fn settle(&self) -> io::Result<()> {
+        self.0.settle()
+    }
+}
+
+impl StorageBackend for Handle {
+    fn len(&self) -> io::Result<u64> {
+        self.0.len()
+    }
+
+    fn read(&self, offset: u64, len: usize) -> io::Result<Vec<u8>> {
+        self.0.read(offset, len)
+    }
+
+    fn set_len(&self, len: u64) -> io::Result<()> {
+        self.0.set_len(len)
+    }
+
+    fn sync_data(&self, eventual: bool) -> io::Result<()> {
+        self.1.pass()?;
+        self.0.sync_data(eventual)
+    }
+
+    fn write(&self, offset: u64, data: &[u8]) -> io::Result<()> {
+        self.0.write(offset, data)
+    }
+}
+
+fn start(name: &str) -> (PathBuf, Gate, Disk) {
+    let folder = std::env::temp_dir().join(format!("limeway-disk-{}-{name}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&folder);
+    let gate = Gate(Arc::new((Mutex::new(Mode::Goes), Condvar::new())));
+    let (vault, _) = Vault::open(Gated(Folder::new(&folder), gate.clone()), 7, 42).expect("made");
+    (folder, gate, Disk::start(vault).expect("starts"))
+}
+
+/// The operation of a slot, with the state before it if `whole`.
+fn slot(slot: u64, whole: bool) -> Record {
+    let votes = Votes { life: 42, applied: slot, ..Votes::default() };
+    let snapshot = whole.then(|| (slot - 1, vec![slot as u8; 300]));
+    Record { votes, ops: vec![(slot, vec![slot as u8; 30])], snapshot }
+}
+
+async fn soon(answer: impl Future<Output = bool>) -> bool {
+    tokio::time::timeout(SOON, answer).await.expect("an answer")
+}
+
+/// What is on disk after it: the last slot.
+fn end(folder: &PathBuf, disk: Disk) -> u64 {
+    drop(disk);
+    let begun = Instant::now();
+    // The thread closes the file once it sees that nothing more will come.
+    let (_, found) = loop {
+        match Vault::open(Folder::new(folder), 7, 43) {
+            Ok(opened) => break opened,
+            Err(e) => assert!(begun.elapsed() < SOON, "{e:?}"),
+        }
+    };
+    let _ = std::fs::remove_dir_all(folder);
+    assert_eq!(found.ops.last().map(|o| o.0), Some(found.votes.applied));
+    found.votes.applied
+}
+
+#[tokio::test]
+async fn a_hang_holds_up_nobody_and_what_found_no_place_is_brought_again() {
+    let (folder, gate, disk) = start("hangs");
+    assert!(soon(disk.write(slot(1, true))).await);
+    gate.set(Mode::Hangs);
+    let mut answers: Vec<_> = (2..2 + MANY as u64).map(|s| disk.write(slot(s, false))).collect();
+    let last = answers.pop().expect("some");
+    assert!(!soon(last).await, "the queue is full, and the answer is there while the disk hangs");
+    gate.set(Mode::Goes);
+    let mut on_disk = 1;
+    for answer in answers {
+        let written = soon(answer).await;
+        assert!(on_disk > 0 || !written, "a record that follows one that is missing");
+        on_disk = if written { on_disk + 1 } else { 0 };
+    }
+    assert_eq!(on_disk, 0, "most have found no place");
+    let next = MANY as u64 + 2;
+    assert!(!soon(disk.write(slot(next, false))).await, "it would not follow");
+    assert!(!disk.sound.get() && disk.due.get());
+    assert!(soon(disk.write(slot(next, true))).await);
+    assert!(soon(disk.write(slot(next + 1, false))).await && disk.sound.get());
+    assert_eq!(end(&folder, disk), next + 1);
+}
+
+#[tokio::test]
+async fn a_full_disk_answers_at_once_and_takes_the_whole_picture_later() {
+    let (folder, gate, disk) = start("full");
+    assert!(soon(disk.write(slot(1, true))).await);
+    gate.set(Mode::Refuses);
+    let both = [disk.write(slot(2, false)), disk.write(slot(3, false))];
+    for answer in both {
+        assert!(!soon(answer).await);
+    }
+    assert!(!soon(disk.write(slot(4, true))).await);
+    gate.set(Mode::Goes);
+    assert!(!soon(disk.write(slot(5, false))).await, "what it would follow may be missing");
+    assert!(soon(disk.write(slot(5, true))).await);
+    assert!(soon(disk.write(slot(6, false))).await);
+    assert_eq!(end(&folder, disk), 6);
+}
--- /dev/null
+++ b/crates/vault/examples/record_cost.rs
@@ -0,0 +1,165 @@
+//! Time and bytes that a slot costs on disk: the whole state in one row, as format 1 had it, against records with snapshots when due.
+//!
+//! `cargo run --release -p limeway-vault --example record_cost [FOLDER]`
+
+use limeway_vault::{Folder, Medium, Name, Record, Vault, Votes};
+use redb::{Database, StorageBackend, TableDefinition};
+use std::io;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Instant;
+
+/// Slots that are written.
+const SLOTS: u64 = 600;
+/// Slots of the whole state, where one takes long.
+const SLOTS_WHOLE: u64 = 60;
+/// Bytes of an operation.
+const OP: usize = 400;
+const ROWS: TableDefinition<'static, &'static str, &'static [u8]> = TableDefinition::new("state");
+
+#[derive(Debug, Clone, Default)]
+struct Count {
+    bytes: Arc<AtomicU64>,
+    syncs: Arc<AtomicU64>,
+    most: Arc<AtomicU64>,
+}
+
+struct Counted(Folder, Count);
+
+#[derive(Debug)]
+struct Handle(Box<dyn StorageBackend>, Count);
+
+impl Medium for Counted {
+    fn exists(&self, name: Name) -> io::Result<bool> {
+        self.0.exists(name)
+    }
+    fn open(&self, name: Name) -> io::Result<Box<dyn StorageBackend>> {
+        Ok(Box::new(Handle(self.0.open(name)?, self.1.clone())))
+    }
+    fn set_aside(&self, name: Name) -> io::Result<()> {
+        self.0.set_aside(name)
+    }
+    fn remove(&self, name: Name) -> io::Result<()> {
+        self.0.remove(name)
+    }
+    fn settle(&self) -> io::Result<()> {
+        self.0.settle()
+    }
+}
+
+impl StorageBackend for Handle {
+    fn len(&self) -> io::Result<u64> {
+        self.0.len()
+    }
+    fn read(&self, offset: u64, len: usize) -> io::Result<Vec<u8>> {
+        self.0.read(offset, len)
+    }
+    fn set_len(&self, len: u64) -> io::Result<()> {
+        self.1.most.fetch_max(len, Ordering::Relaxed);
+        self.0.set_len(len)
+    }
+    fn sync_data(&self, eventual: bool) -> io::Result<()> {
+        self.1.syncs.fetch_add(1, Ordering::Relaxed);
+        self.0.sync_data(eventual)
+    }
+    fn write(&self, offset: u64, data: &[u8]) -> io::Result<()> {
+        self.1.bytes.fetch_add(data.len() as u64, Ordering::Relaxed);
+        self.0.write(offset, data)
+    }
+}
+
+type Failed = Box<dyn std::error::Error>;
+
+fn folder(name: &str) -> (PathBuf, Counted) {
+    let above = std::env::args().nth(1).map_or_else(std::env::temp_dir, PathBuf::from);
+    let path = above.join(format!("limeway-record-cost-{}-{name}", std::process::id()));
+    let counted = Counted(Folder::new(&path), Count::default());
+    (path, counted)
+}
+
+fn tell(way: &str, size: usize, slots: u64, begun: Instant, count: &Count) {
+    let load = |n: &AtomicU64| n.load(Ordering::Relaxed);
+    println!(
+        "{way:>8} {:>6} KB of state: {:>8.2} ms, {:>9.1} KB, {:>4.1} syncs a slot; file {:>6.1} MB at most",
+        size / 1000,
+        begun.elapsed().as_secs_f64() * 1e3 / slots as f64,
+        load(&count.bytes) as f64 / 1e3 / slots as f64,
+        load(&count.syncs) as f64 / slots as f64,
+        load(&count.most) as f64 / 1e6,
+    );
+}
+
+fn whole(size: usize) -> Result<(), Failed> {
+    let (path, medium) = folder("whole");
+    let mut builder = Database::builder();
+    let db = builder.set_cache_size(256 * 1024).create_with_backend(Boxed(medium.open(Name::First)?))?;
+    let begun = Instant::now();
+    for slot in 0..SLOTS_WHOLE {
+        let write = db.begin_write()?;
+        {
+            let mut table = write.open_table(ROWS)?;
+            table.insert("votes", &[slot as u8; 60][..])?;
+            table.insert("state", vec![slot as u8; size].as_slice())?;
+        }
+        write.commit()?;
+    }
+    tell("whole", size, SLOTS_WHOLE, begun, &medium.1);
+    drop(db);
+    Ok(std::fs::remove_dir_all(path)?)
+}
+
+/// The library takes no boxed file.
+#[derive(Debug)]
+struct Boxed(Box<dyn StorageBackend>);
+
+impl StorageBackend for Boxed {
+    fn len(&self) -> io::Result<u64> {
+        self.0.len()
+    }
+    fn read(&self, offset: u64, len: usize) -> io::Result<Vec<u8>> {
+        self.0.read(offset, len)
+    }
+    fn set_len(&self, len: u64) -> io::Result<()> {
+        self.0.set_len(len)
+    }
+    fn sync_data(&self, eventual: bool) -> io::Result<()> {
+        self.0.sync_data(eventual)
+    }
+    fn write(&self, offset: u64, data: &[u8]) -> io::Result<()> {
+        self.0.write(offset, data)
+    }
+}
+
+fn records(size: usize) -> Result<(), Failed> {
+    let (path, medium) = folder("records");
+    let count = medium.1.clone();
+    let (mut vault, _) = Vault::open(medium, 1, 1).map_err(|e| format!("{e:?}"))?;
+    let first = Record { snapshot: Some((0, vec![0; size])), ..Record::default() };
+    vault.write(&first)?;
+    let begun = Instant::now();
+    for slot in 1..=SLOTS {
+        let votes = Votes { applied: slot, ..Votes::default() };
+        let mut record = Record { votes, ops: vec![(slot, vec![slot as u8; OP])], snapshot: None };
+        if vault.due() {
+            record.ops.clear();
+            record.snapshot = Some((slot, vec![slot as u8; size]));
+        }
+        vault.write(&record)?;
+    }
+    tell("records", size, SLOTS, begun, &count);
+    drop(vault);
+    let begun = Instant::now();
+    drop(Vault::open(Folder::new(&path), 1, 1).map_err(|e| format!("{e:?}"))?);
+    println!("         opened again in {:.1} ms", begun.elapsed().as_secs_f64() * 1e3);
+    Ok(std::fs::remove_dir_all(path)?)
+}
+
+fn main() -> Result<(), Failed> {
+    // As 100 routes, 1,500 routes, and 2,000 routes with 47,000 tenants take.
+    for size in [20_000, 300_000, 8_000_000] {
+        whole(size)?;
+        records(size)?;
+    }
+    Ok(())
+}
--- a/crates/vault/src/lib.rs
+++ b/crates/vault/src/lib.rs
@@ -53,6 +53,8 @@
 pub use former::{Former, FormerFound};
 pub use log::{BYTES_DUE, BYTES_MOST, OPS_DUE, OPS_MOST, SNAPSHOT_MOST};
 pub use medium::{Folder, Medium, Name};
+/// What a [`Medium`] gives for a file.
+pub use redb::StorageBackend;
 
 use limeway_ballot::{Incarnation, Open, Slot};
 use serde::{Deserialize, Serialize};
--- a/crates/vault/tests/log/faults.rs
+++ b/crates/vault/tests/log/faults.rs
@@ -56,6 +56,19 @@
     }
 }
 
+/// The whole picture goes to a new file after a refusal: an end at any step of that, and of what follows.
+#[rstest]
+fn what_was_acknowledged_outlives_an_end_while_a_new_file_is_made() {
+    let refused = steps() / 2;
+    for at in refused + 1..refused + 60 {
+        let sim = Sim::new(Trouble::RefuseAndEnd(refused, at));
+        let may = run(&sim);
+        for seed in 0..8 {
+            check(&sim, Loss::Some(seed), &may, &format!("refused at {refused}, ended at {at}, {seed}"));
+        }
+    }
+}
+
 /// Trouble at the start of a process must not cost a machine its disk.
 #[rstest]
 fn a_disk_that_refuses_while_it_is_opened_is_not_set_aside() {
--- a/crates/vault/tests/log/sim.rs
+++ b/crates/vault/tests/log/sim.rs
@@ -29,6 +29,8 @@
     End(usize),
     /// These steps are refused.
     Refuse(usize, usize),
+    /// One step is refused, and the process ends before a later one.
+    RefuseAndEnd(usize, usize),
 }
 
 #[derive(Debug, Clone)]
@@ -72,8 +74,13 @@
     fn step(&mut self) -> io::Result<()> {
         let at = self.steps;
         self.steps += 1;
-        self.ended |= self.trouble == Trouble::End(at);
-        let refused = matches!(self.trouble, Trouble::Refuse(from, to) if (from..to).contains(&at));
+        let (refused, end) = match self.trouble {
+            Trouble::None => (false, false),
+            Trouble::End(end) => (false, at == end),
+            Trouble::Refuse(from, to) => ((from..to).contains(&at), false),
+            Trouble::RefuseAndEnd(refused, end) => (at == refused, at == end),
+        };
+        self.ended |= end;
         if self.ended || refused {
             return Err(io::Error::other("refused"));
         }
