--- a/crates/vault/src/file.rs
+++ b/crates/vault/src/file.rs
@@ -13,7 +13,7 @@
 /// Memory that the file's pages may take, in bytes: memory is dear, what is read again is little.
 const CACHE: usize = 256 * 1024;
 /// A file up to this size stays as it is, in bytes.
-pub const SIZE_LEAST: u64 = 4 * 1024 * 1024;
+pub const SIZE_LEAST: u64 = 8 * 1024 * 1024;
 /// A larger file of more than so many times what it holds is written anew with the next snapshot.
 pub const SPACE_MOST: u64 = 6;
 
--- a/crates/vault/tests/log/faults.rs
+++ b/crates/vault/tests/log/faults.rs
@@ -77,11 +77,14 @@
     let whole = sim.after(Loss::Killed, Trouble::None);
     drop(Vault::open(whole.clone(), NODE, 43));
     for at in 0..whole.steps() {
-        let next = sim.after(Loss::Killed, Trouble::Refuse(at, usize::MAX));
-        if let Err(e) = Vault::open(next.clone(), NODE, 43) {
-            assert_eq!(*e.current_context(), VaultError::Open);
+        for to in [at + 1, usize::MAX] {
+            let next = sim.after(Loss::Killed, Trouble::Refuse(at, to));
+            if let Err(e) = Vault::open(next.clone(), NODE, 43) {
+                assert_eq!(*e.current_context(), VaultError::Open);
+            }
+            assert!(!next.aside(), "set aside, refused at {at}");
+            check(&next, Loss::Killed, &may, &format!("refused from {at} to {to}"));
         }
-        check(&next, Loss::Killed, &may, &format!("refused from {at}"));
         let next = sim.after(Loss::Some(at as u64), Trouble::End(at));
         drop(Vault::open(next.clone(), NODE, 43));
         check(&next, Loss::Some(at as u64), &may, &format!("ended at {at}"));
