--- a/crates/exchange/src/core.rs
+++ b/crates/exchange/src/core.rs
@@ -9,12 +9,17 @@
 use limeway_marker::{Action, Ask, Event, Job, Marker, Start, Token, Told};
 use limeway_numbering::State;
 use limeway_toll::Rule;
+use limeway_vault::{Record, Votes};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::future::Future;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, Notify};
 
+/// Writes under way, at most.
+const WRITES_MOST: usize = 256;
 /// Callers that wait for an answer, at most.
 const WAITING_MOST: usize = 8_192;
 
@@ -23,12 +28,16 @@
     Ask(oneshot::Sender<Told>),
 }
 
+/// A write under way, and whether it is on disk in the end.
+type Write = (Job, Pin<Box<dyn Future<Output = bool>>>);
+
 /// A core machine.
 pub struct Core {
     /// Its settings.
     pub settings: Settings,
     marker: RefCell<Marker>,
     disk: Disk,
+    writes: (mpsc::Sender<Write>, Cell<Option<mpsc::Receiver<Write>>>),
     links: Links,
     waiting: RefCell<HashMap<Token, Waiting>>,
     last: Cell<Token>,
@@ -57,7 +66,9 @@
         };
         let mut actions = Vec::new();
         let marker = Marker::new(now(), start, &mut actions);
+        let (send, writes) = mpsc::channel(WRITES_MOST);
         let core = Rc::new(Core {
+            writes: (send, Cell::new(Some(writes))),
             marker: RefCell::new(marker),
             disk,
             links: Links::new(settings.inner.0),
@@ -118,7 +129,16 @@
                         let _ = tell.send(told);
                     }
                 }
-                Action::Write(job, record) => self.disk.write(job, record),
+                Action::Write(job, record) => {
+                    let (votes, snapshot) = (record.votes, record.snapshot);
+                    let votes = Votes { life: votes.life, applied: votes.applied, open: votes.open };
+                    let ops = record.ops.into_iter().map(|(slot, op)| (slot, op.into_vec())).collect();
+                    let written = self.disk.write(Record { votes, ops, snapshot });
+                    // More than the state machine has under way at once find room.
+                    if let Err(e) = self.writes.0.try_send((job, Box::pin(written))) {
+                        log::error!("writes under way: {e}");
+                    }
+                }
                 Action::End => self.ended.notify_one(),
             }
         }
@@ -151,13 +171,21 @@
     }
 
     /// Tells the state machine of time and of writes, for ever.
-    pub async fn run(self: Rc<Self>, mut written: mpsc::Receiver<(Job, bool)>) {
+    pub async fn run(self: Rc<Self>) {
+        let Some(mut writes) = self.writes.1.take() else { return };
+        let core = self.clone();
+        // In their order: what a record builds on is known before it is.
+        tokio::task::spawn_local(async move {
+            while let Some((job, written)) = writes.recv().await {
+                let done = written.await;
+                core.tell(Event::Written(job, done));
+            }
+        });
         loop {
             let wake = self.marker.borrow().wake();
             self.wake.set(wake);
             let left = Duration::from_micros(wake.saturating_sub(now()));
             tokio::select! {
-                Some((job, done)) = written.recv() => self.tell(Event::Written(job, done)),
                 () = self.sooner.notified() => {}
                 () = tokio::time::sleep(left) => self.tell(Event::Tick),
             }
--- a/crates/exchange/src/service.rs
+++ b/crates/exchange/src/service.rs
@@ -13,9 +13,10 @@
 use limeway_line::http;
 use limeway_line::inbound::{Bounds, Inbound};
 use limeway_marker::Event;
-use limeway_numbering::State;
+use limeway_numbering::{Op, State};
+use limeway_tandem::parcel::unseal;
 use limeway_tandem::unpack;
-use limeway_vault::Vault;
+use limeway_vault::Found;
 use std::cell::Cell;
 use std::fmt;
 use std::net::SocketAddr;
@@ -86,29 +87,37 @@
     }
 }
 
+/// The state that a snapshot and the operations since make; nothing if they cannot be read.
+fn state(found: Found) -> Option<State> {
+    let mut state: State = match found.snapshot {
+        Some((_, bytes)) => unpack(&bytes)?,
+        None => State::default(),
+    };
+    for (_, op) in found.ops.iter().filter(|(slot, _)| *slot <= found.votes.applied) {
+        state.apply(&unpack::<Op>(&unseal(op)?)?);
+    }
+    (state.slot == found.votes.applied).then_some(state)
+}
+
 async fn serve_core(
     settings: Settings,
     inner: SocketAddr,
     terminate: &mut Signal,
     reload: Signal,
 ) -> Result<(), Report<StartError>> {
-    let (acceptor, state, empty, disk, written) = match &settings.data {
+    let (acceptor, state, empty, disk) = match &settings.data {
         Some(folder) => {
             // All disks of the first start have one life; later ones are told apart.
             let life = if settings.first_start { 0 } else { clock::draw() | 1 };
-            let (vault, found) =
-                Vault::open(folder, Node::from(settings.ip), life).change_context(StartError::Disk)?;
-            let state = match found.state.as_slice() {
-                [] => State::default(),
-                bytes => unpack(bytes).ok_or(StartError::Disk)?,
-            };
-            let (disk, written) = Disk::start(vault).change_context(StartError::Disk)?;
-            (found.acceptor, state, found.empty, disk, written)
-        }
-        None => {
-            let (disk, written) = Disk::none();
-            (Acceptor::default(), State::default(), true, disk, written)
+            let (disk, found) = Disk::open(folder.clone(), Node::from(settings.ip), life)
+                .await
+                .change_context(StartError::Disk)?;
+            let votes = found.votes.clone();
+            let acceptor = Acceptor { life: votes.life, applied: votes.applied, open: votes.open };
+            let empty = found.empty;
+            (acceptor, state(found).ok_or(StartError::Disk)?, empty, disk)
         }
+        None => (Acceptor::default(), State::default(), true, Disk::none()),
     };
     let (control, directory) = (settings.control, settings.directory);
     let core = Core::new(settings, acceptor, state, empty, disk);
@@ -123,7 +132,7 @@
     tokio::task::spawn_local(watch_file(reload, move |settings| {
         told.tell(Event::Seeds(link::nodes(&settings.seeds)))
     }));
-    tokio::task::spawn_local(core.clone().run(written));
+    tokio::task::spawn_local(core.clone().run());
     terminate.recv().await;
     // Calls under way end meanwhile, and a seat passes on; what was acknowledged is on disk.
     core.tell(Event::Leave);
--- a/crates/marker/src/paper.rs
+++ b/crates/marker/src/paper.rs
@@ -15,7 +15,7 @@
 /// A write that takes longer hangs.
 const HANGS: Micros = 1_000_000;
 /// Operations between two snapshots, and their bytes, at most.
-const LOG_MOST: (usize, usize) = (0, 0);
+const LOG_MOST: (usize, usize) = (256, 1024 * 1024);
 
 /// What follows once a write is done.
 #[derive(Debug)]
--- a/crates/vault/tests/disk.rs
+++ b/crates/vault/tests/disk.rs
@@ -1,7 +1,7 @@
 //! What is on disk comes back; what is torn or foreign is set aside and never taken for an empty disk's fresh start.
 
 use limeway_ballot::{Acceptor, Ballot};
-use limeway_vault::Vault;
+use limeway_vault::{Folder as Disk, Found, Record, Vault, Votes};
 use rstest::rstest;
 use serde_bytes::ByteBuf;
 use std::path::PathBuf;
@@ -23,34 +23,40 @@
     }
 }
 
-fn voted(vault: &Vault, own: u64) -> Acceptor {
-    let mut acceptor = Acceptor { life: own, ..Acceptor::default() };
+fn open(folder: &Folder, node: u32, fresh: u64) -> (Vault, Found) {
+    Vault::open(Disk::new(&folder.0), node, fresh).expect("opened")
+}
+
+fn voted(vault: &mut Vault, life: u64) -> Votes {
+    let mut acceptor = Acceptor { life, ..Acceptor::default() };
     acceptor.advance(4);
     acceptor.accept(5, Ballot { round: 3, node: 1, boot: 1 }, ByteBuf::from(vec![1, 2, 3]));
-    vault.keep_all(&acceptor, vec![9; 100]).expect("kept");
-    acceptor
+    let votes = Votes { life, applied: acceptor.applied, open: acceptor.open };
+    let record = Record { votes: votes.clone(), ops: Vec::new(), snapshot: Some((4, vec![9; 100])) };
+    vault.write(&record).expect("kept");
+    votes
 }
 
 #[rstest]
 fn votes_and_state_outlive_the_process() {
     let folder = Folder::new("outlive");
-    let (vault, found) = Vault::open(&folder.0, 7, 42).expect("made");
-    assert!(found.empty && found.acceptor.life == 42);
-    let kept = voted(&vault, 42);
+    let (mut vault, found) = open(&folder, 7, 42);
+    assert!(found.empty && found.votes.life == 42);
+    let kept = voted(&mut vault, 42);
     drop(vault);
-    let (_vault, found) = Vault::open(&folder.0, 7, 43).expect("opened");
+    let (_vault, found) = open(&folder, 7, 43);
     assert!(!found.empty);
-    assert_eq!((found.acceptor.life, found.acceptor.applied), (42, 4));
-    assert_eq!((found.acceptor.open, found.state), (kept.open, vec![9; 100]));
+    assert_eq!((found.votes.life, found.votes.applied), (42, 4));
+    assert_eq!((found.votes.open, found.snapshot), (kept.open, Some((4, vec![9; 100]))));
 }
 
 /// A machine that was killed before it had voted is empty still.
 #[rstest]
 fn a_file_without_votes_counts_as_empty() {
     let folder = Folder::new("unvoted");
-    drop(Vault::open(&folder.0, 7, 42).expect("made"));
-    let (_vault, found) = Vault::open(&folder.0, 7, 43).expect("opened");
-    assert!(found.empty && found.acceptor.life == 42, "the same life goes on");
+    drop(open(&folder, 7, 42));
+    let (_vault, found) = open(&folder, 7, 43);
+    assert!(found.empty && found.votes.life == 42, "the same life goes on");
 }
 
 #[rstest]
@@ -59,22 +65,22 @@
 #[case::not_ours(|path: &PathBuf| std::fs::write(path, b"something else").expect("written"))]
 fn a_spoilt_file_is_set_aside_and_the_machine_has_lost_its_disk(#[case] spoil: fn(&PathBuf)) {
     let folder = Folder::new(&format!("spoilt-{:?}", spoil as usize));
-    let (vault, _) = Vault::open(&folder.0, 7, 42).expect("made");
-    voted(&vault, 42);
+    let (mut vault, _) = open(&folder, 7, 42);
+    voted(&mut vault, 42);
     drop(vault);
     spoil(&folder.0.join("state.redb"));
-    let (_vault, found) = Vault::open(&folder.0, 7, 43).expect("opened");
-    assert!(found.empty && found.acceptor.applied == 0, "it holds nothing");
-    assert_eq!(found.acceptor.life, 43, "a new life, which holds no seat");
+    let (_vault, found) = open(&folder, 7, 43);
+    assert!(found.empty && found.votes.applied == 0, "it holds nothing");
+    assert_eq!(found.votes.life, 43, "a new life, which holds no seat");
     assert!(folder.0.join("state.redb.aside").exists(), "kept for whoever looks into it");
 }
 
 #[rstest]
 fn another_machines_file_is_not_used() {
     let folder = Folder::new("foreign");
-    let (vault, _) = Vault::open(&folder.0, 7, 42).expect("made");
-    voted(&vault, 42);
+    let (mut vault, _) = open(&folder, 7, 42);
+    voted(&mut vault, 42);
     drop(vault);
-    let (_vault, found) = Vault::open(&folder.0, 8, 43).expect("opened");
-    assert!(found.empty && found.acceptor.applied == 0);
+    let (_vault, found) = open(&folder, 8, 43);
+    assert!(found.empty && found.votes.applied == 0);
 }
