Split calls between own processes into pieces; a late call ends no other

One late call dropped its connection with all calls under way, an answer that was not whole in time began anew, and a small answer waited behind a big one. trunk now holds the state of a connection, free of sockets and clock: pieces of 16 KB, the caller's numbers, waits and silences, the answerer's calls, bounded queues and reassembly. exchange keeps sockets and timers. Frame version 2; version 1 is refused at once, with one line of log for each machine. Long bodies are packed with LZ4.

frames.rs read frames with a function that is gone; its cases go through Assembly, with cuts, flips and bounds as before and pieces and packed bodies beside them.

--- a/crates/exchange/src/link.rs
+++ b/crates/exchange/src/link.rs
@@ -1,39 +1,39 @@
 //! Connections between processes of the system.
 //!
 //! A [`Link`] leads to one process: calls go out over one kept connection and are told apart by their numbers, answers come
-//! in any order. A connection on which a call had no answer in its time is not used again. [`listen`] takes calls.
+//! in any order. What a number, a wait, a silence and a piece mean is decided in `trunk`; here are sockets and timers. A
+//! call that is late ends no other. One that heard nothing at all makes the next call dial anew; what is under way on the old
+//! connection may still be answered there. [`listen`] takes calls. All of it as a table: `docs/design/calls.md`.
 
-use crate::clock;
+mod answering;
+mod wire;
+
+use crate::clock::{self, Micros};
 use crate::messages::{Call, Reply};
 use bytes::BytesMut;
-use limeway_trunk as trunk;
-use serde::de::DeserializeOwned;
+use limeway_trunk::{Body, Caller, Full, Patience, Sight, Told};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::fmt;
-use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::{mpsc, oneshot};
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::net::TcpStream;
+use tokio::sync::{oneshot, Notify};
 use tokio::time::timeout;
+use wire::{read, rested, spoilt, tune, write};
+
+pub use answering::listen;
+pub use wire::bind;
 
-/// Calls under way on one connection, at most.
-const CALLS_MOST: usize = 256;
-/// Connections from others, at most.
-const INBOUND_MOST: usize = 1_024;
 /// A connection comes up within it. A packet to a machine that is just starting is lost, and would be sent again by the
 /// system only after a second.
 const DIAL: Duration = Duration::from_millis(300);
-/// Data that nobody acknowledges ends a connection after so long: cuts are silent.
-const UNHEARD: Duration = Duration::from_millis(2_500);
-/// A connection that carries nothing for so long is closed.
-const IDLE: Duration = Duration::from_secs(20);
-/// Bytes of a buffer that are kept.
-const BUFFER_KEPT: usize = 16 * 1024;
+/// The side that asks closes it sooner, so that no call meets the close of the other side.
+const IDLE_ASKING: Duration = Duration::from_secs(15);
+/// Connections that are not used for new calls and still wait for answers, at most, to one process.
+const LEFT_MOST: usize = 4;
 
 /// Why a call has no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,7 +42,7 @@
     Broken,
     /// No answer came in time.
     Late,
-    /// Too many calls are under way.
+    /// Too much is under way, here or there, or waits to be sent.
     Busy,
 }
 
@@ -51,47 +51,150 @@
         f.write_str(match self {
             LinkError::Broken => "no connection",
             LinkError::Late => "no answer in time",
-            LinkError::Busy => "too many calls under way",
+            LinkError::Busy => "too much under way",
         })
     }
 }
 
 impl std::error::Error for LinkError {}
 
-type Waiting = Rc<RefCell<HashMap<u32, oneshot::Sender<Reply>>>>;
+impl From<Full> for LinkError {
+    fn from(_: Full) -> Self {
+        LinkError::Busy
+    }
+}
+
+type Answer = Result<Reply, LinkError>;
 
+/// One connection to a process.
 struct Open {
-    out: mpsc::Sender<Vec<u8>>,
-    waiting: Waiting,
-    alive: Rc<Cell<bool>>,
+    caller: RefCell<Caller>,
+    waiting: RefCell<HashMap<u32, oneshot::Sender<Answer>>>,
+    /// There is more to write.
+    more: Notify,
+    /// It has ended.
+    ended: Cell<bool>,
+    end: Notify,
+    /// When bytes came or went last.
+    stirred: Cell<Micros>,
+}
+
+impl Open {
+    fn new() -> Self {
+        Open {
+            caller: RefCell::default(),
+            waiting: RefCell::default(),
+            more: Notify::new(),
+            ended: Cell::new(false),
+            end: Notify::new(),
+            stirred: Cell::new(clock::now()),
+        }
+    }
+
+    fn end(&self) {
+        self.ended.set(true);
+        self.end.notify_one();
+        // Whoever waits learns that nothing will come.
+        self.waiting.borrow_mut().clear();
+    }
+
+    async fn run(&self, stream: TcpStream, to: SocketAddr) {
+        let (mut from, mut into) = stream.into_split();
+        let next = |bytes: &mut Vec<u8>| {
+            let wrote = self.caller.borrow_mut().write(clock::now(), bytes);
+            if wrote {
+                self.stirred.set(clock::now());
+            }
+            wrote
+        };
+        tokio::select! {
+            () = self.receive(&mut from, to) => {}
+            () = write(&mut into, &self.more, next) => {}
+            () = self.end.notified() => {}
+        }
+        self.end();
+    }
+
+    async fn receive(&self, from: &mut OwnedReadHalf, to: SocketAddr) {
+        let mut buffer = BytesMut::new();
+        loop {
+            match timeout(IDLE_ASKING, read(from, &mut buffer)).await {
+                Ok(true) => {}
+                Ok(false) => return,
+                Err(_) if rested(&self.stirred) < IDLE_ASKING => continue,
+                Err(_) => return,
+            }
+            let now = clock::now();
+            self.stirred.set(now);
+            self.caller.borrow_mut().heard(now);
+            loop {
+                let told = match self.caller.borrow_mut().take(now, &mut buffer) {
+                    Ok(Some(told)) => told,
+                    Ok(None) => break,
+                    Err(e) => return spoilt(to, e),
+                };
+                let (number, answer) = match told {
+                    Told::Refused(number) => (number, Err(LinkError::Busy)),
+                    Told::Answer(number, body) => {
+                        // One that cannot be read ends no other.
+                        (number, body.read().inspect_err(|e| spoilt(to, *e)).map_err(|_| LinkError::Broken))
+                    }
+                };
+                if let Some(tell) = self.waiting.borrow_mut().remove(&number) {
+                    let _ = tell.send(answer);
+                }
+            }
+        }
+    }
+}
+
+/// A call under way. If its caller goes away, its number is given up.
+struct Asked {
+    open: Rc<Open>,
+    number: u32,
+}
+
+impl Asked {
+    fn give_up(&self) -> Sight {
+        self.open.waiting.borrow_mut().remove(&self.number);
+        let sight = self.open.caller.borrow_mut().give_up(clock::now(), self.number);
+        self.open.more.notify_one();
+        sight
+    }
+}
+
+impl Drop for Asked {
+    fn drop(&mut self) {
+        if self.open.caller.borrow().deadline(self.number).is_some() {
+            self.give_up();
+        }
+    }
 }
 
 /// A way to one process.
 pub struct Link {
     to: SocketAddr,
     open: RefCell<Option<Rc<Open>>>,
+    /// Connections that are not used for new calls, while calls on them may still be answered.
+    left: RefCell<Vec<Rc<Open>>>,
     next: Cell<u32>,
     dialling: tokio::sync::Mutex<()>,
 }
 
-fn tune(stream: &TcpStream) {
-    let _ = stream.set_nodelay(true);
-    let _ = socket2::SockRef::from(stream).set_tcp_user_timeout(Some(UNHEARD));
-}
-
 impl Link {
     /// To an address; nothing is opened yet.
     pub fn new(to: SocketAddr) -> Rc<Self> {
         Rc::new(Link {
             to,
             open: RefCell::default(),
+            left: RefCell::default(),
             next: Cell::new((clock::draw() & 0xffff) as u32),
             dialling: tokio::sync::Mutex::new(()),
         })
     }
 
     async fn connection(&self) -> Result<Rc<Open>, LinkError> {
-        let alive = || self.open.borrow().as_ref().filter(|o| o.alive.get()).cloned();
+        let alive = || self.open.borrow().as_ref().filter(|o| !o.ended.get()).cloned();
         if let Some(open) = alive() {
             return Ok(open);
         }
@@ -102,153 +205,109 @@
         let dialled = timeout(DIAL, TcpStream::connect(self.to)).await;
         let stream = dialled.map_err(|_| LinkError::Late)?.map_err(|_| LinkError::Broken)?;
         tune(&stream);
-        let (read, write) = stream.into_split();
-        let (out, queue) = mpsc::channel(CALLS_MOST);
-        let waiting: Waiting = Rc::default();
-        let alive = Rc::new(Cell::new(true));
-        let open = Rc::new(Open { out, waiting: waiting.clone(), alive: alive.clone() });
-        tokio::task::spawn_local(send(write, queue, alive.clone()));
-        tokio::task::spawn_local(async move {
-            receive(read, &waiting).await;
-            alive.set(false);
-            // Whoever waits learns that nothing will come.
-            waiting.borrow_mut().clear();
-        });
+        let (open, to) = (Rc::new(Open::new()), self.to);
+        let running = open.clone();
+        tokio::task::spawn_local(async move { running.run(stream, to).await });
         *self.open.borrow_mut() = Some(open.clone());
         Ok(open)
     }
 
-    /// Asks, and waits for so long.
+    /// Asks, and waits for so long and no longer.
     pub async fn call(&self, call: &Call, wait: Duration) -> Result<Reply, LinkError> {
-        let answered = timeout(wait, async {
-            let open = self.connection().await?;
-            let number = self.next.get();
-            self.next.set(number.wrapping_add(1));
-            let (tell, told) = oneshot::channel();
-            {
-                let mut waiting = open.waiting.borrow_mut();
-                if waiting.len() >= CALLS_MOST {
-                    return Err(LinkError::Busy);
-                }
-                waiting.insert(number, tell);
-            }
-            let mut frame = Vec::new();
-            trunk::write(&mut frame, number, call).map_err(|_| LinkError::Broken)?;
-            open.out.send(frame).await.map_err(|_| LinkError::Broken)?;
-            told.await.map_err(|_| LinkError::Broken)
-        });
-        match answered.await {
-            Ok(answer) => answer,
-            Err(_) => {
-                self.drop_connection();
-                Err(LinkError::Late)
-            }
-        }
+        self.ask(call, Patience::strict(wait.as_micros() as Micros)).await
     }
 
-    /// Lets go of the connection: a new one is opened for the next call.
-    pub fn drop_connection(&self) {
-        if let Some(open) = self.open.borrow_mut().take() {
-            open.alive.set(false);
-        }
+    /// Asks for what may be long: waits while pieces of the call go out or pieces of its answer come in, up to `silence`
+    /// between two of them, and for `most` in all.
+    pub async fn call_patient(
+        &self,
+        call: &Call,
+        silence: Duration,
+        most: Duration,
+    ) -> Result<Reply, LinkError> {
+        let micros = |d: Duration| d.as_micros() as Micros;
+        self.ask(call, Patience { silence: micros(silence), most: micros(most) }).await
     }
-}
 
-async fn send(mut write: OwnedWriteHalf, mut queue: mpsc::Receiver<Vec<u8>>, alive: Rc<Cell<bool>>) {
-    while let Some(frame) = queue.recv().await {
-        if write.write_all(&frame).await.is_err() {
-            break;
+    async fn ask(&self, call: &Call, patience: Patience) -> Result<Reply, LinkError> {
+        let begun = clock::now();
+        let body = Body::of(call).map_err(|_| LinkError::Broken)?;
+        let dialling = Duration::from_micros(patience.silence.min(patience.most));
+        let open = timeout(dialling, self.connection()).await.map_err(|_| LinkError::Late)??;
+        let number = self.next.get();
+        self.next.set(number.wrapping_add(1));
+        // What dialling took is taken off.
+        let now = clock::now();
+        let took = now - begun;
+        let left = Patience {
+            silence: patience.silence.saturating_sub(took),
+            most: patience.most.saturating_sub(took),
+        };
+        let left =
+            if left.most > left.silence { Patience { silence: patience.silence, ..left } } else { left };
+        open.caller.borrow_mut().ask(now, number, body, left)?;
+        let (tell, mut told) = oneshot::channel();
+        open.waiting.borrow_mut().insert(number, tell);
+        let asked = Asked { open: open.clone(), number };
+        open.more.notify_one();
+        let answer = loop {
+            // Its answer may be on its way from the reader to here: then it waits no more.
+            let deadline = open.caller.borrow().deadline(number).unwrap_or(Micros::MAX);
+            let now = clock::now();
+            if deadline <= now {
+                break Err(LinkError::Late);
+            }
+            let wait = Duration::from_micros((deadline - now).min(Micros::from(u32::MAX)));
+            match timeout(wait, &mut told).await {
+                Ok(Ok(answer)) => break answer,
+                Ok(Err(_)) => break Err(LinkError::Broken),
+                Err(_) => {}
+            }
+        };
+        if matches!(answer, Err(LinkError::Late)) {
+            match asked.give_up() {
+                Sight::Well => {}
+                Sight::Doubtful => self.leave(&open),
+                Sight::Dead => open.end(),
+            }
         }
+        drop(asked);
+        self.tidy();
+        answer
     }
-    alive.set(false);
-}
 
-/// Reads the next frame of a connection; nothing once it has ended, rested too long, or carried what is no frame.
-async fn next_frame<T: DeserializeOwned>(
-    read: &mut OwnedReadHalf,
-    buffer: &mut BytesMut,
-) -> Option<(u32, T)> {
-    loop {
-        match trunk::read::<T>(buffer) {
-            Ok(Some(frame)) => return Some(frame),
-            Ok(None) => {}
-            Err(e) => {
-                log::warn!("link: {e}");
-                return None;
-            }
-        }
-        if buffer.is_empty() && buffer.capacity() > BUFFER_KEPT {
-            *buffer = BytesMut::new();
-        }
-        match timeout(IDLE, read.read_buf(buffer)).await {
-            Ok(Ok(n)) if n > 0 => {}
-            _ => return None,
+    /// A connection is not used for new calls any more.
+    fn leave(&self, open: &Rc<Open>) {
+        let mut current = self.open.borrow_mut();
+        if current.as_ref().is_some_and(|o| Rc::ptr_eq(o, open)) {
+            self.left.borrow_mut().extend(current.take());
         }
     }
-}
 
-async fn receive(mut read: OwnedReadHalf, waiting: &Waiting) {
-    let mut buffer = BytesMut::new();
-    while let Some((number, reply)) = next_frame::<Reply>(&mut read, &mut buffer).await {
-        if let Some(tell) = waiting.borrow_mut().remove(&number) {
-            let _ = tell.send(reply);
+    /// Connections that are left end once nobody waits on them, and the oldest if there are too many.
+    fn tidy(&self) {
+        let mut left = self.left.borrow_mut();
+        let over = left.len().saturating_sub(LEFT_MOST);
+        for (n, open) in left.iter().enumerate() {
+            if n < over || open.caller.borrow().under_way() == 0 {
+                open.end();
+            }
         }
+        left.retain(|open| !open.ended.get());
     }
-}
-
-/// Listens at an address.
-pub fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
-    let socket = TcpSocket::new_v4()?;
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(1_024)
-}
 
-/// Takes calls for ever, and has each answered by `answer`.
-pub async fn listen<F, A>(listener: TcpListener, answer: A)
-where
-    F: Future<Output = Reply> + 'static,
-    A: Fn(Call) -> F + Clone + 'static,
-{
-    let count = Rc::new(Cell::new(0usize));
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            continue;
-        };
-        if count.get() >= INBOUND_MOST {
-            continue;
-        }
-        tune(&stream);
-        let counted = limeway_line::conn::Counted::new(&count);
-        tokio::task::spawn_local(serve(stream, answer.clone(), counted));
+    /// Lets go of the connection: a new one is opened for the next call.
+    pub fn drop_connection(&self) {
+        let open = self.open.borrow_mut().take();
+        self.left.borrow_mut().extend(open);
+        self.tidy();
     }
 }
 
-async fn serve<F, A>(stream: TcpStream, answer: A, _counted: limeway_line::conn::Counted)
-where
-    F: Future<Output = Reply> + 'static,
-    A: Fn(Call) -> F + Clone + 'static,
-{
-    let (mut read, write) = stream.into_split();
-    let (out, queue) = mpsc::channel(CALLS_MOST);
-    tokio::task::spawn_local(send(write, queue, Rc::new(Cell::new(true))));
-    let under_way = Rc::new(Cell::new(0usize));
-    let mut buffer = BytesMut::new();
-    while let Some((number, call)) = next_frame::<Call>(&mut read, &mut buffer).await {
-        if under_way.get() >= CALLS_MOST {
-            return;
-        }
-        let counted = limeway_line::conn::Counted::new(&under_way);
-        let (reply, out) = (answer(call), out.clone());
-        tokio::task::spawn_local(async move {
-            let _counted = counted;
-            let reply = reply.await;
-            let mut frame = Vec::new();
-            if trunk::write(&mut frame, number, &reply).is_ok() {
-                let _ = out.send(frame).await;
-            }
-        });
+impl Drop for Link {
+    fn drop(&mut self) {
+        let left = self.left.take();
+        left.iter().chain(self.open.take().iter()).for_each(|open| open.end());
     }
 }
 
--- a/crates/trunk/tests/frames.rs
+++ b/crates/trunk/tests/frames.rs
@@ -1,7 +1,10 @@
 //! Frames survive any cut of the stream, and nothing else is taken for one.
 
 use bytes::BytesMut;
-use limeway_trunk::{read, write, FrameError, FRAME_MOST, VERSION};
+use limeway_trunk::{
+    write, Answerer, Assembly, Body, Caller, Came, FrameError, Outgoing, FRAME_MOST, OPEN_MOST, PACK_FROM,
+    PIECE, QUEUE_MOST, SHORTS_MOST, VERSION,
+};
 use rstest::rstest;
 
 type Said = (String, Vec<u64>, Option<bool>);
@@ -10,44 +13,224 @@
     (format!("message {n}"), (0..n).collect(), (!n.is_multiple_of(3)).then_some(n.is_multiple_of(2)))
 }
 
+/// Numbers without a pattern, the same for each seed.
+fn chance(seed: u64) -> impl FnMut(u64) -> u64 {
+    let mut state = seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
+    move |below| {
+        state ^= state << 13;
+        state ^= state >> 7;
+        state ^= state << 17;
+        state % below
+    }
+}
+
+/// Does not shrink.
+fn noise(length: usize) -> Vec<u8> {
+    let mut draw = chance(length as u64);
+    (0..length).map(|_| draw(256) as u8).collect()
+}
+
+/// All frames that stand whole in a buffer.
+fn frames(assembly: &mut Assembly, buffer: &mut BytesMut) -> Result<Vec<(u32, Body)>, FrameError> {
+    let mut got = Vec::new();
+    while let Some(came) = assembly.take(buffer, |_| true)? {
+        if let Came::Frame(number, body) = came {
+            got.push((number, body));
+        }
+    }
+    Ok(got)
+}
+
+fn refused(bytes: &[u8]) -> Option<FrameError> {
+    frames(&mut Assembly::default(), &mut BytesMut::from(bytes)).err()
+}
+
 #[rstest]
 fn frames_are_read_whole_however_the_stream_is_cut() {
     let mut stream = Vec::new();
     for n in 0..20 {
-        write(&mut stream, n as u32, &said(n)).expect("written");
+        // Some in one piece and some in several, some of them packed.
+        write(&mut stream, n as u32, &(said(n * n * 40), noise(n as usize * 3_000))).expect("written");
     }
-    for cut in 1..60 {
-        let (mut buffer, mut got) = (BytesMut::new(), Vec::new());
+    for cut in [1, 2, 3, 7, 59, 1_021, 16_384, 70_001] {
+        let (mut assembly, mut buffer, mut got) = (Assembly::default(), BytesMut::new(), Vec::new());
         for part in stream.chunks(cut) {
             buffer.extend_from_slice(part);
-            while let Some((number, message)) = read::<Said>(&mut buffer).expect("sound") {
-                got.push((number, message));
-            }
+            got.extend(frames(&mut assembly, &mut buffer).expect("sound"));
         }
         assert_eq!(got.len(), 20);
-        assert!(got.iter().enumerate().all(|(n, (number, m))| *number == n as u32 && *m == said(n as u64)));
+        assert_eq!(assembly.held(), (0, 0));
+        for (n, (number, body)) in got.iter().enumerate() {
+            let (text, noisy) = body.read::<(Said, Vec<u8>)>().expect("read");
+            assert!(*number == n as u32 && text == said((n * n * 40) as u64) && noisy == noise(n * 3_000));
+        }
     }
 }
 
 #[rstest]
-#[case::too_long(&(FRAME_MOST as u32 + 1).to_be_bytes(), FrameError::Length)]
+#[case::too_long(&[0, 0, 0x40, 15, VERSION], FrameError::Length)]
 #[case::shorter_than_its_head(&[0, 0, 0, 2, VERSION, 0], FrameError::Length)]
 #[case::another_version(&[0, 0, 0, 9, VERSION + 1], FrameError::Version(VERSION + 1))]
-#[case::no_cbor(&[0, 0, 0, 7, VERSION, 0, 0, 0, 1, 0xff, 0xff], FrameError::Content)]
+#[case::another_version_and_a_long_frame(&[1, 0, 0, 9, 1], FrameError::Version(1))]
+#[case::no_such_flag(&[0, 0, 0, 6, VERSION, 0x13, 0, 0, 0, 1], FrameError::Order)]
+#[case::packed_in_the_middle(&[0, 0, 0, 6, VERSION, 4, 0, 0, 0, 1], FrameError::Order)]
+#[case::announced_too_long(&[&[0, 0, 0, 10, VERSION, 1, 0, 0, 0, 1][..], &(FRAME_MOST as u32 + 1).to_be_bytes()].concat(), FrameError::Length)]
+#[case::longer_than_announced(&[0, 0, 0, 12, VERSION, 1, 0, 0, 0, 1, 0, 0, 0, 1, 9, 9], FrameError::Order)]
+#[case::shorter_than_announced(&[0, 0, 0, 11, VERSION, 1, 0, 0, 0, 1, 0, 0, 0, 9, 7, 0, 0, 0, 6, VERSION, 2, 0, 0, 0, 1], FrameError::Order)]
+#[case::begun_twice(&[0, 0, 0, 11, VERSION, 1, 0, 0, 0, 1, 0, 0, 0, 9, 7, 0, 0, 0, 7, VERSION, 3, 0, 0, 0, 1, 1], FrameError::Order)]
 fn what_is_no_frame_is_refused(#[case] bytes: &[u8], #[case] error: FrameError) {
-    assert_eq!(read::<Said>(&mut BytesMut::from(bytes)), Err(error));
+    assert_eq!(refused(bytes), Some(error));
+}
+
+#[rstest]
+#[case::no_cbor(&[0, 0, 0, 8, VERSION, 3, 0, 0, 0, 1, 0xff, 0xff])]
+#[case::no_lz4(&[0, 0, 0, 12, VERSION, 7, 0, 0, 0, 1, 0, 0, 0, 99, 0xff, 0xff])]
+#[case::unpacks_to_more_than_it_can(&[0, 0, 0, 12, VERSION, 7, 0, 0, 0, 1, 4, 0, 0, 0, 0xff, 0xff])]
+fn content_that_cannot_be_read_spoils_just_its_frame(#[case] bytes: &[u8]) {
+    let mut stream = bytes.to_vec();
+    write(&mut stream, 2, &said(4)).expect("written");
+    let got = frames(&mut Assembly::default(), &mut BytesMut::from(&stream[..])).expect("sound");
+    assert_eq!(got[0].1.read::<Said>(), Err(FrameError::Content));
+    assert_eq!(got[1].1.read::<Said>(), Ok(said(4)));
 }
 
 /// Any spoilt byte gives a message, an error or a wait for more, and never a panic or a read past the end.
 #[rstest]
 fn spoilt_bytes_are_borne() {
-    let mut frame = Vec::new();
-    write(&mut frame, 7, &said(9)).expect("written");
-    for at in 0..frame.len() {
+    let mut stream = Vec::new();
+    write(&mut stream, 7, &said(9)).expect("written");
+    write(&mut stream, 8, &said(2_000)).expect("written");
+    write(&mut stream, 9, &noise(20_000)).expect("written");
+    for at in (0..200).chain((200..stream.len()).step_by(97)) {
         for flip in [0x01, 0x80, 0xff] {
-            let mut spoilt = frame.clone();
+            let mut spoilt = stream.clone();
             spoilt[at] ^= flip;
-            let _ = read::<Said>(&mut BytesMut::from(&spoilt[..]));
+            if let Ok(got) = frames(&mut Assembly::default(), &mut BytesMut::from(&spoilt[..])) {
+                got.iter().for_each(|(_, body)| drop(body.read::<Said>()));
+            }
         }
     }
 }
+
+/// Bytes by chance, and pieces by chance with sound heads: nothing panics, and what is held stays within the bounds.
+#[rstest]
+fn no_bytes_break_a_bound() {
+    for seed in 0..400 {
+        let mut draw = chance(seed + 1);
+        let (mut assembly, mut answerer, mut caller) =
+            (Assembly::default(), Answerer::default(), Caller::default());
+        let mut streams = [BytesMut::new(), BytesMut::new(), BytesMut::new()];
+        for _ in 0..60 {
+            let length = draw(40) as usize;
+            let mut bytes: Vec<u8> = (0..length).map(|_| draw(256) as u8).collect();
+            if seed % 4 > 0 {
+                let flags = [0, 1, 2, 3, 5, 7, 8, draw(256) as u8][draw(8) as usize];
+                let head = [0, 0, 0, length as u8 + 6, VERSION, flags, 0, 0, 0, draw(12) as u8];
+                bytes = [&head[..], &bytes].concat();
+                // Lengths that are announced are mostly small or just too great.
+                if flags & 3 == 1 && length > 4 {
+                    bytes[10..14].copy_from_slice(&(draw(FRAME_MOST as u64 / 4) as u32).to_be_bytes());
+                }
+            }
+            streams.iter_mut().for_each(|s| s.extend_from_slice(&bytes));
+            let [a, b, c] = &mut streams;
+            let ended = frames(&mut assembly, a).is_err()
+                | matches!(caller.take(0, b), Err(_) | Ok(Some(_)))
+                | answerer.take(c).is_err();
+            let (open, held) = assembly.held();
+            assert!(open <= OPEN_MOST && held <= 60 * 40, "seed {seed}");
+            if ended {
+                break;
+            }
+        }
+    }
+}
+
+/// Announced lengths count, whether or not the bytes come.
+#[rstest]
+fn more_than_a_sender_begins_is_refused() {
+    let begin = |number: u32, length: usize| {
+        let mut bytes = vec![0, 0, 0, 10, VERSION, 1];
+        bytes.extend_from_slice(&number.to_be_bytes());
+        bytes.extend_from_slice(&(length as u32).to_be_bytes());
+        bytes
+    };
+    let many: Vec<u8> = (0..OPEN_MOST as u32).flat_map(|n| begin(n, 20_000)).collect();
+    assert_eq!(refused(&many), None);
+    assert_eq!(refused(&[many, begin(99, 20_000)].concat()), Some(FrameError::Many));
+    assert_eq!(
+        refused(&[begin(1, FRAME_MOST / 2), begin(2, FRAME_MOST / 2 + 1)].concat()),
+        Some(FrameError::Many)
+    );
+}
+
+/// The frames of version 1: a length, the version, a number, CBOR.
+mod one {
+    pub fn write(number: u32, cbor: &[u8]) -> Vec<u8> {
+        let mut frame = (cbor.len() as u32 + 5).to_be_bytes().to_vec();
+        frame.push(1);
+        frame.extend_from_slice(&number.to_be_bytes());
+        frame.extend_from_slice(cbor);
+        frame
+    }
+
+    /// As it was read: whether its version was refused.
+    pub fn refuses(from: &[u8]) -> bool {
+        let length = from[..4].iter().fold(0usize, |n, b| n << 8 | usize::from(*b));
+        assert!((5..=80 * 1024 * 1024).contains(&length));
+        from[4] != 1
+    }
+}
+
+/// Neither version takes the other's first frame for its own, whatever it holds; both refuse it from its first five bytes.
+#[rstest]
+fn versions_one_and_two_refuse_each_other_at_once() {
+    for length in [0, 1, 300, 20_000, 100_000] {
+        let old = one::write(7, &noise(length));
+        assert_eq!(refused(&old[..5]), Some(FrameError::Version(1)));
+        assert_eq!(Caller::default().take(0, &mut BytesMut::from(&old[..])), Err(FrameError::Version(1)));
+        assert_eq!(Answerer::default().take(&mut BytesMut::from(&old[..])), Err(FrameError::Version(1)));
+        let mut new = Vec::new();
+        write(&mut new, 7, &noise(length)).expect("written");
+        assert!(one::refuses(&new));
+    }
+}
+
+#[rstest]
+fn only_long_bodies_that_shrink_are_packed() {
+    let words = |n: usize| "the same words once more; ".repeat(n);
+    assert!(!Body::of(&words(PACK_FROM / 26 - 1)).expect("body").packed());
+    let long = Body::of(&words(10_000)).expect("body");
+    assert!(long.packed() && long.len() < 26_000);
+    assert_eq!(long.read::<String>(), Ok(words(10_000)));
+    // What is packed already, and what only begins with something that shrinks.
+    assert!(!Body::of(&noise(50_000)).expect("body").packed());
+    assert!(!Body::of(&(words(200), noise(90_000))).expect("body").packed());
+}
+
+#[rstest]
+fn what_waits_to_be_written_is_bounded() {
+    let mut out = Outgoing::default();
+    let body = |length: usize| Body::of(&serde_bytes_like(length)).expect("body");
+    // One alone may be longer than the bound; nothing long beside it, but short ones still.
+    out.push(1, body(QUEUE_MOST + 10)).expect("alone");
+    assert!(out.push(2, body(PIECE * 2)).is_err());
+    let mut shorts = 0;
+    while out.push(100 + shorts, body(1_000)).is_ok() {
+        shorts += 1;
+    }
+    assert!((900..=SHORTS_MOST as u32 / 1_000).contains(&shorts));
+    assert!(out.bytes() <= QUEUE_MOST + 100 + SHORTS_MOST);
+    let mut bytes = Vec::new();
+    while out.write(&mut bytes).is_some() {
+        bytes.clear();
+    }
+    assert!(out.is_empty() && out.bytes() == 0);
+    out.push(2, body(PIECE * 2)).expect("room again");
+}
+
+/// A text that does not shrink, with one byte a letter.
+fn serde_bytes_like(length: usize) -> String {
+    let mut draw = chance(3);
+    (0..length).map(|_| (32 + draw(95)) as u8 as char).collect()
+}
