Wait for a poll's or a fetch's answer as long as pieces of it come

An answer that was not whole in 1.3 s (a poll's) or 0.7 s (a fetch's) was given up, and the next one began anew: a state of 1,500 routes never reached limiters on thin ways. Both wait on while pieces come, 20 s in all.

--- a/crates/exchange/src/core/votes.rs
+++ b/crates/exchange/src/core/votes.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// What a machine lacks is waited for so long without a piece of it, and in all.
+const FETCH_WAIT: [Duration; 2] = [Duration::from_millis(700), Duration::from_secs(20)];
+
 impl Core {
     /// Writes the part in ballots, and the state if it is given. Without a sound disk this machine does not vote.
     pub(super) async fn keep(&self, with_state: bool) -> bool {
@@ -66,8 +69,9 @@
     /// Fetches what a machine has that this one lacks.
     pub async fn catch_up(self: &Rc<Self>, from: Node) {
         let slot = self.board.borrow().state.slot;
+        let [silence, most] = FETCH_WAIT;
         if let Ok(Reply::Steps(steps)) =
-            self.links.to(from).call(&Call::Fetch(slot), Duration::from_millis(700)).await
+            self.links.to(from).call_patient(&Call::Fetch(slot), silence, most).await
         {
             if self.board.borrow_mut().walk(slot, steps) {
                 self.applied().await;
--- a/crates/exchange/src/edge.rs
+++ b/crates/exchange/src/edge.rs
@@ -27,6 +27,8 @@
 const HOLD: Micros = 600_000;
 /// Beyond the hold, an answer is waited for this long.
 const ANSWER: Duration = Duration::from_millis(700);
+/// And for so long in all, while pieces of it keep coming: a whole state over a thin way takes its time.
+const FEED_MOST: Duration = Duration::from_secs(20);
 /// Whoever has not answered, or was itself not sure of its state, is passed over for so long.
 const PASSED_OVER: Micros = 1_500_000;
 /// A teller that was last sure so long ago is passed over.
@@ -240,7 +242,7 @@
             let call = Call::Poll(poll);
             let asked = now();
             let answer = tokio::select! {
-                answer = link.call(&call, Duration::from_micros(HOLD) + ANSWER) => Some(answer),
+                answer = link.call_patient(&call, Duration::from_micros(HOLD) + ANSWER, FEED_MOST) => Some(answer),
                 () = self.hurry.notified() => None,
             };
             match answer {
