--- a/crates/exchange/src/edge.rs
+++ b/crates/exchange/src/edge.rs
@@ -32,6 +32,8 @@
 const ANSWER: Duration = Duration::from_millis(700);
 /// Longest that a poll from below is held.
 const HOLD_MOST: Micros = 2_000_000;
+/// And for so long in all, while pieces of it keep coming.
+const FEED_MOST: Duration = Duration::from_secs(4);
 /// What a clock may be off, and what it takes to act.
 const REVOKE_MARGIN: Micros = 250_000;
 /// Limiters that may send to one cold server, at most.
@@ -213,7 +215,7 @@
         let (want, link) = (poll.want, self.links.to(above));
         let call = Call::Poll(Box::new(poll));
         let answer = tokio::select! {
-            answer = link.call(&call, Duration::from_micros(HOLD) + ANSWER) => answer,
+            answer = link.call_patient(&call, Duration::from_micros(HOLD) + ANSWER, FEED_MOST) => answer,
             // It leaves: that is told at once.
             () = self.hurry.notified() => return,
         };
@@ -227,7 +229,7 @@
 
     async fn fetch(&self, from: Node, want: Want) {
         let link = self.links.to(from);
-        match link.call(&Call::Fetch(want), Duration::from_micros(HOLD) + ANSWER).await {
+        match link.call_patient(&Call::Fetch(want), Duration::from_micros(HOLD) + ANSWER, FEED_MOST).await {
             Ok(Reply::Steps(steps)) => {
                 self.take(|t, follower, board| follower.fetched(t, &want, steps, board));
             }
