--- a/crates/line/src/conn.rs
+++ b/crates/line/src/conn.rs
@@ -119,6 +119,12 @@
         self.stall = stall;
     }
 
+    /// Ends it with an error once bytes have not been acknowledged by the other machine for so long: it is without power or
+    /// cut off. Silence of the program there does not count.
+    pub fn reach(&self, most: Duration) -> io::Result<()> {
+        socket2::SockRef::from(&self.stream).set_tcp_user_timeout(Some(most))
+    }
+
     /// Whether nothing has come since the last answer, neither bytes nor the end. Asks the system itself:
     /// what the runtime knows of the socket may be a turn old.
     pub fn quiet(&self) -> bool {
@@ -185,12 +191,15 @@
             }
         };
         let bytes = self.buffer.split_to(head.len);
-        if (100..200).contains(&head.status) && head.status != 101 {
+        if head.status == 101 {
+            return Err(Broken::Spoilt("another protocol"));
+        }
+        if (100..200).contains(&head.status) {
             return Ok(None);
         }
         // A body that goes on to the end of its connection may be cut short unseen.
         let open_end = head.framing == http::Framing::UntilClose;
-        if open_end && head.status == 200 {
+        if open_end && (200..300).contains(&head.status) {
             return Err(Broken::Spoilt("no length"));
         }
         let mut body = Body::new(head.framing, http::ANSWER_BODY_MOST);
--- a/crates/line/src/http.rs
+++ b/crates/line/src/http.rs
@@ -132,10 +132,10 @@
 }
 
 /// What the library made of the bytes: nothing yet, a length, or an error.
-fn length(parsed: httparse::Result<usize>, have: usize) -> Result<Option<usize>, HttpError> {
+fn length(parsed: httparse::Result<usize>, have: usize, most: usize) -> Result<Option<usize>, HttpError> {
     match parsed {
-        Ok(httparse::Status::Complete(len)) if len <= HEAD_MOST => Ok(Some(len)),
-        Ok(httparse::Status::Partial) if have < HEAD_MOST => Ok(None),
+        Ok(httparse::Status::Complete(len)) if len <= most => Ok(Some(len)),
+        Ok(httparse::Status::Partial) if have < most => Ok(None),
         Ok(_) | Err(httparse::Error::TooManyHeaders) => Err(HttpError::HeadTooLong),
         Err(_) => Err(HttpError::Malformed),
     }
@@ -147,22 +147,27 @@
 
 /// Reads a request's head, for a body of [`BODY_MOST`]; nothing while it is not whole.
 pub fn request(bytes: &[u8]) -> Result<Option<Head>, HttpError> {
-    request_within(bytes, BODY_MOST)
+    request_within(bytes, HEAD_MOST, BODY_MOST)
 }
 
-/// Reads a request's head, for a body of so many bytes at most; nothing while it is not whole.
-pub fn request_within(bytes: &[u8], body_most: usize) -> Result<Option<Head>, HttpError> {
+/// Reads a request's head of so many bytes at most, for a body of so many at most; nothing while it is not whole.
+pub fn request_within(bytes: &[u8], head_most: usize, body_most: usize) -> Result<Option<Head>, HttpError> {
     let mut headers = [httparse::EMPTY_HEADER; HEADERS_MOST];
     let mut parsed = httparse::Request::new(&mut headers);
-    let Some(len) = length(parsed.parse(bytes), bytes.len())? else { return Ok(None) };
+    let Some(len) = length(parsed.parse(bytes), bytes.len(), head_most)? else { return Ok(None) };
     let (Some(method), Some(target)) = (parsed.method, parsed.path) else { return Err(HttpError::Malformed) };
     // The library takes a bare line feed for the end of a line; a server may not.
     if bytes[..len].iter().zip(&bytes[1..len]).any(|(a, b)| *b == b'\n' && *a != b'\r') {
         return Err(HttpError::Malformed);
     }
+    let framing = framing(parsed.headers, false, body_most)?;
+    // Chunks came with HTTP/1.1: whoever passed this on may have read another body (RFC 9112, 6.1).
+    if framing == Framing::Chunked && parsed.version != Some(1) {
+        return Err(HttpError::Malformed);
+    }
     Ok(Some(Head {
         len,
-        framing: framing(parsed.headers, false, body_most)?,
+        framing,
         keep_alive: keep_alive(parsed.headers, parsed.version.unwrap_or(0)),
         status: 0,
         method: place(bytes, method.as_bytes()),
@@ -175,7 +180,7 @@
 pub fn answer(bytes: &[u8]) -> Result<Option<Head>, HttpError> {
     let mut headers = [httparse::EMPTY_HEADER; HEADERS_MOST];
     let mut parsed = httparse::Response::new(&mut headers);
-    let Some(len) = length(parsed.parse(bytes), bytes.len())? else { return Ok(None) };
+    let Some(len) = length(parsed.parse(bytes), bytes.len(), HEAD_MOST)? else { return Ok(None) };
     let status = parsed.code.unwrap_or(0);
     let bare = (100..200).contains(&status) || status == 204 || status == 304;
     let framing = if bare { Framing::Length(0) } else { framing(parsed.headers, true, ANSWER_BODY_MOST)? };
@@ -208,6 +213,18 @@
         }
     }
 
+    /// How long the other side keeps the connection idle, in seconds, where it says so.
+    pub fn kept_for(&self, bytes: &[u8]) -> Option<u64> {
+        let value = self.header(bytes, "keep-alive")?;
+        let mut parts = value.split(|b| *b == b',').filter_map(|p| std::str::from_utf8(p.trim_ascii()).ok());
+        parts
+            .find_map(|p| p.split_once('=').filter(|(n, _)| n.trim().eq_ignore_ascii_case("timeout")))?
+            .1
+            .trim()
+            .parse()
+            .ok()
+    }
+
     /// Copies the headers of these names, and no others: what one side makes of an unknown header is not known.
     pub fn copy_headers(&self, bytes: &[u8], names: &[&str], to: &mut Vec<u8>) {
         for (name, value) in &self.headers {
@@ -289,6 +306,10 @@
                 from.advance(2);
                 self.chunk = None;
             } else {
+                // The library takes a line without digits for the last chunk: a body cut short would look whole.
+                if from.first().is_some_and(|b| !b.is_ascii_hexdigit()) {
+                    return Err(HttpError::Malformed);
+                }
                 match httparse::parse_chunk_size(from) {
                     Ok(httparse::Status::Complete((len, size))) => {
                         let size = usize::try_from(size).map_err(|_| HttpError::BodyTooLong)?;
--- a/crates/line/src/inbound.rs
+++ b/crates/line/src/inbound.rs
@@ -19,7 +19,7 @@
 pub struct Bounds {
     /// Longest body, in bytes.
     pub body: usize,
-    /// Longest time from its first byte, or from the start of the connection, to its last.
+    /// Longest time from its first byte to its last.
     pub whole: Duration,
     /// Longest rest between two requests.
     pub idle: Duration,
@@ -57,14 +57,16 @@
 pub struct Inbound {
     stream: TcpStream,
     buffer: BytesMut,
-    fresh: bool,
+    /// When its last answer went out, or it was taken.
+    since: Instant,
+    head_most: usize,
 }
 
 impl Inbound {
     /// A new connection.
     pub fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
-        Inbound { stream, buffer: BytesMut::new(), fresh: true }
+        Inbound { stream, buffer: BytesMut::new(), since: Instant::now(), head_most: http::HEAD_MOST }
     }
 
     /// Whether the next request, or a part of it, is here already.
@@ -72,19 +74,29 @@
         !self.buffer.is_empty()
     }
 
-    /// Waits for the first byte of the next request. May be given up at any time: nothing is lost.
+    /// Takes heads of so many bytes at most from now on, in place of [`http::HEAD_MOST`].
+    pub fn limit_head(&mut self, most: usize) {
+        self.head_most = most;
+    }
+
+    /// How long it has rested since its last answer, or since it was taken.
+    pub fn rested(&self) -> Duration {
+        self.since.elapsed()
+    }
+
+    /// Waits for the first byte of the next request, as long as the connection may rest. May be given up at any time:
+    /// nothing is lost.
     pub async fn ready(&mut self, bounds: Bounds) -> Result<(), Stop> {
         if self.buffer.is_empty() {
             if self.buffer.capacity() > BUFFER_KEPT {
                 self.buffer = BytesMut::new();
             }
-            let wait = if self.fresh { bounds.whole.min(bounds.idle) } else { bounds.idle };
-            match timeout(wait, self.stream.read_buf(&mut self.buffer)).await {
+            let until = self.since + bounds.idle;
+            match tokio::time::timeout_at(until, self.stream.read_buf(&mut self.buffer)).await {
                 Ok(Ok(n)) if n > 0 => {}
                 _ => return Err(Stop::Closed),
             }
         }
-        self.fresh = false;
         Ok(())
     }
 
@@ -101,7 +113,7 @@
             })
         };
         let head = loop {
-            match http::request_within(&self.buffer, bounds.body).map_err(status)? {
+            match http::request_within(&self.buffer, self.head_most, bounds.body).map_err(status)? {
                 Some(head) => break head,
                 None => self.more(until).await?,
             }
@@ -126,6 +138,11 @@
         }
     }
 
+    /// Whether neither bytes nor the end have come since the last request, by the system itself.
+    pub fn quiet(&self) -> bool {
+        self.buffer.is_empty() && crate::conn::quiet(&self.stream)
+    }
+
     /// Ends once the other side has closed its connection.
     pub async fn gone(&self) {
         if !self.buffer.is_empty() {
@@ -141,7 +158,9 @@
 
     /// Writes an answer. False if the connection is of no further use.
     pub async fn write(&mut self, answer: &[u8]) -> bool {
-        matches!(timeout(ANSWER, self.stream.write_all(answer)).await, Ok(Ok(())))
+        let written = matches!(timeout(ANSWER, self.stream.write_all(answer)).await, Ok(Ok(())));
+        self.since = Instant::now();
+        written
     }
 
     /// Ends the connection after an answer that the other side may not have read yet.
