What follows from an attempt is a table without I/O; the path to servers reviewed

selector::verdict decides after each attempt: may another server be tried, and what is answered. A silent server is left only for one that is well and within the budget, and not after SIGTERM: before, a request was broken off and then ended by 502 with nowhere to go. Rests follow the configuration in force at their end; a full limiter's idle connections now do make room. The process waits for answers that are on their way instead of sleeping 60 ms.

--- a/crates/exchange/src/front.rs
+++ b/crates/exchange/src/front.rs
@@ -12,8 +12,8 @@
 pub struct Front {
     /// Connections that are open.
     pub open: Rc<Cell<usize>>,
-    /// Requests that are being worked on.
-    pub busy: Cell<usize>,
+    /// Connections with a request that has begun to come, is worked on, or whose answer is on its way.
+    pub busy: Rc<Cell<usize>>,
     /// Idle connections are closed, and no answer keeps one open.
     pub closing: Cell<bool>,
     /// Tells idle connections to go.
@@ -30,7 +30,7 @@
     pub fn new(most: usize) -> Rc<Self> {
         Rc::new(Front {
             open: Rc::default(),
-            busy: Cell::new(0),
+            busy: Rc::default(),
             closing: Cell::new(false),
             close: Notify::new(),
             given: RefCell::default(),
--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod propose;
 pub mod service;
 pub mod switch;
+pub mod wanted;
--- a/crates/exchange/src/service.rs
+++ b/crates/exchange/src/service.rs
@@ -163,8 +163,6 @@
     while clients.busy.get() > 0 && begun.elapsed() < grace.saturating_sub(MARGIN) {
         sleep(Duration::from_millis(25)).await;
     }
-    // The last answers are on their way out.
-    sleep(Duration::from_millis(60)).await;
     Ok(())
 }
 
--- a/crates/exchange/src/switch.rs
+++ b/crates/exchange/src/switch.rs
@@ -1,16 +1,16 @@
 //! A client's request, from its first byte to its one answer.
 
-use crate::clock::{draw, now, Micros};
+use crate::clock::{now, Micros};
 use crate::edge::Edge;
 use crate::front::Front;
 use crate::outbound::{Came, Parcel};
-use limeway_line::conn::Reply;
-use limeway_line::http;
+use crate::wanted::{pass_on, service, wanted, Own, Wanted, LATER};
+use limeway_line::conn::{Counted, Reply};
 use limeway_line::inbound::{Bounds, Inbound, Message, Stop};
-use limeway_numbering::plan::{Route, Tenant};
+use limeway_numbering::plan::Limits;
+use limeway_selector::verdict::{nowhere, End, Head, Learnt, Next, Try};
 use limeway_selector::Outcome;
 use std::cell::Cell;
-use std::io::Write;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -18,51 +18,20 @@
 
 /// Longest body of a request that is held, whatever a configuration allows, in bytes.
 const BODY_MOST: usize = 16 * 1024 * 1024;
-/// Longest id of a request, in bytes.
-const ID_MOST: usize = 128;
-/// Longest wait that a client may state, in milliseconds.
-const DEADLINE_MOST_MS: u64 = 600_000;
-/// A deadline for requests that state none.
-const DEADLINE: Micros = 10_000_000;
 /// Attempts at servers for one request, at most.
 const ATTEMPTS_MOST: u32 = 4;
-/// A repeatable request is given up at a server after this many times its usual time, and tried elsewhere.
+/// A repeatable request may leave a server for another after this many times its usual time.
 const PATIENCE: f64 = 4.0;
 /// The least of that.
 const PATIENCE_LEAST: Micros = 350_000;
 /// Part of its aim for which a request waits for a server with room.
 const WAIT_PART: u64 = 5;
-/// When to come back where nothing can be served now.
-const LATER: f64 = 0.25;
-
-/// An answer of our own.
-struct Own {
-    status: u16,
-    /// Seconds until it is worth trying again.
-    later: Option<f64>,
-    close: bool,
-}
-
-impl Own {
-    fn new(status: u16) -> Self {
-        Own { status, later: None, close: false }
-    }
-
-    fn later(status: u16, seconds: f64) -> Self {
-        Own { status, later: Some(seconds), close: false }
-    }
-
-    fn write(&self, close: bool) -> Vec<u8> {
-        let mut headers = Vec::new();
-        if let Some(seconds) = self.later {
-            // Writing to memory does not fail.
-            let _ = write!(headers, "Retry-After: {seconds:.3}\r\n");
-        }
-        let mut out = Vec::new();
-        http::write_answer(&mut out, self.status, &headers, close, b"");
-        out
-    }
-}
+/// A connection that has rested for so long makes room where none is left.
+const MAKES_ROOM: Duration = Duration::from_secs(1);
+/// At the end of the process, the first request of a connection that has just come may be on its way for so long.
+const LAST_REST: Duration = Duration::from_millis(300);
+/// No connection rests longer, whatever a configuration says.
+const REST_MOST: Duration = Duration::from_secs(3_600);
 
 /// Takes connections of clients, for ever.
 pub async fn listen(edge: Rc<Edge>, front: Rc<Front>, listener: TcpListener) {
@@ -77,7 +46,7 @@
             front.close.notify_waiters();
             continue;
         }
-        let counted = limeway_line::conn::Counted::new(&front.open);
+        let counted = Counted::new(&front.open);
         let (edge, front) = (edge.clone(), front.clone());
         tokio::task::spawn_local(async move {
             let _counted = counted;
@@ -86,31 +55,52 @@
     }
 }
 
-async fn serve(edge: &Rc<Edge>, front: &Front, mut inbound: Inbound) {
-    loop {
-        let limits = edge.plan().limits.clone();
-        let bounds = Bounds {
-            body: limits.body_bytes.min(BODY_MOST),
-            whole: Duration::from_micros(limits.header_time),
-            idle: Duration::from_micros(limits.idle_time),
-        };
+fn bounds(limits: &Limits) -> Bounds {
+    Bounds {
+        body: limits.body_bytes.min(BODY_MOST),
+        whole: Duration::from_micros(limits.header_time),
+        // See `rest`.
+        idle: REST_MOST,
+    }
+}
+
+/// Waits for the first byte of the next request, as long as the configuration in force at the end of the rest allows.
+/// False if the connection is to end with nothing read.
+async fn rest(edge: &Edge, front: &Front, inbound: &mut Inbound) -> bool {
+    while !inbound.begun() {
         let told = front.close.notified();
-        if front.closing.get() && !inbound.begun() {
-            // One that has just come may have its first request on the way.
-            if timeout(Duration::from_millis(300), inbound.ready(bounds)).await.is_err() {
-                return;
+        let plan = edge.plan();
+        let idle = Duration::from_micros(plan.limits.idle_time).min(REST_MOST);
+        let closing = front.closing.get();
+        let wait = if closing { LAST_REST } else { idle.saturating_sub(inbound.rested()) };
+        tokio::select! {
+            biased;
+            ready = inbound.ready(bounds(&plan.limits)) => return ready.is_ok(),
+            () = told, if !closing => {
+                if front.closing.get() || inbound.rested() < MAKES_ROOM {
+                    continue;
+                }
+            }
+            () = sleep(wait) => {
+                // It may have been raised meanwhile.
+                if !closing && inbound.rested() < Duration::from_micros(edge.plan().limits.idle_time) {
+                    continue;
+                }
             }
         }
-        let first = tokio::select! {
-            biased;
-            first = inbound.ready(bounds) => first,
-            () = told => continue,
-        };
-        let read = match first {
-            Ok(()) => inbound.read(bounds).await,
-            Err(stop) => Err(stop),
-        };
-        let message = match read {
+        // What has come at this very moment is still served.
+        return !inbound.quiet() && inbound.ready(bounds(&plan.limits)).await.is_ok();
+    }
+    true
+}
+
+async fn serve(edge: &Rc<Edge>, front: &Front, mut inbound: Inbound) {
+    while rest(edge, front, &mut inbound).await {
+        // Until its answer is out, or its end: the process waits for it.
+        let _busy = Counted::new(&front.busy);
+        let limits = edge.plan().limits.clone();
+        inbound.limit_head(limits.header_bytes);
+        let message = match inbound.read(bounds(&limits)).await {
             Ok(message) => message,
             Err(Stop::Closed) => return,
             Err(Stop::Status(status)) => {
@@ -118,7 +108,6 @@
                 return inbound.linger().await;
             }
         };
-        front.busy.set(front.busy.get() + 1);
         let (begun, at_server) = (now(), Cell::new(0));
         let answer = {
             let work = handle(edge, &message, &at_server);
@@ -130,17 +119,13 @@
                 () = inbound.gone() => None,
             }
         };
-        front.busy.set(front.busy.get() - 1);
         let Some(answer) = answer else { return };
-        let close = !message.head.keep_alive || front.closing.get();
-        let status = match &answer {
-            Ok(_) => 0,
-            Err(own) => own.status,
-        };
-        front.answered(status);
-        let (out, close) = match answer {
-            Ok(reply) => (pass_on(reply, close), close),
-            Err(own) => (own.write(close || own.close), close || own.close),
+        // What has been read of a next request is owed an answer, too.
+        let close = !message.head.keep_alive || (front.closing.get() && !inbound.begun());
+        front.answered(answer.as_ref().err().map_or(0, |own| own.status));
+        let out = match answer {
+            Ok(reply) => pass_on(reply, close),
+            Err(own) => own.write(close),
         };
         if !inbound.write(&out).await {
             return;
@@ -154,147 +139,10 @@
     }
 }
 
-/// Headers that concern one connection only, or that we write ourselves.
-const HOP: [&[u8]; 10] = [
-    b"connection",
-    b"keep-alive",
-    b"proxy-connection",
-    b"proxy-authenticate",
-    b"proxy-authorization",
-    b"te",
-    b"trailer",
-    b"transfer-encoding",
-    b"upgrade",
-    b"content-length",
-];
-
-/// Headers of clients that do not go to servers beside those: the key, what we set ourselves, and what has been answered.
-const OURS: [&[u8]; 5] =
-    [b"authorization", b"limeway-deadline-ms", b"limeway-expect-instance", b"limeway-tenant", b"expect"];
-
-/// Copies headers but for those named, and for those that `Connection` names.
-fn copy(head: &http::Head, bytes: &[u8], leave: &[&[&[u8]]], to: &mut Vec<u8>) {
-    let named = head.header(bytes, "connection").unwrap_or(b"");
-    for (name, value) in &head.headers {
-        let name = &bytes[name.clone()];
-        let is = |other: &[u8]| name.eq_ignore_ascii_case(other.trim_ascii());
-        if leave.iter().any(|l| l.iter().any(|n| is(n))) || named.split(|b| *b == b',').any(is) {
-            continue;
-        }
-        to.extend_from_slice(name);
-        to.extend_from_slice(b": ");
-        to.extend_from_slice(&bytes[value.clone()]);
-        to.extend_from_slice(b"\r\n");
-    }
-}
-
-/// A server's answer as it goes to the client.
-fn pass_on(reply: Reply, close: bool) -> Vec<u8> {
-    let mut headers = Vec::with_capacity(reply.bytes.len());
-    copy(&reply.head, &reply.bytes, &[&HOP], &mut headers);
-    let mut out = Vec::with_capacity(headers.len() + reply.body.len() + 128);
-    http::write_answer(&mut out, reply.head.status, &headers, close, &reply.body);
-    out
-}
-
-/// What a client asks for.
-struct Wanted {
-    route: Rc<Route>,
-    tenant: Option<Rc<Tenant>>,
-    parcel: Parcel,
-    /// The client's own patience.
-    left: Micros,
-}
-
-fn wanted(edge: &Edge, message: &Message) -> Result<Wanted, Own> {
-    let bad = |_| Own::new(400);
-    let (head, bytes) = (&message.head, &message.bytes);
-    let (method, target) = message.line();
-    if !target.starts_with('/') || method.is_empty() {
-        return Err(Own::new(400));
-    }
-    if method.eq_ignore_ascii_case("connect") || method.eq_ignore_ascii_case("head") {
-        return Err(Own::new(501));
-    }
-    let id = head.only(bytes, "limeway-request-id").map_err(bad)?.unwrap_or(b"");
-    if id.is_empty() || id.len() > ID_MOST || !id.iter().all(u8::is_ascii_graphic) {
-        return Err(Own::new(400));
-    }
-    let host = head.only(bytes, "host").map_err(bad)?.and_then(|h| std::str::from_utf8(h).ok());
-    let host = host.ok_or_else(|| Own::new(400))?;
-    let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
-    let left = match head.only(bytes, "limeway-deadline-ms").map_err(bad)? {
-        None => DEADLINE,
-        Some(text) => {
-            let ms = std::str::from_utf8(text).ok().and_then(|t| t.parse::<u64>().ok());
-            ms.filter(|ms| (1..=DEADLINE_MOST_MS).contains(ms)).ok_or_else(|| Own::new(400))? * 1_000
-        }
-    };
-    let plan = edge.plan();
-    if plan.version == 0 {
-        return Err(Own::later(503, LATER));
-    }
-    let path = target.split('?').next().unwrap_or(target);
-    let sure = edge.sure();
-    let route = plan.route(host, path).cloned();
-    // What is not sure to be the newest must not end a request for good.
-    let route = match route {
-        Some(route) => route,
-        None if sure => return Err(Own::new(404)),
-        None => return Err(Own::later(503, LATER)),
-    };
-    let key = head.only(bytes, "authorization").map_err(bad)?.and_then(|a| std::str::from_utf8(a).ok());
-    let key = key.and_then(|a| a.split_once(' ')).filter(|(s, _)| s.eq_ignore_ascii_case("bearer"));
-    let owner = key.and_then(|(_, key)| plan.owner(key.trim())).cloned();
-    let keyed = plan.keyed() && !route.public;
-    // Without a sure configuration no key is good, on machines that are cut off too.
-    if (keyed || owner.is_some()) && !sure {
-        return Err(Own::later(503, LATER));
-    }
-    if keyed && owner.is_none() {
-        return Err(Own::new(401));
-    }
-    let mut to = Vec::with_capacity(bytes.len() + 64);
-    to.extend_from_slice(method.as_bytes());
-    to.push(b' ');
-    to.extend_from_slice(target.as_bytes());
-    to.extend_from_slice(b" HTTP/1.1\r\n");
-    copy(head, bytes, &[&HOP, &OURS], &mut to);
-    if let Some(tenant) = &owner {
-        to.extend_from_slice(b"Limeway-Tenant: ");
-        to.extend_from_slice(tenant.name.as_bytes());
-        to.extend_from_slice(b"\r\n");
-    }
-    let parcel =
-        Parcel { head: to, body: message.body.clone(), id: id.to_vec(), repeatable: route.repeatable };
-    Ok(Wanted { left: left.min(route.timeout), route, tenant: owner, parcel })
-}
-
-/// One of a route's services, by their weights.
-fn service(route: &Route) -> Rc<str> {
-    let sum: f64 = route.split.iter().map(|(_, w)| w).sum();
-    let mut at = (draw() >> 11) as f64 / (1u64 << 53) as f64 * sum;
-    for (name, weight) in &route.split {
-        if at < *weight {
-            return Rc::from(name.as_str());
-        }
-        at -= weight;
-    }
-    Rc::from(route.split.last().map_or("", |(name, _)| name.as_str()))
-}
-
-/// Whether the homes of a route and of a tenant have no region in common; one that names none allows all.
-fn nowhere(homes: [&[String]; 2]) -> bool {
-    let [route, tenant] = homes;
-    !route.is_empty() && !tenant.is_empty() && !route.iter().any(|r| tenant.contains(r))
-}
-
 /// Serves a request: a server's answer, or one of our own.
 async fn handle(edge: &Rc<Edge>, message: &Message, at_server: &Cell<Micros>) -> Result<Reply, Own> {
     let start = now();
-    let wanted = wanted(edge, message)?;
-    let Wanted { route, tenant, parcel, left } = wanted;
-    let end = start + left;
+    let Wanted { route, tenant, parcel, left } = wanted(edge, message)?;
     let service = service(&route);
     let homes: [&[String]; 2] = [&route.homes, tenant.as_ref().map_or(&[], |t| &t.homes)];
     if nowhere(homes) {
@@ -307,114 +155,147 @@
             return Err(Own::later(429, wait as f64 / 1e6));
         }
     }
-    let mut tried: Vec<Rc<str>> = Vec::new();
-    // What has been learnt so far, should nothing better come: whether it may have run, and an answer of a server.
-    let mut may_have_run = false;
-    let mut best: Option<Reply> = None;
-    for attempt in 0..route.attempts.min(ATTEMPTS_MOST) {
+    let mut request = Try::new(parcel.repeatable, route.attempts.min(ATTEMPTS_MOST));
+    let end = start + left;
+    let mut hunt =
+        Hunt { edge, service: &service, homes, parcel: &parcel, end, tried: Vec::new(), instead: None };
+    let mut failure = None;
+    while request.may_go_on() && now() < end {
+        let Some((id, cold)) = hunt.next(&request, start + route.aim / WAIT_PART).await else { break };
+        hunt.tried.push(id.clone());
+        let Some(place) = edge.address(&service, &id) else { continue };
         let t = now();
-        if t >= end {
-            break;
-        }
-        let wait_until = if attempt == 0 { start + route.aim / WAIT_PART } else { t };
-        let Some((id, cold)) = choose(edge, &service, homes, &tried, wait_until.min(end)).await else {
-            break;
-        };
-        if attempt > 0 {
-            let slack = edge.part(edge.settings.bounds.retry_slack);
-            if !edge.tries.borrow_mut().again(now(), &service, slack) {
-                break;
+        let (learnt, reply) = hunt.attempt(&request, &id, cold, place).await;
+        match (request.learn(learnt), reply) {
+            (Next::Pass, Some(reply)) => {
+                // Where it took more than one attempt, the time is not ours alone.
+                at_server.set(if hunt.tried.len() == 1 { now() - t } else { 0 });
+                return Ok(reply);
             }
+            (_, Some(reply)) if learnt == Learnt::Failed => failure = Some(reply),
+            _ => {}
         }
-        let Some(place) = edge.address(&service, &id) else { continue };
-        tried.push(id.clone());
-        let t = now();
-        let rest = end.saturating_sub(t);
-        if rest == 0 {
-            break;
+    }
+    match (request.end(now() >= end), failure) {
+        (End::Failure, Some(reply)) => Ok(reply),
+        (End::Failure | End::Unknown, _) => Err(Own::new(502)),
+        (End::Late, _) => Err(Own::new(504)),
+        (End::Promise, _) => Err(Own::later(503, LATER)),
+    }
+}
+
+/// The search of one request for a server that answers it.
+struct Hunt<'a> {
+    edge: &'a Edge,
+    service: &'a Rc<str>,
+    homes: [&'a [String]; 2],
+    parcel: &'a Parcel,
+    end: Micros,
+    tried: Vec<Rc<str>>,
+    /// Chosen and paid for while the last one was silent.
+    instead: Option<(Rc<str>, bool)>,
+}
+
+impl Hunt<'_> {
+    /// The next server, and whether it is cold. Waits a little for one with room while no server may have run the request.
+    async fn next(&mut self, request: &Try, until: Micros) -> Option<(Rc<str>, bool)> {
+        if let Some(chosen) = self.instead.take() {
+            return Some(chosen);
         }
-        edge.selector.borrow_mut().sent(t, &id, cold);
-        let guard = Ending { edge, id: &id, done: Cell::new(false) };
-        let usual = edge.selector.borrow().usual(&id).unwrap_or(rest / 3);
-        let patience = if parcel.repeatable && attempt + 1 < route.attempts {
-            ((PATIENCE * usual as f64) as Micros).max(PATIENCE_LEAST).min(rest)
-        } else {
-            rest
+        let until = if request.sent() == 0 { until.min(self.end) } else { 0 };
+        let chosen = loop {
+            match self.choose(true) {
+                Some(chosen) => break chosen,
+                None if now() >= until => return None,
+                None => sleep(Duration::from_millis(15)).await,
+            }
         };
+        // What has reached no server is no further try.
+        (request.sent() == 0 || self.pay()).then_some(chosen)
+    }
+
+    fn choose(&self, any: bool) -> Option<(Rc<str>, bool)> {
+        let candidates = self.edge.candidates(self.service, self.homes);
+        let mut selector = self.edge.selector.borrow_mut();
+        let id = if any {
+            selector.choose(now(), &candidates, &self.tried)
+        } else {
+            selector.choose_instead(now(), &candidates, &self.tried)
+        }?;
+        let cold = candidates.iter().any(|c| c.id == id && c.cold.is_some());
+        Some((id, cold))
+    }
+
+    fn pay(&self) -> bool {
+        let slack = self.edge.part(self.edge.settings.bounds.retry_slack);
+        self.edge.tries.borrow_mut().again(now(), self.service, slack)
+    }
+
+    /// Whether to leave a server that is silent: only for one that is well, within the budget. Not at the end of the
+    /// process: what a server works on is not broken off then.
+    fn leaves(&mut self) -> bool {
+        if self.edge.leaving.get() {
+            return false;
+        }
+        self.instead = self.choose(false).filter(|_| self.pay());
+        self.instead.is_some()
+    }
+
+    /// One attempt at a server: what it teaches, and the answer, if there is one.
+    async fn attempt(
+        &mut self,
+        request: &Try,
+        id: &Rc<str>,
+        cold: bool,
+        place: (std::net::SocketAddrV4, u32),
+    ) -> (Learnt, Option<Reply>) {
+        let (edge, t) = (self.edge, now());
+        let most = self.end.saturating_sub(t);
+        edge.selector.borrow_mut().sent(t, id, cold);
+        let guard = Ending { edge, id, done: Cell::new(false) };
+        let usual = edge.selector.borrow().usual(id).unwrap_or(most / 3);
+        let patience = ((PATIENCE * usual as f64) as Micros).max(PATIENCE_LEAST);
         let sent = Cell::new(false);
-        let exchange = edge.pools.exchange(&id, place, &parcel, rest, &sent);
-        let came = timeout(Duration::from_micros(patience), exchange).await;
-        let took = now() - t;
-        match came {
-            Ok(Came::Answer(reply)) => {
-                let not_run = reply.head.header(&reply.bytes, "limeway-not-executed").is_some();
-                let status = reply.head.status;
-                if status == 421 || not_run {
-                    guard.end(if status == 421 { Outcome::Moved } else { Outcome::Full });
-                    continue;
-                }
-                let whole = (200..300).contains(&status)
-                    && reply.head.header(&reply.bytes, "limeway-server-stamp").is_some()
-                    && reply.head.header(&reply.bytes, "content-encoding").is_none();
-                if whole {
-                    // Where it took more than one try, the time is not ours alone.
-                    at_server.set(if attempt == 0 { took } else { 0 });
-                    guard.end(Outcome::Answered(took));
-                    return Ok(reply);
-                }
-                may_have_run = true;
-                if (200..300).contains(&status) {
-                    guard.end(Outcome::Broke);
-                } else {
-                    guard.end(Outcome::Answered(took));
-                    best = Some(reply);
-                }
+        let exchange = edge.pools.exchange(id, place, self.parcel, self.end, &sent);
+        tokio::pin!(exchange);
+        let came = loop {
+            let left = self.end.saturating_sub(now());
+            let pause = if request.may_leave() { patience.min(left) } else { left };
+            match timeout(Duration::from_micros(pause), &mut exchange).await {
+                Ok(came) => break Some(came),
+                Err(_) if now() >= self.end || self.leaves() => break None,
+                Err(_) => {}
             }
-            Ok(Came::NotSent) => {
-                guard.end(Outcome::Broke);
-                continue;
-            }
-            Ok(Came::Broke) => {
-                guard.end(Outcome::Broke);
-                may_have_run = true;
-            }
-            Err(_) => {
-                guard.end(Outcome::Silent(took));
-                may_have_run |= sent.get();
+        };
+        let took = now() - t;
+        let (learnt, reply, outcome) = match came {
+            Some(Came::Answer(reply)) => {
+                let learnt = head(&reply).learnt();
+                let outcome = match learnt {
+                    Learnt::Answer | Learnt::Failed => Outcome::Answered(took),
+                    Learnt::NotRun => Outcome::Full,
+                    Learnt::Moved => Outcome::Moved,
+                    Learnt::Unsent | Learnt::Lost => Outcome::Broke,
+                };
+                (learnt, Some(reply), outcome)
             }
-        }
-        if !parcel.repeatable && may_have_run {
-            break;
-        }
-    }
-    if let Some(reply) = best {
-        return Ok(reply);
-    }
-    if may_have_run {
-        return Err(Own::new(if now() >= end { 504 } else { 502 }));
+            Some(Came::NotSent) => (Learnt::Unsent, None, Outcome::Broke),
+            Some(Came::Broke) => (Learnt::Lost, None, Outcome::Broke),
+            None if sent.get() => (Learnt::Lost, None, Outcome::Silent(took)),
+            None => (Learnt::Unsent, None, Outcome::Silent(took)),
+        };
+        guard.end(outcome);
+        (learnt, reply)
     }
-    Err(Own::later(503, LATER))
 }
 
-/// Chooses a server, and waits a little for one with room.
-async fn choose(
-    edge: &Rc<Edge>,
-    service: &str,
-    homes: [&[String]; 2],
-    tried: &[Rc<str>],
-    until: Micros,
-) -> Option<(Rc<str>, bool)> {
-    loop {
-        let candidates = edge.candidates(service, homes);
-        let chosen = edge.selector.borrow_mut().choose(now(), &candidates, tried);
-        if let Some(id) = chosen {
-            let cold = candidates.iter().any(|c| c.id == id && c.cold.is_some());
-            return Some((id, cold));
-        }
-        if now() >= until {
-            return None;
-        }
-        sleep(Duration::from_millis(15)).await;
+fn head(reply: &Reply) -> Head {
+    let has = |name| reply.head.header(&reply.bytes, name).is_some();
+    Head {
+        status: reply.head.status,
+        not_executed: has("limeway-not-executed"),
+        stamped: has("limeway-server-stamp"),
+        encoded: has("content-encoding"),
     }
 }
 
@@ -439,25 +320,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::nowhere;
-    use rstest::rstest;
-
-    /// A request that no region may serve is refused at once, with no advice to come back (vrcp-clear fresh-775c).
-    #[rstest]
-    #[case(&[], &[], false)]
-    #[case(&["a", "b"], &[], false)]
-    #[case(&[], &["c"], false)]
-    #[case(&["a", "b"], &["b", "c"], false)]
-    #[case(&["a", "b"], &["c"], true)]
-    fn homes_without_a_region_in_common_lead_nowhere(
-        #[case] route: &[&str],
-        #[case] tenant: &[&str],
-        #[case] so: bool,
-    ) {
-        let owned = |names: &[&str]| names.iter().map(|n| (*n).to_owned()).collect::<Vec<_>>();
-        assert_eq!(nowhere([&owned(route), &owned(tenant)]), so);
-    }
-}
--- a/crates/selector/src/lib.rs
+++ b/crates/selector/src/lib.rs
@@ -6,6 +6,7 @@
 //!   grows; once it is over they are tried by one request.
 //! - **Cold servers** ([`cold_share`]): a part for each of a few limiters, so that all together keep the bound.
 //! - **Further tries** ([`Tries`]): a part of what this limiter itself has taken, and its part of the slack.
+//! - **What follows from an attempt** ([`verdict`]): whether another server may be tried, and what the client is answered.
 //!
 //! Free of I/O and clock.
 #![forbid(unsafe_code)]
@@ -14,6 +15,7 @@
 use std::rc::Rc;
 
 mod tries;
+pub mod verdict;
 pub use tries::Tries;
 
 /// A time or a length of time, in microseconds.
@@ -100,6 +102,8 @@
 const STUCK: Micros = 700_000;
 /// See [`STUCK`].
 const STUCK_TIMES: f64 = 5.0;
+/// The last class of servers that are well, full or not.
+const WELL: u8 = 3;
 /// A server that has not been used for so long is forgotten.
 const FORGOTTEN: Micros = 60_000_000;
 
@@ -126,6 +130,20 @@
 
     /// Chooses among candidates; none of `tried`. Nothing where nobody has room or may be used.
     pub fn choose(&mut self, now: Micros, candidates: &[Candidate], tried: &[Rc<str>]) -> Option<Rc<str>> {
+        self.best(now, candidates, tried).map(|(_, id)| id)
+    }
+
+    /// The same, for a request that has a server already: only one that is well is worth leaving that for.
+    pub fn choose_instead(
+        &mut self,
+        now: Micros,
+        candidates: &[Candidate],
+        tried: &[Rc<str>],
+    ) -> Option<Rc<str>> {
+        self.best(now, candidates, tried).filter(|(class, _)| *class <= WELL).map(|(_, id)| id)
+    }
+
+    fn best(&mut self, now: Micros, candidates: &[Candidate], tried: &[Rc<str>]) -> Option<(u8, Rc<str>)> {
         self.turn = self.turn.wrapping_add(1);
         let offset = (self.turn.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 33) as usize;
         // Of all that answer, the usual time: who is slower is held to be fuller.
@@ -176,7 +194,7 @@
                 best = Some((class, cost, at));
             }
         }
-        best.map(|(_, _, at)| candidates[at].id.clone())
+        best.map(|(class, _, at)| (class, candidates[at].id.clone()))
     }
 
     /// A request goes to a server.
