--- a/crates/pondgw/src/homes.rs
+++ b/crates/pondgw/src/homes.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 
 /// Time for which an answer of a home is awaited, in microseconds: there and back, and a call.
-pub(crate) const WAIT: Micros = 150_000;
+pub const WAIT: Micros = 150_000;
 /// Time for which a home that did not answer is not asked, in microseconds: at first, and at most after doubling.
 const ABSENT: (Micros, Micros) = (1_000_000, 8_000_000);
 /// Questions in a row without an answer after which a home is absent: one message in ten may be lost.
@@ -27,7 +27,7 @@
 
 /// Homes that have not answered lately.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct Homes(BTreeMap<u32, Home>);
+pub struct Homes(BTreeMap<u32, Home>);
 
 impl Homes {
     /// Whether a home may be asked, or waited for by one that has `asked`.
@@ -65,62 +65,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    const S: Micros = 1_000_000;
-
-    /// Misses one question, asked at `at`.
-    fn miss(homes: &mut Homes, at: Micros) {
-        homes.asked(1, at);
-        homes.missed(1, at + WAIT);
-    }
-
-    #[test]
-    fn a_home_is_left_alone_ever_longer_until_it_answers_and_one_question_at_a_time_finds_out() {
-        let mut homes = Homes::default();
-        miss(&mut homes, S);
-        assert!(homes.there(1, S + WAIT, false), "one message may be lost");
-        miss(&mut homes, 2 * S);
-        let mut at = 2 * S + WAIT;
-        for rest in [1, 2, 4, 8, 8] {
-            assert!(
-                !homes.there(1, at + rest * S - 1, false) && homes.there(1, at + rest * S, false),
-                "{rest} s"
-            );
-            homes.asked(1, at + rest * S);
-            assert!(!homes.there(1, at + rest * S + WAIT - 1, false), "another goes on without it");
-            assert!(homes.there(1, at + rest * S + WAIT - 1, true), "who asked waits");
-            homes.missed(1, at + rest * S + WAIT);
-            at += rest * S + WAIT;
-        }
-        homes.answered(1);
-        assert!(homes.there(1, at, false));
-        miss(&mut homes, at);
-        assert!(homes.there(1, at + WAIT, false), "it begins anew");
-    }
-
-    #[test]
-    fn what_a_home_says_of_its_own_accord_is_no_answer_but_shortens_the_wait() {
-        let mut homes = Homes::default();
-        for _ in 0..2 {
-            miss(&mut homes, S);
-        }
-        homes.spoke(1);
-        assert!(!homes.there(1, 2 * S, false), "it may be heard and not hear");
-        assert!(homes.there(1, 2 * S + WAIT, false));
-        miss(&mut homes, 2 * S + WAIT);
-        assert!(!homes.there(1, 4 * S, false));
-        homes.spoke(1);
-        assert!(homes.there(1, 4 * S, false), "it lives: a second after the last miss it is asked again");
-    }
-
-    #[test]
-    fn questions_that_were_out_together_are_one_sign() {
-        let mut homes = Homes::default();
-        (0..20).for_each(|n| homes.missed(1, S + n));
-        assert!(homes.there(1, 2 * S + 20, false));
-    }
-}
--- a/crates/pondgw/src/lib.rs
+++ b/crates/pondgw/src/lib.rs
@@ -41,7 +41,8 @@
 //! ```
 #![forbid(unsafe_code)]
 
-mod homes;
+#[doc(hidden)]
+pub mod homes;
 pub mod interface;
 pub mod rules;
 pub mod setup;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -10,7 +10,8 @@
 pub mod clients;
 pub mod counter;
 pub mod discovery;
-mod engine;
+#[doc(hidden)]
+pub mod engine;
 pub mod link;
 pub mod node;
 pub mod peers;
