--- a/crates/exchange/src/lib.rs
+++ b/crates/exchange/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod outbound;
 pub mod service;
 pub mod switch;
+pub mod wanted;
