--- a/crates/exchange/tests/links.rs
+++ b/crates/exchange/tests/links.rs
@@ -3,6 +3,7 @@
 use bytes::BytesMut;
 use limeway_exchange::link::{self, Link, LinkError};
 use limeway_exchange::messages::{Call, Reply};
+use limeway_tandem::parcel::Want;
 use limeway_trunk::{Answerer, Body};
 use rstest::rstest;
 use std::future::Future;
@@ -85,7 +86,10 @@
         let link = Link::new(address);
         let asking = link.clone();
         let other = spawn_local(async move { asking.call(&unit("held"), SOON).await });
-        assert!(matches!(link.call(&Call::Fetch(1), SHORT).await, Err(LinkError::Late)));
+        assert!(matches!(
+            link.call(&Call::Fetch(Want { slot: 1, have: None, room: 0 }), SHORT).await,
+            Err(LinkError::Late)
+        ));
         assert!(matches!(link.call(&unit("at once"), SOON).await, Ok(Reply::Done)));
         go.notify_one();
         assert!(matches!(other.await.expect("runs"), Ok(Reply::Done)));
