--- a/crates/tandem/tests/following.rs
+++ b/crates/tandem/tests/following.rs
@@ -4,7 +4,8 @@
 
 use common::{core, presence};
 use limeway_roster::Node;
-use limeway_tandem::follow::{Follower, Next, GAP, PAUSE_FIRST, PAUSE_MOST};
+use limeway_tandem::follow::{Follower, Next, GAP, PAUSE_FIRST, PAUSE_MOST, SPACING};
+use limeway_tandem::parcel::{PART, PART_LEAST};
 use limeway_tandem::{Board, Micros};
 use rstest::rstest;
 use std::collections::BTreeMap;
@@ -162,3 +163,28 @@
     assert_eq!(play.board.members().len(), 2);
     assert!(play.asked.len() < 60, "{} questions", play.asked.len());
 }
+
+#[rstest]
+fn small_changes_are_spaced_and_none_is_waited_for_without_one() {
+    let mut play = Play::new(&[1], &[1], &[1].map_in_touch());
+    play.poll(1);
+    assert_eq!(play.follower.next(play.now, &play.board), Next::Wait(play.now + SPACING));
+    play.now += SPACING;
+    play.poll(1);
+    assert_eq!(play.follower.next(play.now, &play.board), Next::Poll(1));
+}
+
+#[rstest]
+fn less_is_asked_for_where_answers_do_not_come() {
+    let mut play = Play::new(&[1], &[1], &[1].map_in_touch());
+    let room =
+        |play: &mut Play| play.follower.poll(play.now, &play.board, presence(50), 0).want.room as usize;
+    let mut most = PART;
+    for _ in 0..10 {
+        assert_eq!(room(&mut play), most);
+        play.follower.failed(play.now, 1);
+        most = (most / 2).max(PART_LEAST);
+    }
+    play.poll(1);
+    assert_eq!(room(&mut play), 2 * PART_LEAST);
+}
--- a/crates/tandem/tests/parts.rs
+++ b/crates/tandem/tests/parts.rs
@@ -43,7 +43,11 @@
 #[case::a_whole_state(70)]
 #[case::operations_no_longer_kept(400)]
 fn parts_go_on_after_a_break_and_at_another_teller(#[case] after: u64) {
-    let tellers = tellers(after);
+    let mut tellers = tellers(after);
+    if after > 0 {
+        // The other one is some slots ahead; what it tells of the whole state is the same all the same.
+        tellers[1].step(&pack(&Op::Evacuate { zone: "ahead".into(), begun: true }));
+    }
     let mut limiter = Board::relay(9);
     limiter.step(&pack(&Op::Core(vec![1, 2])));
     let (mut bytes, mut size, mut turns) = (0, 0, 0);
