--- a/crates/vault/tests/log/rules.rs
+++ b/crates/vault/tests/log/rules.rs
@@ -136,6 +136,7 @@
 #[case::small(20_000, 20_000)]
 #[case::large(2_000_000, 2_000_000)]
 #[case::shrinks(4_000_000, 20_000)]
+#[case::shrinks_much(16_000_000, 20_000)]
 fn log_and_file_stay_within_their_bounds(#[case] first: usize, #[case] later: usize) {
     let sim = Sim::new(Trouble::None);
     let (mut vault, _) = Vault::open(sim.clone(), NODE, 42).expect("made");
