--- a/crates/tandem/tests/parts.rs
+++ b/crates/tandem/tests/parts.rs
@@ -51,7 +51,7 @@
     let mut tellers = tellers(after);
     if after > 0 {
         // The other one is some slots ahead; what it tells of the whole state is the same all the same.
-        tellers[1].step(&pack(&Op::Evacuate { zone: "ahead".into(), begun: true }));
+        tellers[1].step(&pack(&Op::Evacuate { zone: "ahead".into(), begun: true, mark: 0, again: 0 }));
     }
     let mut limiter = Board::relay(9);
     limiter.step(&pack(&common::seats(&[1, 2])));
