Let rounds of former seats show nothing once the seats have changed

At a change of seats the rounds under way, their votes on duties, and those that wait for a slot count no more.

--- a/crates/marker/src/ballots.rs
+++ b/crates/marker/src/ballots.rs
@@ -258,6 +258,10 @@
             // Decided without this ballot.
             self.ballots.held = None;
         }
+        if self.core != self.board.state.core {
+            self.core.clone_from(&self.board.state.core);
+            self.contact.other_seats();
+        }
         let is = self.seat().is_some();
         if is && !seated && self.contact.founded {
             self.votes.seated(now);
--- a/crates/marker/src/contact.rs
+++ b/crates/marker/src/contact.rs
@@ -70,6 +70,15 @@
         self.rounds.len() + self.waiting.len()
     }
 
+    /// The seats are others now. What a majority of the former ones said shows nothing of what the new ones choose.
+    pub(crate) fn other_seats(&mut self) {
+        self.waiting.clear();
+        for round in self.rounds.values_mut() {
+            round.concluded = true;
+            round.given.clear();
+        }
+    }
+
     /// Whether a round has begun since, or is about to.
     fn asks_since(&self, since: Micros) -> bool {
         self.rounds.values().any(|r| r.asked >= since && !r.concluded)
--- a/crates/marker/src/lib.rs
+++ b/crates/marker/src/lib.rs
@@ -188,6 +188,8 @@
     board: Board,
     acceptor: Acceptor,
     plan: Rc<Plan>,
+    /// The seats when this machine last looked.
+    core: Vec<Seat>,
     roster: Roster,
     /// Members that renew their lease here; `age` is the moment at which they were heard.
     direct: BTreeMap<Node, Presence>,
@@ -241,6 +243,7 @@
             started: now,
             acceptor: start.acceptor.clone(),
             plan: Rc::new(plan),
+            core: board.state.core.clone(),
             roster: Roster::default(),
             direct: BTreeMap::new(),
             votes: Votes::new(now, !start.founder),
--- a/crates/rig/src/judge.rs
+++ b/crates/rig/src/judge.rs
@@ -261,7 +261,7 @@
                 // One that has just come has its time, too.
                 let young = process.marker.standing(t + machine.offset).slot == 0;
                 let (touch, slot) = (process.marker.touch(t + machine.offset), process.marker.state().slot);
-                if !touch && !young || slot < due && !young {
+                if !young && (!touch || slot < due) {
                     let broken =
                         format!("machine {at} is not up to date: in touch {touch}, slot {slot} of {due}");
                     return self.judge.fail(broken);
--- a/crates/rig/src/schedule.rs
+++ b/crates/rig/src/schedule.rs
@@ -151,7 +151,7 @@
     pub fn harsh(seed: u64) -> Self {
         let mut chance = Chance(seed ^ 0x0bad_da75);
         let (heal, disks) = (14 * SECOND, 8);
-        let (machines, losses) = if seed % 2 == 0 { (3, 1) } else { (5, 2) };
+        let (machines, losses) = if seed.is_multiple_of(2) { (3, 1) } else { (5, 2) };
         let mut schedule = Schedule { seed, machines, spares: 0, losses, faults: Vec::new(), heal, disks };
         let (mut t, mut lost) = (chance.between(SECOND / 2, 3 * SECOND), vec![0; machines]);
         while t < 8 * SECOND {
