--- a/crates/marker/src/ballots.rs
+++ b/crates/marker/src/ballots.rs
@@ -192,6 +192,10 @@
             Next::Outbid(other) => {
                 self.ballots.outbid = self.ballots.outbid.max(other.round);
                 self.lost(now);
+                if other.node != self.start.me {
+                    // The other one's ballot goes on; a machine without a seat hears of it only so.
+                    self.ballots.yields = now + YIELDS;
+                }
             }
         }
     }
@@ -254,6 +258,10 @@
             // Decided without this ballot.
             self.ballots.held = None;
         }
+        if self.core != self.board.state.core {
+            self.core.clone_from(&self.board.state.core);
+            self.contact.other_seats();
+        }
         let is = self.seat().is_some();
         if is && !seated && self.contact.founded {
             self.votes.seated(now);
