--- a/crates/rig/src/people.rs
+++ b/crates/rig/src/people.rs
@@ -224,7 +224,8 @@
         let known = self.people.known[operator];
         let wanted = match self.chance.below(20) {
             0..=2 => Wanted::Read,
-            3 => Wanted::Evacuate(zone, self.chance.happens(500)),
+            // None so late that it would be closed, as its caller has gone, just as all is looked at.
+            3 if self.t < self.schedule.heal => Wanted::Evacuate(zone, self.chance.happens(500)),
             fate => {
                 // Some are invalid: their version is no higher.
                 let version = if fate == 4 { known } else { known + self.chance.between(1, 4) as u32 };
