--- a/crates/rig/src/off.rs
+++ b/crates/rig/src/off.rs
@@ -1,5 +1,8 @@
 //! Guards that can be taken away. Nothing is switched in the state machines: what goes in or out of them is tampered with.
 
+use crate::world::{node, World};
+use limeway_marker::messages::{Call, Pong, Reply, Standing};
+
 /// Which guard is off.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Off {
@@ -37,3 +40,51 @@
     Off::Newcomer,
     Off::Ages,
 ];
+
+impl World {
+    /// How a machine stands, as one would have it that nobody asked.
+    fn feigned(&self, at: usize) -> Standing {
+        let (node, life) = (node(at), self.machines[at].disk.votes.life);
+        let (counted, sound, touch, leaving) = (true, true, true, false);
+        Standing { node, life, boot: 1, counted, sound, touch, leaving, slot: 0, kept: 0 }
+    }
+
+    pub(crate) fn tamper_answer(&self, (to, round): (usize, bool), reply: Option<Reply>) -> Option<Reply> {
+        if self.off == Off::Contact && round && reply.is_none() {
+            let (me, pending) = (self.feigned(to), false);
+            let (held, given, servers) = (Vec::new(), Vec::new(), Vec::new());
+            return Some(Reply::Pong(Pong { me, pending, held, given, servers }));
+        }
+        reply
+    }
+
+    fn ahead(&self, standing: &mut Standing) {
+        let seated = self.judge.seats().iter().any(|s| s.node == standing.node && s.life == standing.life);
+        if !seated {
+            standing.kept = standing.kept.max(self.judge.newest());
+        }
+    }
+
+    pub(crate) fn tamper_reply(&self, _at: usize, reply: Reply) -> Reply {
+        match reply {
+            Reply::Pong(mut pong) => {
+                pong.pending &= self.off != Off::Pending;
+                if self.off == Off::Newcomer {
+                    self.ahead(&mut pong.me);
+                }
+                Reply::Pong(pong)
+            }
+            other => other,
+        }
+    }
+
+    pub(crate) fn tamper_call(&self, _at: usize, call: Call) -> Call {
+        match call {
+            Call::Ping(mut ping) if self.off == Off::Newcomer => {
+                self.ahead(&mut ping.me);
+                Call::Ping(ping)
+            }
+            other => other,
+        }
+    }
+}
--- a/crates/rig/src/world.rs
+++ b/crates/rig/src/world.rs
@@ -7,7 +7,7 @@
 use crate::people::{People, Who};
 use crate::{Micros, Off, Schedule, SECOND};
 use limeway_ballot::Node;
-use limeway_marker::messages::{Call, Pong, Reply, Standing};
+use limeway_marker::messages::{Call, Reply};
 use limeway_marker::{Action, Ask, Event, Marker, Start, Ticket, Token, Told};
 use limeway_toll::Rule;
 use std::collections::BTreeMap;
@@ -526,50 +526,4 @@
             self.push(back, Ev::Start(at));
         }
     }
-
-    /// How a machine stands, as one would have it that nobody asked.
-    fn feigned(&self, at: usize) -> Standing {
-        let (node, life) = (node(at), self.machines[at].disk.votes.life);
-        let (counted, sound, touch, leaving) = (true, true, true, false);
-        Standing { node, life, boot: 1, counted, sound, touch, leaving, slot: 0, kept: 0 }
-    }
-
-    fn tamper_answer(&self, (to, round): (usize, bool), reply: Option<Reply>) -> Option<Reply> {
-        if self.off == Off::Contact && round && reply.is_none() {
-            let (me, pending) = (self.feigned(to), false);
-            let (held, given, servers) = (Vec::new(), Vec::new(), Vec::new());
-            return Some(Reply::Pong(Pong { me, pending, held, given, servers }));
-        }
-        reply
-    }
-
-    fn ahead(&self, standing: &mut Standing) {
-        let seated = self.judge.seats().iter().any(|s| s.node == standing.node && s.life == standing.life);
-        if !seated {
-            standing.kept = standing.kept.max(self.judge.newest());
-        }
-    }
-
-    fn tamper_reply(&self, _at: usize, reply: Reply) -> Reply {
-        match reply {
-            Reply::Pong(mut pong) => {
-                pong.pending &= self.off != Off::Pending;
-                if self.off == Off::Newcomer {
-                    self.ahead(&mut pong.me);
-                }
-                Reply::Pong(pong)
-            }
-            other => other,
-        }
-    }
-
-    fn tamper_call(&self, _at: usize, call: Call) -> Call {
-        match call {
-            Call::Ping(mut ping) if self.off == Off::Newcomer => {
-                self.ahead(&mut ping.me);
-                Call::Ping(ping)
-            }
-            other => other,
-        }
-    }
 }
