--- a/crates/tandem/tests/following.rs
+++ b/crates/tandem/tests/following.rs
@@ -3,10 +3,11 @@
 mod common;
 
 use common::{core, presence};
+use limeway_numbering::Op;
 use limeway_roster::Node;
 use limeway_tandem::follow::{Follower, Next, GAP, PAUSE_FIRST, PAUSE_MOST, SPACING};
 use limeway_tandem::parcel::{PART, PART_LEAST};
-use limeway_tandem::{Board, Micros};
+use limeway_tandem::{pack, Board, Micros};
 use rstest::rstest;
 use std::collections::BTreeMap;
 
@@ -30,6 +31,8 @@
     tellers: BTreeMap<Node, Teller>,
     core: Vec<Node>,
     members: Vec<Node>,
+    /// Small changes after the first slot.
+    changes: u32,
     now: Micros,
     asked: Vec<(Micros, Node)>,
 }
@@ -43,6 +46,7 @@
             tellers: tellers.iter().copied().collect(),
             core: core.to_vec(),
             members: Vec::new(),
+            changes: 0,
             now: 20_000_000,
             asked: Vec::new(),
         }
@@ -69,6 +73,9 @@
         }
         let sure = if how == Teller::InTouch { asked - 200_000 } else { 1 };
         let mut teller = core(u64::from(node), sure, &self.core, 0);
+        for mark in 0..self.changes {
+            teller.step(&pack(&Op::Doors { add: vec![mark], drop: Vec::new() }));
+        }
         teller.set_members(self.members.iter().map(|n| (*n, "y".to_owned())).collect());
         let held = if how == Teller::InTouch && !teller.has_news(&poll) { 600_000 } else { 0 };
         teller.sure += if how == Teller::InTouch { held } else { 0 };
@@ -167,7 +174,12 @@
 #[rstest]
 fn small_changes_are_spaced_and_none_is_waited_for_without_one() {
     let mut play = Play::new(&[1], &[1], &[1].map_in_touch());
+    // Who has nothing yet is told the whole state; what is spaced are the changes after it.
+    play.poll(1);
+    assert_eq!(play.board.state.slot, 1);
+    play.changes = 1;
     play.poll(1);
+    assert_eq!(play.board.state.slot, 2);
     assert_eq!(play.follower.next(play.now, &play.board), Next::Wait(play.now + SPACING));
     play.now += SPACING;
     play.poll(1);
--- a/crates/tandem/tests/parts.rs
+++ b/crates/tandem/tests/parts.rs
@@ -131,6 +131,8 @@
 fn a_relay_says_that_there_is_something_big_and_tells_it_only_to_who_fetches_it() {
     let [teller, _] = tellers(0);
     let mut relay = Board::relay(8);
+    // Who has nothing yet would be told the whole state, in place of the operation.
+    relay.step(&pack(&common::seats(&[1, 2])));
     follow(&mut relay, &teller);
     let mut limiter = Board::relay(9);
     limiter.step(&pack(&common::seats(&[1, 2])));
