Read answers and heads strictly in the whole system only, as before in the limiter in service

Change: strict for the whole system's servers and clients, lenient for the limiter in service, which reads as it did before.

--- a/crates/exchange/src/outbound.rs
+++ b/crates/exchange/src/outbound.rs
@@ -125,7 +125,8 @@
                     }
                 }
                 match timeout(DIAL, Conn::open(address.into(), &self.count)).await {
-                    Ok(Ok(conn)) => {
+                    Ok(Ok(mut conn)) => {
+                        conn.strict();
                         if let Err(e) = conn.reach(REACH) {
                             log::debug!(server = &**id; "no bound on what is not acknowledged: {e}");
                         }
--- a/crates/limeway/src/clients.rs
+++ b/crates/limeway/src/clients.rs
@@ -319,14 +319,14 @@
 
     async fn read_message(&mut self) -> Result<Option<Message>, Reject> {
         let head = loop {
-            match http::request(&self.buffer).map_err(reject)? {
+            match http::request_lenient(&self.buffer).map_err(reject)? {
                 Some(head) => break head,
                 None if !self.more().await => return Ok(None),
                 None => {}
             }
         };
         let bytes = self.buffer.split_to(head.len);
-        let mut body = Body::new(head.framing, http::BODY_MOST);
+        let mut body = Body::lenient(head.framing, http::BODY_MOST);
         while !body.take(&mut self.buffer).map_err(reject)? {
             if !self.more().await {
                 return Ok(None);
--- a/crates/line/src/conn.rs
+++ b/crates/line/src/conn.rs
@@ -95,6 +95,7 @@
     since: Instant,
     to: SocketAddr,
     stall: Duration,
+    strict: bool,
     _counted: Counted,
 }
 
@@ -110,6 +111,7 @@
             since: Instant::now(),
             to,
             stall: STALL,
+            strict: false,
             _counted,
         })
     }
@@ -119,6 +121,11 @@
         self.stall = stall;
     }
 
+    /// From now on no success without a length, no other protocol and no chunk without a size is taken.
+    pub fn strict(&mut self) {
+        self.strict = true;
+    }
+
     /// Ends it with an error once bytes have not been acknowledged by the other machine for so long: it is without power or
     /// cut off. Silence of the program there does not count.
     pub fn reach(&self, most: Duration) -> io::Result<()> {
@@ -191,18 +198,20 @@
             }
         };
         let bytes = self.buffer.split_to(head.len);
-        if head.status == 101 {
+        if self.strict && head.status == 101 {
             return Err(Broken::Spoilt("another protocol"));
         }
-        if (100..200).contains(&head.status) {
+        if (100..200).contains(&head.status) && head.status != 101 {
             return Ok(None);
         }
         // A body that goes on to the end of its connection may be cut short unseen.
         let open_end = head.framing == http::Framing::UntilClose;
-        if open_end && (200..300).contains(&head.status) {
+        let whole = if self.strict { 200..300 } else { 200..201 };
+        if open_end && whole.contains(&head.status) {
             return Err(Broken::Spoilt("no length"));
         }
-        let mut body = Body::new(head.framing, http::ANSWER_BODY_MOST);
+        let make = if self.strict { Body::new } else { Body::lenient };
+        let mut body = make(head.framing, http::ANSWER_BODY_MOST);
         while !open_end && !body.take(&mut self.buffer)? {
             self.more_soon().await?;
         }
--- a/crates/line/src/http.rs
+++ b/crates/line/src/http.rs
@@ -152,6 +152,20 @@
 
 /// Reads a request's head of so many bytes at most, for a body of so many at most; nothing while it is not whole.
 pub fn request_within(bytes: &[u8], head_most: usize, body_most: usize) -> Result<Option<Head>, HttpError> {
+    request_as(bytes, head_most, body_most, false)
+}
+
+/// Reads a request's head as the limiter in service has read it so far: chunks may come with HTTP/1.0.
+pub fn request_lenient(bytes: &[u8]) -> Result<Option<Head>, HttpError> {
+    request_as(bytes, HEAD_MOST, BODY_MOST, true)
+}
+
+fn request_as(
+    bytes: &[u8],
+    head_most: usize,
+    body_most: usize,
+    lenient: bool,
+) -> Result<Option<Head>, HttpError> {
     let mut headers = [httparse::EMPTY_HEADER; HEADERS_MOST];
     let mut parsed = httparse::Request::new(&mut headers);
     let Some(len) = length(parsed.parse(bytes), bytes.len(), head_most)? else { return Ok(None) };
@@ -162,7 +176,7 @@
     }
     let framing = framing(parsed.headers, false, body_most)?;
     // Chunks came with HTTP/1.1: whoever passed this on may have read another body (RFC 9112, 6.1).
-    if framing == Framing::Chunked && parsed.version != Some(1) {
+    if !lenient && framing == Framing::Chunked && parsed.version != Some(1) {
         return Err(HttpError::Malformed);
     }
     Ok(Some(Head {
@@ -251,12 +265,19 @@
     /// The last chunk has come; trailers follow.
     trailers: bool,
     trailing: usize,
+    /// An empty line in place of a chunk's size ends the body, as the limiter in service takes it.
+    lenient: bool,
 }
 
 impl Body {
     /// A body of this framing, and of so many bytes at most.
     pub fn new(framing: Framing, most: usize) -> Self {
-        Body { framing, most, bytes: Vec::new(), chunk: None, trailers: false, trailing: 0 }
+        Body { framing, most, bytes: Vec::new(), chunk: None, trailers: false, trailing: 0, lenient: false }
+    }
+
+    /// The same as the limiter in service has read it so far: its marks are held against that.
+    pub fn lenient(framing: Framing, most: usize) -> Self {
+        Body { lenient: true, ..Body::new(framing, most) }
     }
 
     /// Takes from the front of `from` what belongs to the body; true once it is whole.
@@ -307,7 +328,7 @@
                 self.chunk = None;
             } else {
                 // The library takes a line without digits for the last chunk: a body cut short would look whole.
-                if from.first().is_some_and(|b| !b.is_ascii_hexdigit()) {
+                if !self.lenient && from.first().is_some_and(|b| !b.is_ascii_hexdigit()) {
                     return Err(HttpError::Malformed);
                 }
                 match httparse::parse_chunk_size(from) {
