Open and write in one step each at the disk; ask whether in touch in one place

Need: two functions of one caller each stood between Disk's calls and their work, and the orders worked out contact by themselves. Change: folded in; behaviour as it was.

--- a/crates/exchange/src/disk.rs
+++ b/crates/exchange/src/disk.rs
@@ -107,12 +107,7 @@
 
     /// Opens the file in a folder and starts the thread. A disk that refuses for now is waited for.
     pub async fn open(folder: PathBuf, node: Node, fresh: Life) -> Result<(Self, Found), Report<VaultError>> {
-        Self::open_with(move || Vault::open(Folder::new(&folder), node, fresh)).await
-    }
-
-    async fn open_with<F: Send + 'static>(
-        open: impl Fn() -> Result<(Vault, F), Report<VaultError>> + Send + 'static,
-    ) -> Result<(Self, F), Report<VaultError>> {
+        let open = move || Vault::open(Folder::new(&folder), node, fresh);
         let (tell, told) = oneshot::channel();
         let opening = move || {
             let begun = Instant::now();
@@ -146,11 +141,7 @@
 
     /// Queues a record, in the order of calls. Ready once it is on disk (true) or may not be (false); may be dropped.
     pub fn write(&self, record: Record) -> impl Future<Output = bool> + 'static {
-        self.queue(record)
-    }
-
-    fn queue(&self, row: Record) -> impl Future<Output = bool> + 'static {
-        let told = self.send(row);
+        let told = self.send(record);
         let (sound, due) = (self.sound.clone(), self.due.clone());
         async move {
             let (written, next) = match told {
--- a/crates/marker/src/orders.rs
+++ b/crates/marker/src/orders.rs
@@ -123,7 +123,7 @@
     }
 
     fn next(&mut self, now: Micros, waiting: &mut Waiting) -> Next {
-        let (state, touch) = (&self.board.state, now < self.settled + crate::TOUCH);
+        let (state, touch) = (&self.board.state, self.touch(now));
         // Sure of the state as of a moment after the call came.
         let sure = self.settled >= waiting.since;
         if self.recovers() {
