First voters before anything else: a cut-short first start keeps its tolerated losses

Cause: in the first seconds the two machines beyond the three seeds had to be caught up at the moment of the proposal, while updates went on; and joined one by one, through even sets. Change: while the initial start has fewer voters than 2f+1, nothing but their set is proposed, as soon as all are up; later all that have caught up join at once.

--- a/crates/control/control-plane/src/proposals.rs
+++ b/crates/control/control-plane/src/proposals.rs
@@ -147,10 +147,11 @@
         if !self.agreement.is_free(self.now) || !std::mem::take(&mut self.voter_changes.review) {
             return;
         }
-        let operation = self
-            .next_voter_change()
-            .or_else(|| self.next_call_to_close())
-            .or_else(|| self.next_gateway_change());
+        let operation = match self.next_voter_change() {
+            None if self.is_forming() => None,
+            None => self.next_call_to_close().or_else(|| self.next_gateway_change()),
+            voters => voters,
+        };
         if let Some(operation) = operation {
             self.propose(ByteBuf::from(encode(&operation)));
         }
@@ -158,7 +159,7 @@
 
     /// Answers requests. Returns the operation to propose for the first that needs one.
     fn answer_requests(&mut self) -> Option<Operation> {
-        let is_free = self.agreement.is_free(self.now);
+        let may_propose = self.agreement.is_free(self.now) && !self.is_forming();
         let mut operation = None;
         for mut request in std::mem::take(&mut self.proposals.pending) {
             match self.next_step(&mut request) {
@@ -174,7 +175,7 @@
                     self.actions.push(Action::Respond(request.caller, ApiResponse::Indeterminate));
                     continue;
                 }
-                RequestStep::Propose if is_free && operation.is_none() => {
+                RequestStep::Propose if may_propose && operation.is_none() => {
                     operation = request.take_operation();
                 }
                 _ => {}
--- a/crates/control/control-plane/src/voters.rs
+++ b/crates/control/control-plane/src/voters.rs
@@ -100,15 +100,40 @@
         self.voter_changes.was_voter = is_voter;
     }
 
+    /// Voters that the tolerated losses ask for.
+    fn desired_voters(&self) -> usize {
+        (2 * self.options.tolerated_losses + 1).min(MAX_VOTERS)
+    }
+
+    /// Whether the voters of the initial start are still to be agreed, and so few are known that a tolerated loss could end the core.
+    /// Nothing else is proposed meanwhile: whatever is acknowledged is kept by as many voters as it takes.
+    pub(crate) fn is_forming(&self) -> bool {
+        self.options.initial_start
+            && self.now < self.started + INITIAL_START
+            && self.voters().len() < self.desired_voters()
+    }
+
+    /// Whether all that was applied is on the disk of a candidate.
+    fn has_caught_up(&self, candidate: Voter) -> bool {
+        let peer = self.peers.get(&candidate.node);
+        peer.is_some_and(|peer| peer.status.durable_slot >= self.cache.state.slot)
+    }
+
     /// The replica that may become a voter next: a machine's new disk first, then whoever has most on its disk.
     pub(crate) fn candidate(&self) -> Option<Voter> {
+        let voters = self.voters();
+        let candidates = self.candidates();
+        let replaces_own_disk = |candidate: &Voter| voters.iter().any(|voter| voter.node == candidate.node);
+        candidates.iter().copied().find(replaces_own_disk).or(candidates.first().copied())
+    }
+
+    /// The replicas that may become voters, whoever has most on its disk first.
+    fn candidates(&self) -> Vec<Voter> {
         let voters = self.voters();
         let mut peers: Vec<&Peer> = self.peers.values().filter(|peer| self.may_become_voter(peer)).collect();
         peers.sort_by_key(|peer| Reverse(peer.status.durable_slot));
         let is_new = |voter: &Voter| !voters.contains(voter) && voter.node != self.options.node;
-        let candidates: Vec<Voter> = peers.into_iter().map(Peer::as_voter).filter(is_new).collect();
-        let replaces_own_disk = |candidate: &Voter| voters.iter().any(|voter| voter.node == candidate.node);
-        candidates.iter().copied().find(replaces_own_disk).or(candidates.first().copied())
+        peers.into_iter().map(Peer::as_voter).filter(is_new).collect()
     }
 
     fn may_become_voter(&self, peer: &Peer) -> bool {
@@ -129,9 +154,7 @@
             return None;
         }
         let Some(candidate) = self.candidate() else { return self.forget_former_voters() };
-        // All that was applied is on the candidate's disk.
-        let peer = self.peers.get(&candidate.node)?;
-        if peer.status.durable_slot < self.cache.state.slot {
+        if !self.has_caught_up(candidate) {
             return None;
         }
         let Some((mut voters, replaced)) = self.with_candidate(candidate) else {
@@ -145,7 +168,8 @@
         Some(Operation::SetVoters { voters, former_voters: former.into_iter().collect() })
     }
 
-    /// The voters with a candidate, and whom it replaces. None if there is no place for it.
+    /// The voters with a candidate in the place of the voter that it replaces, or with all candidates that there is room for. None if
+    /// there is neither.
     fn with_candidate(&self, candidate: Voter) -> Option<(Vec<Voter>, Option<Voter>)> {
         let mut voters = self.voters().to_vec();
         let earlier_disk = voters.iter().position(|voter| voter.node == candidate.node);
@@ -155,11 +179,12 @@
             let replaced = std::mem::replace(&mut voters[at], candidate);
             return Some((voters, Some(replaced)));
         }
-        let desired = (2 * self.options.tolerated_losses + 1).min(MAX_VOTERS);
-        if voters.len() >= desired {
+        let missing = self.desired_voters().saturating_sub(voters.len());
+        if missing == 0 {
             return None;
         }
-        voters.push(candidate);
+        // All at once: a set of an even size bears no more losses than one of a voter less, and has one disk more to lose.
+        voters.extend(self.candidates().into_iter().filter(|new| self.has_caught_up(*new)).take(missing));
         Some((voters, None))
     }
 
@@ -176,10 +201,7 @@
     fn initial_voters(&self) -> Option<Operation> {
         let voters = self.voters();
         let rank = voters.iter().position(|voter| voter.node == self.options.node)? as u64;
-        let delay = INITIAL_VOTERS_DELAY + rank * NEXT_SEED_DELAY;
-        if self.own_voter().is_none() || self.now < self.started + delay {
-            return None;
-        }
+        self.own_voter()?;
         let is_up = |peer: &&Peer| {
             let status = &peer.status;
             status.loss_counted
@@ -191,7 +213,11 @@
         let mut all: BTreeSet<Voter> = voters.iter().copied().collect();
         all.extend(self.peers.values().filter(is_up).map(Peer::as_voter).filter(is_unknown));
         let all: Vec<Voter> = all.into_iter().take(MAX_VOTERS).collect();
-        (all != voters).then_some(Operation::SetVoters { voters: all, former_voters: Vec::new() })
+        // Once there are as many as the tolerated losses ask for, nothing more is waited for.
+        let enough = voters.len() < self.desired_voters() && all.len() >= self.desired_voters();
+        let delay = rank * NEXT_SEED_DELAY + if enough { 0 } else { INITIAL_VOTERS_DELAY };
+        (all != voters && self.now >= self.started + delay)
+            .then_some(Operation::SetVoters { voters: all, former_voters: Vec::new() })
     }
 
     /// Forgets former voters once they hold no role lease any more.
--- a/crates/testing/simulation/tests/schedules.rs
+++ b/crates/testing/simulation/tests/schedules.rs
@@ -64,3 +64,21 @@
         assert_eq!(runner::once(schedule, DisabledGuard::None).0, None, "seed {seed}");
     }
 }
+
+/// Five machines of which two may be lost: the two beyond the three of the first settings file are voters before anything is
+/// acknowledged, on slow disks and under a stream of updates too.
+#[rstest]
+fn the_first_voters_bear_the_tolerated_losses() {
+    let down = |at, who, long| TimedFault { at, long, fault: Fault::Down { who, wipe: true, power: false } };
+    let faults = vec![
+        TimedFault { at: 3_569_000, long: 107_000, fault: Fault::AllDown },
+        down(5_026_000, 0, 912_000),
+        down(5_674_000, 2, 113_000),
+    ];
+    for seed in 120..140 {
+        let faults = faults.clone();
+        let schedule =
+            Schedule { seed, machines: 5, spares: 0, losses: 2, faults, heal: 14 * SECOND, disks: 8 };
+        assert_eq!(runner::once(schedule, DisabledGuard::None).0, None, "seed {seed}");
+    }
+}
