Sight and invariants: causes of failed requests, figures over HTTP, 13 checks in the code

Cause: a 503, 429 or closed connection could not be traced (14 log calls, none with a request's id; no metrics), and one assertion stood in control, data and balancer.

--- a/crates/balancer/src/gateway/endpoints.rs
+++ b/crates/balancer/src/gateway/endpoints.rs
@@ -9,7 +9,7 @@
 use limeway_routing_config::{RoutingSnapshot, Service};
 use limeway_service_registry::{Phase, Server};
 use limeway_types::{Micros, Timestamp, SECOND};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddrV4;
@@ -72,6 +72,8 @@
     pub pools: ConnectionPools,
     /// Zones whose evacuation ended not long ago, and when: their servers may be in slow start without having said so.
     returned_zones: RefCell<BTreeMap<String, Timestamp>>,
+    /// Servers are known that are leaving, or whose zone is evacuated.
+    knows_leaving: Cell<bool>,
 }
 
 impl Endpoints {
@@ -82,6 +84,7 @@
             selector: RefCell::default(),
             pools: ConnectionPools::new(for_all / UPSTREAM_DESCRIPTOR_SHARE),
             returned_zones: RefCell::default(),
+            knows_leaving: Cell::new(false),
         }
     }
 
@@ -90,6 +93,11 @@
         self.table.borrow().clone()
     }
 
+    /// Whether servers are known that no request may go to any more.
+    pub(super) fn knows_leaving(&self) -> bool {
+        self.knows_leaving.get()
+    }
+
     /// The evacuations of zones have ended.
     pub(super) fn zones_returned<'a>(&self, now: Timestamp, zones: impl Iterator<Item = &'a String>) {
         let mut returned = self.returned_zones.borrow_mut();
@@ -134,8 +142,10 @@
         let (cache, routing) = (self.following.cache.borrow(), self.following.routing.borrow());
         let mut table = EndpointTable::new();
         let mut regions: HashMap<&str, Rc<str>> = HashMap::new();
+        let mut knows_leaving = false;
         for (id, server) in cache.registry.servers() {
             if server.phase != Phase::Ready || cache.state.evacuated.contains_key(&server.zone) {
+                knows_leaving = true;
                 continue;
             }
             let region = self.settings.zones.get(&server.zone).map_or("", String::as_str);
@@ -151,6 +161,7 @@
         self.endpoints.returned_zones.borrow_mut().retain(|_, since| now < *since + RETURNED_ZONE_RETENTION);
         let is_ready = |id: &str| cache.registry.servers().get(id).is_some_and(|s| s.phase == Phase::Ready);
         self.endpoints.pools.retain(is_ready);
+        self.endpoints.knows_leaving.set(knows_leaving);
         *self.endpoints.table.borrow_mut() = Rc::new(table);
     }
 
--- a/crates/balancer/src/gateway/following.rs
+++ b/crates/balancer/src/gateway/following.rs
@@ -7,6 +7,7 @@
 use crate::transport::{self, CallError};
 use limeway_distribution::transfer::StateRequest;
 use limeway_distribution::{ChangeSet, Follower, FollowerAction, StateCache};
+use limeway_invariants::{check, Invariant};
 use limeway_membership::NodeId;
 use limeway_routing_config::RoutingSnapshot;
 use limeway_settings::Settings;
@@ -107,6 +108,7 @@
     }
 
     fn upstream_failed(&self, upstream: NodeId, error: Option<CallError>) {
+        self.metrics.upstream_failures.inc();
         log::info!(upstream, error = format!("{error:?}").as_str(); "no update from upstream");
         self.following.follower.borrow_mut().handle_failure(now(), upstream);
     }
@@ -114,11 +116,18 @@
     /// Applies what came, and makes routing snapshot and endpoint table once for all of it.
     fn apply(&self, update: impl FnOnce(Timestamp, &mut Follower, &mut StateCache) -> ChangeSet) {
         let now = now();
-        let evacuated = self.following.cache.borrow().state.evacuated.clone();
+        let (evacuated, slot_before) = {
+            let cache = self.following.cache.borrow();
+            (cache.state.evacuated.clone(), cache.state.slot)
+        };
         let changes = {
             let mut cache = self.following.cache.borrow_mut();
             update(now, &mut self.following.follower.borrow_mut(), &mut cache)
         };
+        let slot = self.slot();
+        check(Invariant::StateForward, changes.state, slot >= slot_before, || {
+            format!("slot {slot} after {slot_before}")
+        });
         if changes.state {
             self.update_routing();
             let cache = self.following.cache.borrow();
--- a/crates/balancer/src/gateway/mod.rs
+++ b/crates/balancer/src/gateway/mod.rs
@@ -8,10 +8,12 @@
 
 use crate::clock::now;
 use crate::directory;
+use crate::metrics::GatewayMetrics;
 use crate::replica::quota_rule;
 use crate::transport::{self, Channels};
 
 use following::Following;
+use limeway_invariants::{check, Invariant};
 use limeway_load_balancing::RetryBudget;
 use limeway_membership::{MemberHeartbeat, NodeId};
 use limeway_routing_config::RoutingSnapshot;
@@ -44,6 +46,8 @@
     pub endpoints: Endpoints,
     /// The retry budget.
     pub retries: RefCell<RetryBudget>,
+    /// Its figures.
+    pub metrics: GatewayMetrics,
     node: NodeId,
     channels: Channels,
     following: Following,
@@ -59,6 +63,7 @@
         Rc::new(Gateway {
             endpoints: Endpoints::new(settings.max_file_descriptors),
             retries: RefCell::new(RetryBudget::new(bounds.retry_ratio, bounds.retry_window)),
+            metrics: GatewayMetrics::default(),
             node: NodeId::from(settings.ip),
             channels: Channels::new(settings.inner_ports.first),
             following: Following::new(&settings),
@@ -93,11 +98,35 @@
         confirmed_at > 0 && now() < confirmed_at + lifetime
     }
 
+    /// Checks that keys are admitted within the bound on revocation.
+    pub(crate) fn check_fresh_keys(&self) {
+        let bounds = &self.settings.bounds;
+        let age = now().saturating_sub(self.confirmed_at());
+        let holds = !bounds.revocation_strict || age < bounds.revocation;
+        check(Invariant::FreshKeys, 2 * age > bounds.revocation, holds, || format!("confirmed {age} us ago"));
+    }
+
     /// As of when the configuration was last confirmed; 0 for never.
     pub fn confirmed_at(&self) -> Timestamp {
         self.following.cache.borrow().confirmed_at
     }
 
+    /// The slot of the agreed state that is applied.
+    pub fn slot(&self) -> u64 {
+        self.following.cache.borrow().state.slot
+    }
+
+    /// Checks that an attempt may go to a server, by what is known of it.
+    pub(crate) fn check_server_may_be_used(&self, id: &str) {
+        let cache = self.following.cache.borrow();
+        let server = cache.registry.servers().get(id);
+        let is_ready = server.is_some_and(|server| {
+            server.phase == Phase::Ready && !cache.state.evacuated.contains_key(&server.zone)
+        });
+        let knows_leaving = self.endpoints.knows_leaving();
+        check(Invariant::NoLeavingServer, knows_leaving, is_ready, || format!("{id}: {server:?}"));
+    }
+
     /// Whether it can serve clients.
     pub fn is_ready(&self) -> bool {
         !self.is_draining() && self.following.routing.borrow().version > 0 && self.is_config_fresh()
--- a/crates/balancer/src/gateway/quota.rs
+++ b/crates/balancer/src/gateway/quota.rs
@@ -125,7 +125,10 @@
         match quota.client.borrow_mut().take(now(), tenant, shard, holder, budget) {
             UnitResult::Granted => return Ok(()),
             UnitResult::Exhausted(left) => return Err(left),
-            UnitResult::Wait => quota.waited.set(quota.waited.get() + 1),
+            UnitResult::Wait => {
+                self.metrics.unit_waits.inc();
+                quota.waited.set(quota.waited.get() + 1);
+            }
         }
         let mut wait = UnitWait { quota, tenant, waiter_id: None, resolved: false };
         if quota.is_counter_remote() && self.borrow_unit(tenant, shard).await {
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -7,6 +7,7 @@
 //! | [`replica`], [`state_writer`], [`control_api`] | a control-plane replica: its sockets, its disk, the calls of servers and operators |
 //! | [`gateway`] | a gateway: what it knows, follows, leases and relays |
 //! | [`proxy`] | a client's request, from its first byte to its one response |
+//! | [`metrics`] | figures of the process, as text |
 //! | [`transport`] | calls between processes |
 //! | `directory`, `readiness`, `settings_watch`, [`clock`] | where clients go; probes; the settings file; time and random numbers |
 //!
@@ -19,6 +20,7 @@
 pub mod control_api;
 mod directory;
 pub mod gateway;
+pub mod metrics;
 pub use limeway_control_plane::messages;
 pub mod process;
 pub mod proxy;
--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 use limeway_balancer::{clock, process};
+use limeway_settings::{MetricsEndpoint, Settings};
 use log::kv::{Key, Value, VisitSource};
 use std::io::Write;
 use std::path::PathBuf;
@@ -22,6 +23,8 @@
             optional --settings path: PathBuf
             /// What is logged: error, warn (the default), info, debug; the variable RUST_LOG goes before it.
             optional --log level: String
+            /// Where figures are served, as PORT/PATH at the machine's address; goes before the settings file.
+            optional --metrics place: String
         }
         /// Checks a settings file and says what a process would do with it.
         cmd check {
@@ -31,7 +34,7 @@
     }
     }
 }
-use flags::{LimewayBalancer, LimewayBalancerCmd};
+use flags::{LimewayBalancer, LimewayBalancerCmd, Serve};
 
 /// Writes the fields of a log line.
 struct Fields<'a>(&'a mut Vec<u8>);
@@ -61,33 +64,41 @@
 }
 
 fn main() -> ExitCode {
-    let flags = LimewayBalancer::from_env_or_exit();
-    let (path, level, check) = match flags.subcommand {
-        LimewayBalancerCmd::Check(check) => (Some(check.path), None, true),
-        LimewayBalancerCmd::Serve(serve) => {
-            let named = || std::env::var_os(limeway_settings::VARIABLE).map(PathBuf::from);
-            (serve.settings.or_else(named), serve.log, false)
-        }
-    };
-    log_to_stderr(level.as_deref().unwrap_or("warn"));
-    let Some(path) = path else {
+    match LimewayBalancer::from_env_or_exit().subcommand {
+        LimewayBalancerCmd::Check(check) => match process::settings(&check.path) {
+            Ok(settings) => describe(&settings),
+            Err(e) => fail(&e),
+        },
+        LimewayBalancerCmd::Serve(flags) => serve(flags),
+    }
+}
+
+/// Says what a process would do with these settings.
+fn describe(settings: &Settings) -> ExitCode {
+    let role = if settings.frontend.is_some() { "a limiter for clients" } else { "a core machine" };
+    let (name, zone, region) = (&settings.name, &settings.zone, &settings.region);
+    println!("{name}: {role} in {zone} ({region}), {} seeds", settings.seeds.len());
+    ExitCode::SUCCESS
+}
+
+/// Runs a process of the system.
+fn serve(flags: Serve) -> ExitCode {
+    log_to_stderr(flags.log.as_deref().unwrap_or("warn"));
+    let named = || std::env::var_os(limeway_settings::VARIABLE).map(PathBuf::from);
+    let Some(path) = flags.settings.or_else(named) else {
         eprintln!("limeway-balancer: no settings: name a file, or set {}", limeway_settings::VARIABLE);
         return ExitCode::FAILURE;
     };
-    let settings = match process::settings(&path) {
+    let mut settings = match process::settings(&path) {
         Ok(settings) => settings,
         Err(e) => return fail(&e),
     };
-    if check {
-        let role = if settings.frontend.is_some() { "a limiter for clients" } else { "a core machine" };
-        println!(
-            "{}: {role} in {} ({}), {} seeds",
-            settings.name,
-            settings.zone,
-            settings.region,
-            settings.seeds.len()
-        );
-        return ExitCode::SUCCESS;
+    if let Some(place) = flags.metrics {
+        settings.metrics = MetricsEndpoint::parse(&place);
+        if settings.metrics.is_none() {
+            eprintln!("limeway-balancer: --metrics: {place} is no PORT/PATH");
+            return ExitCode::FAILURE;
+        }
     }
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
--- a/crates/balancer/src/process.rs
+++ b/crates/balancer/src/process.rs
@@ -3,6 +3,7 @@
 use crate::clock;
 use crate::control_api;
 use crate::gateway::Gateway;
+use crate::metrics;
 use crate::proxy::{self, ClientConnections};
 use crate::readiness;
 use crate::replica::{InitialState, Replica};
@@ -14,6 +15,7 @@
 use limeway_control_plane::Event;
 use limeway_distribution::decode;
 use limeway_distribution::transfer::decompress;
+use limeway_invariants::{check, Invariant};
 use limeway_routing_config::{Operation, State};
 use limeway_settings::Settings;
 use limeway_storage::Recovered;
@@ -23,6 +25,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::task::JoinHandle;
 use tokio::time::{sleep, Instant};
 
 /// File descriptors that are not for clients.
@@ -90,6 +93,18 @@
     transport::bind(address).change_context(StartError::Listen(address))
 }
 
+/// Serves the figures of this process, if the settings say where. A port that cannot be had is no reason not to serve clients.
+fn serve_metrics(settings: &Settings, figures: impl Fn() -> String + Clone + 'static) {
+    let Some(endpoint) = &settings.metrics else { return };
+    let address = SocketAddr::from((settings.ip, endpoint.port));
+    match transport::bind(address) {
+        Ok(listener) => {
+            tokio::task::spawn_local(metrics::listen(listener, endpoint.path.clone(), figures));
+        }
+        Err(e) => log::warn!("no figures at {address}: {e}"),
+    }
+}
+
 /// Where the other processes call this one.
 fn inner_address(settings: &Settings) -> SocketAddr {
     SocketAddr::from((settings.ip, settings.inner_ports.first))
@@ -105,6 +120,8 @@
     for address in api_addresses.into_iter().flatten() {
         tokio::task::spawn_local(control_api::listen(replica.clone(), bind(address)?));
     }
+    let figures = replica.clone();
+    serve_metrics(&replica.settings, move || figures.render_metrics());
     log::info!(slot = replica.control_plane().state().slot, is_new; "control-plane replica started");
     let reloaded = replica.clone();
     tokio::task::spawn_local(watch_settings(reload, move |settings| {
@@ -162,14 +179,28 @@
     tokio::task::spawn_local(watch_settings(reload, move |settings| reloaded.reload(&settings)));
     gateway.spawn_tasks();
     tokio::task::spawn_local(proxy::log_traffic(gateway.clone(), clients.clone()));
+    let figures = (gateway.clone(), clients.clone());
+    serve_metrics(&gateway.settings, move || figures.0.metrics.render(&figures.0, &figures.1));
     let mut accepting = None;
     if let Some(address) = frontend {
         let listening = proxy::listen(gateway.clone(), clients.clone(), bind(address)?);
         accepting = Some(tokio::task::spawn_local(listening));
     }
     terminate.recv().await;
+    drain(&gateway, &clients, accepting, grace).await;
+    Ok(())
+}
+
+/// Serves what has been taken to its end, within the grace period.
+async fn drain(
+    gateway: &Gateway,
+    clients: &ClientConnections,
+    accepting: Option<JoinHandle<()>>,
+    grace: Duration,
+) {
     let started = Instant::now();
-    log::info!("shutting down");
+    let in_flight = clients.busy_count();
+    log::info!(in_flight; "shutting down");
     gateway.drain();
     clients.start_draining();
     sleep(grace.mul_f64(ACCEPTING_GRACE_FRACTION)).await;
@@ -177,8 +208,9 @@
         accepting.abort();
     }
     clients.close_idle();
-    while clients.any_busy() && started.elapsed() < grace.saturating_sub(GRACE_MARGIN) {
+    while clients.busy_count() > 0 && started.elapsed() < grace.saturating_sub(GRACE_MARGIN) {
         sleep(DRAIN_CHECK_INTERVAL).await;
     }
-    Ok(())
+    let left = clients.busy_count();
+    check(Invariant::CleanShutdown, in_flight > 0, left == 0, || format!("{left} requests are cut off"));
 }
--- a/crates/balancer/src/proxy/attempts.rs
+++ b/crates/balancer/src/proxy/attempts.rs
@@ -1,13 +1,16 @@
 //! The attempts of one request at servers. What may follow an attempt is decided by [`limeway_load_balancing::attempts`], which server
 //! is next by its [`limeway_load_balancing::Selector`].
 
+use super::failure::Failure;
 use super::local_response::LocalResponse;
 use super::request::{pick_service, route, RoutedRequest};
+use super::request_record::{AttemptRecord, RequestRecord};
 use super::upstream::{UpstreamRequest, UpstreamResult};
 use crate::clock::now;
 use crate::gateway::Gateway;
 use limeway_http1::conn::Reply;
 use limeway_http1::inbound::Message;
+use limeway_invariants::{check, Invariant};
 use limeway_load_balancing::attempts::{
     have_no_common_region, AttemptResult, Conclusion, NextStep, RequestAttempts, ResponseHead,
 };
@@ -31,26 +34,27 @@
 /// One in so many parts of the time left stands for the latency of a server that is not known.
 const UNKNOWN_LATENCY_DIVISOR: Micros = 3;
 
-/// Serves a request: with a server's response, or one of our own. `server_time` is set to the time at the server if its first attempt
-/// was answered.
+/// Serves a request: with a server's response, or one of our own. What happens to it is noted in `record`.
 pub(super) async fn handle(
     gateway: &Rc<Gateway>,
     message: &Message,
-    server_time: &Cell<Micros>,
+    record: &RequestRecord,
 ) -> Result<Reply, LocalResponse> {
     let started = now();
-    let RoutedRequest { route, tenant, upstream, time_left } = route(gateway, message)?;
+    let RoutedRequest { route, tenant, upstream, time_left, version } = route(gateway, message)?;
     let service = pick_service(&route);
+    record.routed(&upstream.id, &service, tenant.as_ref(), version);
     let tenant_regions: &[String] = tenant.as_ref().map_or(&[], |tenant| &tenant.allowed_regions);
     let allowed_regions: [&[String]; 2] = [&route.allowed_regions, tenant_regions];
     if have_no_common_region(allowed_regions) {
         // Both bind, and have no region in common: no attempt at any time can be served, and no unit is spent on it.
-        return Err(LocalResponse::new(503));
+        return Err(LocalResponse::new(503, Failure::NoCommonRegion));
     }
     gateway.retries.borrow_mut().count_request(started, &service);
     if let Some(tenant) = &tenant {
         let unit = gateway.take_unit(&tenant.name, tenant.rate_per_second, tenant.burst_size).await;
-        unit.map_err(|wait| LocalResponse::retry_after(429, wait as f64 / 1e6))?;
+        record.unit_wait.set(now() - started);
+        unit.map_err(|wait| LocalResponse::retry_after(429, Failure::QuotaExhausted, wait as f64 / 1e6))?;
     }
     let mut attempts = Attempts {
         gateway,
@@ -60,9 +64,10 @@
         deadline: started + time_left,
         tried: Vec::new(),
         hedge: None,
+        record,
     };
     let request_attempts = RequestAttempts::new(upstream.idempotent, route.max_attempts.min(MAX_ATTEMPTS));
-    attempts.run(request_attempts, started + route.target_latency / CAPACITY_WAIT_DIVISOR, server_time).await
+    attempts.run(request_attempts, started + route.target_latency / CAPACITY_WAIT_DIVISOR).await
 }
 
 /// A server that was chosen for an attempt.
@@ -82,6 +87,7 @@
     tried: Vec<Rc<str>>,
     /// Chosen, and paid for from the retry budget, while the last one did not respond.
     hedge: Option<ChosenServer>,
+    record: &'a RequestRecord,
 }
 
 impl Attempts<'_> {
@@ -90,7 +96,6 @@
         &mut self,
         mut request_attempts: RequestAttempts,
         capacity_deadline: Timestamp,
-        server_time: &Cell<Micros>,
     ) -> Result<Reply, LocalResponse> {
         let mut failure = None;
         while request_attempts.may_continue() && now() < self.deadline {
@@ -103,7 +108,7 @@
             match (request_attempts.record(attempt_result), reply) {
                 (NextStep::Forward, Some(reply)) => {
                     // If it took more than one attempt, the other time is not ours alone.
-                    server_time.set(if self.tried.len() == 1 { now() - sent } else { 0 });
+                    self.record.server_time.set(if self.tried.len() == 1 { now() - sent } else { 0 });
                     return Ok(reply);
                 }
                 (_, Some(reply)) if attempt_result == AttemptResult::Failed => failure = Some(reply),
@@ -112,12 +117,27 @@
         }
         match (request_attempts.conclude(now() >= self.deadline), failure) {
             (Conclusion::Failure, Some(reply)) => Ok(reply),
-            (Conclusion::Failure | Conclusion::Unknown, _) => Err(LocalResponse::new(502)),
-            (Conclusion::TimedOut, _) => Err(LocalResponse::new(504)),
-            (Conclusion::NotExecuted, _) => Err(LocalResponse::unavailable()),
+            (conclusion, _) => Err(self.local_response(&request_attempts, conclusion)),
         }
     }
 
+    /// The response of our own where no server's can be forwarded.
+    fn local_response(&self, request_attempts: &RequestAttempts, conclusion: Conclusion) -> LocalResponse {
+        let response = match conclusion {
+            Conclusion::Failure | Conclusion::Unknown => LocalResponse::new(502, Failure::Unknown),
+            Conclusion::TimedOut => LocalResponse::new(504, Failure::TimedOut),
+            Conclusion::NotExecuted if request_attempts.sent() == 0 => {
+                LocalResponse::unavailable(Failure::NoServer)
+            }
+            Conclusion::NotExecuted => LocalResponse::unavailable(Failure::NotExecuted),
+        };
+        let holds = !(response.is_promise() && request_attempts.may_have_executed());
+        check(Invariant::NoPromiseAfterExecution, request_attempts.sent() > 0, holds, || {
+            format!("{} after {request_attempts:?}", response.status)
+        });
+        response
+    }
+
     /// The next server. Waits a little for one with room while no server may have executed the request.
     async fn next_server(
         &mut self,
@@ -177,6 +197,8 @@
     ) -> Option<(AttemptResult, Option<Reply>)> {
         let gateway = self.gateway;
         let target = gateway.endpoints.connect_target(self.service, &server.id)?;
+        self.check_attempt(request_attempts, server);
+        self.record.in_flight.replace(Some(server.id.clone()));
         let started = now();
         gateway.endpoints.selector.borrow_mut().sent(started, &server.id, server.in_slow_start);
         let report = OutcomeReport { gateway, id: &server.id, reported: Cell::new(false) };
@@ -194,11 +216,22 @@
                 Err(_) => {}
             }
         };
-        let (attempt_result, reply, outcome) = assess(result, now() - started, sent.get());
+        let took = now() - started;
+        let (attempt_result, reply, outcome) = assess(result, took, sent.get());
         report.report(outcome);
+        gateway.metrics.count_attempt(attempt_result);
+        self.record.attempt_ended(AttemptRecord { server: server.id.clone(), result: attempt_result, took });
         Some((attempt_result, reply))
     }
 
+    /// What must hold of each attempt.
+    fn check_attempt(&self, request_attempts: &RequestAttempts, server: &ChosenServer) {
+        let is_single = self.request.idempotent || !request_attempts.may_have_executed();
+        let is_further = !self.request.idempotent && self.tried.len() > 1;
+        check(Invariant::SingleExecution, is_further, is_single, || format!("{request_attempts:?}"));
+        self.gateway.check_server_may_be_used(&server.id);
+    }
+
     /// How long a server may take before the request may leave it.
     fn hedge_delay(&self, started: Timestamp, id: &Rc<str>) -> Micros {
         let left = self.deadline.saturating_sub(started);
--- a/crates/balancer/src/proxy/connections.rs
+++ b/crates/balancer/src/proxy/connections.rs
@@ -67,9 +67,14 @@
         Counted::new(&self.busy)
     }
 
-    /// Whether any connection is busy.
-    pub fn any_busy(&self) -> bool {
-        self.busy.get() > 0
+    /// Number of open connections.
+    pub fn open_count(&self) -> usize {
+        self.open.get()
+    }
+
+    /// Number of busy connections.
+    pub fn busy_count(&self) -> usize {
+        self.busy.get()
     }
 
     /// The process shuts down: idle connections are closed, and no response keeps one open.
--- a/crates/balancer/src/proxy/mod.rs
+++ b/crates/balancer/src/proxy/mod.rs
@@ -2,20 +2,24 @@
 
 mod attempts;
 mod connections;
+mod failure;
 mod headers;
 mod local_response;
 mod request;
+mod request_record;
 pub mod upstream;
 
 pub use connections::{log_traffic, ClientConnections};
+pub use failure::Failure;
 
 use crate::clock::now;
 use crate::gateway::Gateway;
 use limeway_http1::conn::Reply;
 use limeway_http1::inbound::{Bounds, Inbound, Message, Stop};
 use limeway_routing_config::routing::Limits;
+use limeway_types::Timestamp;
 use local_response::LocalResponse;
-use std::cell::Cell;
+use request_record::RequestRecord;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -64,7 +68,9 @@
             Ok(message) => message,
             Err(Stop::Closed) => return,
             Err(Stop::Status(status)) => {
-                inbound.write(&LocalResponse::new(status).to_bytes(true)).await;
+                let failure = if status == 408 { Failure::ReadTimedOut } else { Failure::Malformed };
+                gateway.metrics.count_request(Some(failure));
+                inbound.write(&LocalResponse::new(status, failure).to_bytes(true)).await;
                 return inbound.linger().await;
             }
         };
@@ -93,9 +99,9 @@
     inbound: &mut Inbound,
     message: &Message,
 ) -> AfterResponse {
-    let (started, server_time) = (now(), Cell::new(0));
+    let (started, record) = (now(), RequestRecord::default());
     let response = {
-        let handling = attempts::handle(gateway, message, &server_time);
+        let handling = attempts::handle(gateway, message, &record);
         tokio::pin!(handling);
         tokio::select! {
             biased;
@@ -104,16 +110,21 @@
             () = inbound.gone() => None,
         }
     };
-    let Some(response) = response else { return AfterResponse::Closed };
+    let Some(response) = response else {
+        note_end(gateway, &record, 0, Some(Failure::ClientGone), started);
+        return AfterResponse::Closed;
+    };
     // What has been read of a next request is owed a response, too.
     let close = !message.head.keep_alive || (clients.is_draining() && !inbound.begun());
-    let local_status = response.as_ref().err().map(|local| local.status);
-    clients.count_response(local_status);
-    if !inbound.write(&to_bytes(response, close)).await {
+    let (status, failure) = result_of(&response);
+    clients.count_response(response.as_ref().err().map(|local| local.status));
+    let taken = inbound.write(&to_bytes(response, close)).await;
+    note_end(gateway, &record, status, failure.or((!taken).then_some(Failure::NotTaken)), started);
+    if !taken {
         return AfterResponse::Closed;
     }
-    if server_time.get() > 0 {
-        clients.count_added_time((now() - started).saturating_sub(server_time.get()));
+    if record.server_time.get() > 0 {
+        clients.count_added_time((now() - started).saturating_sub(record.server_time.get()));
     }
     if close {
         AfterResponse::Linger
@@ -122,6 +133,28 @@
     }
 }
 
+/// The status of a response, and why it is no success of a server's.
+fn result_of(response: &Result<Reply, LocalResponse>) -> (u16, Option<Failure>) {
+    match response {
+        Ok(reply) => (reply.head.status, (reply.head.status >= 500).then_some(Failure::ServerFailed)),
+        Err(local) => (local.status, Some(local.failure)),
+    }
+}
+
+/// Counts how a request ended, and logs why if it failed.
+fn note_end(
+    gateway: &Gateway,
+    record: &RequestRecord,
+    status: u16,
+    failure: Option<Failure>,
+    begun: Timestamp,
+) {
+    gateway.metrics.count_request(failure);
+    if let Some(failure) = failure {
+        record.log(gateway, status, failure, begun);
+    }
+}
+
 fn to_bytes(response: Result<Reply, LocalResponse>, close: bool) -> Vec<u8> {
     match response {
         Ok(reply) => headers::forward_response(reply, close),
--- a/crates/balancer/src/proxy/request.rs
+++ b/crates/balancer/src/proxy/request.rs
@@ -1,5 +1,6 @@
 //! What a client asks for: its route, its tenant, its deadline, and the request as it goes to a server.
 
+use super::failure::Failure;
 use super::headers::append_request_headers;
 use super::local_response::LocalResponse;
 use super::upstream::UpstreamRequest;
@@ -8,7 +9,7 @@
 use limeway_http1::http::Head;
 use limeway_http1::inbound::Message;
 use limeway_routing_config::routing::{Route, Tenant};
-use limeway_routing_config::RoutingSnapshot;
+use limeway_routing_config::{RoutingSnapshot, Version};
 use limeway_types::{Micros, MILLISECOND, SECOND};
 use std::rc::Rc;
 
@@ -33,6 +34,8 @@
     pub upstream: UpstreamRequest,
     /// How long the client waits, and the route allows.
     pub time_left: Micros,
+    /// The version of the configuration that it was routed by.
+    pub version: Version,
 }
 
 /// Routes a client's request.
@@ -48,28 +51,29 @@
     let deadline = deadline(head, bytes)?;
     let routing = gateway.routing();
     if routing.version == 0 {
-        return Err(LocalResponse::unavailable());
+        return Err(LocalResponse::unavailable(Failure::NoConfig));
     }
     let is_fresh = gateway.is_config_fresh();
     let path = target.split('?').next().unwrap_or(target);
     let route = match routing.route(host, path).cloned() {
         Some(route) => route,
-        None if is_fresh => return Err(LocalResponse::new(404)),
+        None if is_fresh => return Err(LocalResponse::new(404, Failure::NoRoute)),
         // What may not be the newest must not end a request for good.
-        None => return Err(LocalResponse::unavailable()),
+        None => return Err(LocalResponse::unavailable(Failure::StaleConfig)),
     };
-    let tenant = authorize(&routing, &route, is_fresh, head, bytes)?;
+    let tenant = authorize(gateway, &routing, &route, head, bytes)?;
     let upstream = UpstreamRequest {
         head: upstream_head(method, target, head, bytes, tenant.as_deref()),
         body: message.body.clone(),
         id: id.to_vec(),
         idempotent: route.idempotent,
     };
-    Ok(RoutedRequest { time_left: deadline.min(route.timeout), route, tenant, upstream })
+    let (time_left, version) = (deadline.min(route.timeout), routing.version);
+    Ok(RoutedRequest { route, tenant, upstream, time_left, version })
 }
 
 fn bad_request() -> LocalResponse {
-    LocalResponse::new(400)
+    LocalResponse::new(400, Failure::Malformed)
 }
 
 /// The value of a header that may be there once.
@@ -82,7 +86,7 @@
         return Err(bad_request());
     }
     if method.eq_ignore_ascii_case("connect") || method.eq_ignore_ascii_case("head") {
-        return Err(LocalResponse::new(501));
+        return Err(LocalResponse::new(501, Failure::Malformed));
     }
     Ok(())
 }
@@ -111,12 +115,13 @@
 
 /// The tenant whose key the request carries, if the route lets it in.
 fn authorize(
+    gateway: &Gateway,
     routing: &RoutingSnapshot,
     route: &Route,
-    is_fresh: bool,
     head: &Head,
     bytes: &[u8],
 ) -> Result<Option<Rc<Tenant>>, LocalResponse> {
+    let is_fresh = gateway.is_config_fresh();
     let authorization = single(head, bytes, "authorization")?.and_then(|a| std::str::from_utf8(a).ok());
     let credentials = authorization.and_then(|authorization| authorization.split_once(' '));
     let key = credentials.filter(|(scheme, _)| scheme.eq_ignore_ascii_case("bearer"));
@@ -124,10 +129,13 @@
     let needs_key = routing.requires_keys() && !route.public;
     // Without a fresh configuration no key is good, on machines that are cut off too.
     if (needs_key || tenant.is_some()) && !is_fresh {
-        return Err(LocalResponse::unavailable());
+        return Err(LocalResponse::unavailable(Failure::StaleConfig));
     }
     if needs_key && tenant.is_none() {
-        return Err(LocalResponse::new(401));
+        return Err(LocalResponse::new(401, Failure::UnknownKey));
+    }
+    if tenant.is_some() {
+        gateway.check_fresh_keys();
     }
     Ok(tenant)
 }
--- a/crates/balancer/src/proxy/upstream.rs
+++ b/crates/balancer/src/proxy/upstream.rs
@@ -3,6 +3,7 @@
 use crate::clock::now;
 use crate::gateway::ConnectTarget;
 use limeway_http1::conn::{Broken, Conn, Reply};
+use limeway_invariants::{check, Invariant};
 use limeway_types::{Micros, Timestamp};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -200,6 +201,9 @@
                 had_surplus = true;
                 continue;
             }
+            let was_used = active.ids.iter().any(|id| *id != 0);
+            let is_own = is_response_to(request, &reply);
+            check(Invariant::ResponseIdentity, was_used, is_own, || format!("from {id}"));
             if reply.keep && !had_surplus {
                 self.keep(id, target, request, active, &reply);
             }
--- a/crates/balancer/src/replica.rs
+++ b/crates/balancer/src/replica.rs
@@ -3,6 +3,7 @@
 
 use crate::clock::{self, now};
 use crate::messages::{Call, Reply};
+use crate::metrics::ReplicaMetrics;
 use crate::state_writer::StateWriter;
 use crate::transport::{self, Channels};
 use limeway_consensus::{Acceptor, NodeId};
@@ -64,6 +65,7 @@
     tick_moved: Notify,
     /// The process may exit: the state machine says when.
     pub exited: Notify,
+    metrics: ReplicaMetrics,
 }
 
 impl Replica {
@@ -96,6 +98,7 @@
             next_tick: Cell::new(0),
             tick_moved: Notify::new(),
             exited: Notify::new(),
+            metrics: ReplicaMetrics::default(),
             settings,
         });
         replica.perform(actions);
@@ -180,7 +183,14 @@
         let (sender, response) = oneshot::channel();
         let Some(caller) = self.add_caller(Caller::Api(sender)) else { return ApiResponse::Indeterminate };
         self.handle(Event::ApiCall(caller, request));
-        response.await.unwrap_or(ApiResponse::Indeterminate)
+        let response = response.await.unwrap_or(ApiResponse::Indeterminate);
+        self.metrics.count_response(&response);
+        response
+    }
+
+    /// The figures of this process, as text.
+    pub fn render_metrics(&self) -> String {
+        self.metrics.render(self)
     }
 
     /// Hands the state machine ticks and results of writes, for ever.
--- /dev/null
+++ b/crates/balancer/tests/sight.rs
@@ -0,0 +1,69 @@
+//! A failed request can be explained afterwards: by the log line with its id, and by the figures of the process.
+
+mod operations;
+mod system;
+
+use operations::{ask, config};
+use std::time::Instant;
+use system::{System, FRONT, METRICS, SOON};
+
+/// The machines: a replica, and the gateway.
+const REPLICA: usize = 0;
+const GATEWAY: usize = 3;
+
+fn figures(system: &System, at: usize) -> String {
+    let to = (system.machines[at].ip, METRICS).into();
+    ask(to, "GET", "/metrics", &[("Host", "m")], "").map_or(String::new(), |(_, text)| text)
+}
+
+fn request(system: &System, path: &str, key: &str, id: &str) -> Option<u16> {
+    let key = format!("Bearer {key}");
+    let headers = [("Host", "a.example"), ("Limeway-Request-Id", id), ("Authorization", key.as_str())];
+    ask((system.machines[GATEWAY].ip, FRONT).into(), "GET", path, &headers, "").map(|(status, _)| status)
+}
+
+fn until(what: &str, system: &System, so: impl Fn() -> bool) {
+    let begun = Instant::now();
+    while !so() {
+        assert!(begun.elapsed() < SOON, "{what}: {}", system.log());
+    }
+}
+
+#[test]
+fn each_failure_has_a_cause_in_log_and_figures() {
+    let system = System::start(63, 1);
+    assert_eq!(system.order("config.replace", &config(1, 0, "/x/", r#""k1""#)).0, 200);
+    until("the configuration", &system, || request(&system, "/y/1", "k1", "id-wait") == Some(404));
+    assert_eq!(request(&system, "/y/1", "k1", "id-route"), Some(404));
+    assert_eq!(request(&system, "/x/1", "nobody", "id-key"), Some(401));
+    assert_eq!(request(&system, "/x/1", "k1", "id-server"), Some(503));
+    let line = |id: &str| {
+        let quoted = format!("\"request\":\"{id}\"");
+        system.log().lines().find(|line| line.contains(&quoted)).map(str::to_owned)
+    };
+    until("a line for each", &system, || {
+        ["id-route", "id-key", "id-server"].iter().all(|id| line(id).is_some())
+    });
+    let cause = |id: &str, cause: &str| {
+        let line = line(id).expect("a line");
+        assert!(line.contains(&format!("\"cause\":\"{cause}\"")), "{line}");
+    };
+    cause("id-route", "no-route");
+    cause("id-key", "unknown-key");
+    cause("id-server", "no-server");
+    let server = line("id-server").expect("a line");
+    for field in ["\"status\":\"503\"", "\"tenant\":\"t\"", "\"service\":\"s\"", "\"version\":\"1\""] {
+        assert!(server.contains(field), "{field} in {server}");
+    }
+    let gateway = figures(&system, GATEWAY);
+    for figure in [
+        "limeway_failures_total{cause=\"no-route\"} 2",
+        "limeway_failures_total{cause=\"unknown-key\"} 1",
+        "limeway_config_version 1",
+        "limeway_invariant_violations_total{invariant=\"fresh-keys\"} 0",
+    ] {
+        assert!(gateway.contains(figure), "{figure} in {gateway}");
+    }
+    let replica = figures(&system, REPLICA);
+    assert!(replica.contains("limeway_has_quorum 1") && replica.contains("limeway_is_voter 1"), "{replica}");
+}
--- a/crates/balancer/tests/system/mod.rs
+++ b/crates/balancer/tests/system/mod.rs
@@ -14,6 +14,7 @@
 pub(crate) const FRONT: u16 = 28389;
 pub(crate) const READY: u16 = 28384;
 const INNER: u16 = 27460;
+pub(crate) const METRICS: u16 = 28464;
 /// Whatever should come about does so within it, on a machine that is busy with other tests too.
 pub(crate) const SOON: Duration = Duration::from_secs(25);
 
@@ -57,7 +58,7 @@
         };
         let text = format!(
             "node-name=m{at}\nip-address={ip}\nzone={zone}\nregion=r1\nzones.z1=r1\nzones.z2=r1\n{listens}\
-             internal-ports={INNER},{INNER}\nseed-nodes={}\ninitial-start={first}\n\
+             internal-ports={INNER},{INNER}\nmetrics={METRICS}/metrics\nseed-nodes={}\ninitial-start={first}\n\
              fault-tolerance.machine-losses=1\nheartbeat=500ms\n\
              bounds=contact=4s,revoke=5s,revocation-strict=true,grace-period=6s,quota-window=5s,quota-overshoot=0.1,quota-slack=20,retry-budget-ratio=0.2,retry-slack=50\n",
             seeds.join(",")
@@ -67,7 +68,7 @@
         let log =
             std::fs::File::options().create(true).append(true).open(self.folder.join("log")).expect("log");
         let child = Command::new(env!("CARGO_BIN_EXE_limeway-balancer"))
-            .args(["serve", "--log", "warn", "--settings"])
+            .args(["serve", "--log", "info", "--settings"])
             .arg(&path)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
--- a/crates/control/control-plane/src/control_plane.rs
+++ b/crates/control/control-plane/src/control_plane.rs
@@ -312,6 +312,16 @@
         }
     }
 
+    /// Whether this replica is a voter.
+    pub fn is_voter(&self) -> bool {
+        self.own_voter().is_some()
+    }
+
+    /// Servers that this replica knows.
+    pub fn server_count(&self) -> usize {
+        self.cache.registry.servers().len()
+    }
+
     /// The agreed state as this replica knows it.
     pub fn state(&self) -> &State {
         &self.cache.state
--- a/crates/control/control-plane/src/persistence.rs
+++ b/crates/control/control-plane/src/persistence.rs
@@ -8,6 +8,7 @@
 use crate::messages::Reply;
 use limeway_consensus::{AcceptorReply, LogRecord, Slot};
 use limeway_distribution::encode;
+use limeway_invariants::{check, Invariant};
 use limeway_types::{Micros, Timestamp, SECOND};
 use serde_bytes::ByteBuf;
 use std::collections::VecDeque;
@@ -155,9 +156,11 @@
         for after in after {
             match after {
                 AfterWrite::Reply(caller, reply) => {
+                    self.check_durable_vote();
                     self.actions.push(Action::Reply(caller, Reply::Acceptor(reply)));
                 }
                 AfterWrite::OwnVote(ballot, reply) => {
+                    self.check_durable_vote();
                     self.handle_vote(ballot, self.options.node, reply);
                     self.reply_counted(ballot);
                 }
@@ -166,6 +169,14 @@
         }
     }
 
+    /// A vote leaves: what it promises is on disk.
+    fn check_durable_vote(&self) {
+        let others_pending = !self.persistence.pending.is_empty();
+        check(Invariant::DurableVote, others_pending, !self.persistence.failed, || {
+            "a write has failed".into()
+        });
+    }
+
     /// What was to follow a write that cannot be made.
     fn give_up(&mut self, after: Vec<AfterWrite>) {
         for after in after {
--- a/crates/control/control-plane/src/proposals.rs
+++ b/crates/control/control-plane/src/proposals.rs
@@ -7,6 +7,7 @@
 use crate::control_plane::ControlPlane;
 use limeway_consensus::Slot;
 use limeway_distribution::encode;
+use limeway_invariants::{check, Invariant};
 use limeway_routing_config::evacuation::{CallStep, EvacuationCalls};
 use limeway_routing_config::{ConfigUpdate, Operation, Rejection, RoutingSnapshot, State};
 use limeway_types::{Micros, Timestamp};
@@ -164,6 +165,7 @@
         for mut request in std::mem::take(&mut self.proposals.pending) {
             match self.next_step(&mut request) {
                 RequestStep::Respond(response) => {
+                    self.check_response(&request, &response);
                     if let (Request::UpdateConfig(update), ApiResponse::Done) = (&request.request, &response)
                     {
                         log::info!(version = update.version; "configuration committed");
@@ -185,6 +187,28 @@
         operation
     }
 
+    /// What must hold of a final response to an operator.
+    fn check_response(&self, request: &PendingRequest, response: &ApiResponse) {
+        let confirmed_at = self.cache.confirmed_at;
+        match (&request.request, response) {
+            (Request::UpdateConfig(update), ApiResponse::Done) => {
+                let is_repeated = request.received == self.now;
+                let holds = self.cache.state.has_applied(update) && !self.is_recovering();
+                check(Invariant::AcknowledgedApplied, is_repeated, holds, || {
+                    format!("version {}, slot {}", update.version, self.cache.state.slot)
+                });
+            }
+            (_, ApiResponse::Document(_) | ApiResponse::VersionConflict | ApiResponse::Invalid(_)) => {
+                let has_waited = request.received < self.now;
+                let holds = confirmed_at >= request.received;
+                check(Invariant::ConfirmedResponse, has_waited, holds, || {
+                    format!("confirmed as of {confirmed_at}, call of {}", request.received)
+                });
+            }
+            _ => {}
+        }
+    }
+
     fn next_step(&mut self, pending: &mut PendingRequest) -> RequestStep {
         if self.is_recovering() {
             return RequestStep::Wait;
--- a/crates/control/control-plane/src/quorum.rs
+++ b/crates/control/control-plane/src/quorum.rs
@@ -6,8 +6,10 @@
 
 use crate::control_plane::{ControlPlane, SentRequest};
 use crate::messages::{Call, Heartbeat, HeartbeatReply, Reply};
+use crate::updates::MAX_LONG_POLLS;
 use limeway_consensus::{NodeId, Slot, Voter};
 use limeway_distribution::encode;
+use limeway_invariants::{check, Invariant};
 use limeway_membership::{Holder, LeaseRequest, MemberHeartbeat, MEMBER_LEASE};
 use limeway_routing_config::Operation;
 use limeway_service_registry::ServerReport;
@@ -31,6 +33,8 @@
 const MIN_ROUND_INTERVAL: Micros = 10_000;
 /// Upper bound on the rounds under way.
 const MAX_ROUNDS: usize = 8;
+/// Upper bound on all that a replica has pending: long polls, and as much again.
+const MAX_PENDING: usize = 2 * MAX_LONG_POLLS;
 /// A server that missed so many heartbeats is unresponsive,
 const MAX_MISSED_HEARTBEATS: u64 = 3;
 /// with this much time on top, as heartbeats may come late.
@@ -128,7 +132,9 @@
         self.publish_members();
         self.voter_changes.review = true;
         self.long_polls.review_members = true;
-        let now = self.now;
+        let (now, pending) = (self.now, self.pending_count());
+        let (near, holds) = (2 * pending >= MAX_PENDING, pending < MAX_PENDING);
+        check(Invariant::BoundedQueues, near, holds, || format!("{pending} entries"));
         self.quorum.unconfirmed.retain(|(started, _)| now < started + CONFIRMATION_TIMEOUT);
     }
 
--- a/crates/control/control-plane/src/quota.rs
+++ b/crates/control/control-plane/src/quota.rs
@@ -3,6 +3,7 @@
 use crate::control_plane::ControlPlane;
 use crate::messages::Reply;
 use limeway_consensus::NodeId;
+use limeway_invariants::{check, Invariant};
 use limeway_membership::{shard_of, ROLE_LEASE, SHARDS};
 use limeway_quota::counter::Counter;
 use limeway_quota::QuotaRequest;
@@ -45,6 +46,9 @@
             let shard = request.shard;
             let held = self.held_leases.holds(now, shard);
             let Some(counter) = self.counters[shard].as_mut().filter(|_| held) else { continue };
+            let lease_left = self.held_leases.remaining(now, shard);
+            let is_ending = 4 * lease_left <= ROLE_LEASE;
+            check(Invariant::LeasedCounter, is_ending, lease_left > 0, || format!("shard {shard}"));
             let windows = |name: &str| {
                 let tenant = routing.tenants.get(name).filter(|_| shard_of(name) == shard)?;
                 rule.window_budget(tenant.rate_per_second, tenant.burst_size)
--- a/crates/control/control-plane/src/replication.rs
+++ b/crates/control/control-plane/src/replication.rs
@@ -6,6 +6,7 @@
 use crate::persistence::AfterWrite;
 use limeway_consensus::{NodeId, Slot};
 use limeway_distribution::transfer::StateRequest;
+use limeway_invariants::{check, Invariant};
 use limeway_types::{Micros, Timestamp};
 
 /// How long another replica may take to send a chunk of what this one lacks.
@@ -87,6 +88,8 @@
 
     /// Does what follows from a new state.
     fn state_advanced(&mut self, after_write: Vec<AfterWrite>) {
+        let (slot, applied) = (self.cache.state.slot, self.acceptor.applied);
+        check(Invariant::StateForward, true, slot >= applied, || format!("slot {slot} after {applied}"));
         self.acceptor.advance(self.cache.state.slot);
         self.agreement.slot_decided(self.acceptor.applied);
         self.voters_may_have_changed();
--- a/crates/control/control-plane/src/updates.rs
+++ b/crates/control/control-plane/src/updates.rs
@@ -10,7 +10,7 @@
 /// The longest that a poll waits.
 const LONG_POLL_TIMEOUT: Micros = 2 * SECOND;
 /// Upper bound on the polls that wait.
-const MAX_LONG_POLLS: usize = 4_096;
+pub(crate) const MAX_LONG_POLLS: usize = 4_096;
 
 #[derive(Debug)]
 struct WaitingPoll {
--- a/crates/control/membership/src/role_lease.rs
+++ b/crates/control/membership/src/role_lease.rs
@@ -192,6 +192,11 @@
         self.expires(shard) > now
     }
 
+    /// How long it holds a shard yet; 0 if it does not.
+    pub fn remaining(&self, now: Timestamp, shard: usize) -> Micros {
+        self.expires(shard).saturating_sub(now)
+    }
+
     /// All leases that it holds, as it announces them.
     pub fn held(&self, now: Timestamp) -> Vec<HeldLease> {
         (0..SHARDS)
--- a/crates/data/quota/src/counter.rs
+++ b/crates/data/quota/src/counter.rs
@@ -4,6 +4,7 @@
     CounterIncarnation, Grant, LeasedBlock, QuotaRequest, QuotaResponse, TenantRequest, WindowBudget,
     WindowPhase, BLOCK_LIFETIME, MAX_SKEW,
 };
+use limeway_invariants::{check, Invariant};
 use limeway_types::{Micros, NodeId, ProcessIncarnation, Timestamp};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -255,6 +256,13 @@
         let extra_needed = request.extra.saturating_sub(units.saturating_sub(request.held));
         let extra = extra_needed.min(free);
         usage.extra += extra;
+        // What is held of earlier counters, or of a higher limit, may exceed it; nothing is added to that.
+        let granted = peaks + usage.extra + peak;
+        let adds_nothing = counted <= spent.max(request.held) && extra == 0;
+        let holds = adds_nothing || granted <= budget;
+        check(Invariant::WindowBudget, 10 * granted >= 9 * budget, holds, || {
+            format!("{granted} of {budget} units of {}", request.tenant)
+        });
         if counted > 0 || spent > 0 {
             // A gateway may see the next window begin that much too early.
             let expires = expires.min(now + BLOCK_LIFETIME) + MAX_SKEW;
--- a/crates/data/settings/src/lib.rs
+++ b/crates/data/settings/src/lib.rs
@@ -32,6 +32,25 @@
     pub last: u16,
 }
 
+/// Where a process serves its figures: `PORT/PATH`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MetricsEndpoint {
+    /// The port, at the machine's address.
+    pub port: u16,
+    /// The path, without its leading slash.
+    pub path: String,
+}
+
+impl MetricsEndpoint {
+    /// Parses `PORT/PATH`.
+    pub fn parse(text: &str) -> Option<Self> {
+        let (port, path) = text.split_once('/')?;
+        let port = port.parse().ok().filter(|port| *port > 0)?;
+        let is_path = |c: char| c.is_ascii_graphic() && !"?#".contains(c);
+        path.chars().all(is_path).then(|| MetricsEndpoint { port, path: path.to_owned() })
+    }
+}
+
 /// A process's settings.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
@@ -53,6 +72,8 @@
     pub control: Option<SocketAddr>,
     /// Where clients ask where to go.
     pub directory: Option<SocketAddr>,
+    /// Where this process serves its figures, if it does.
+    pub metrics: Option<MetricsEndpoint>,
     /// Ports that processes of the system call each other at.
     pub inner_ports: PortRange,
     /// `control-plane` addresses of some machines.
@@ -111,6 +132,7 @@
             readiness: fields.address("listen-addresses.readiness")?,
             control: fields.address("listen-addresses.control-plane")?,
             directory: fields.address("listen-addresses.directory-api")?,
+            metrics: fields.optional("metrics", "is no PORT/PATH", MetricsEndpoint::parse)?,
             inner_ports,
             seeds: seeds
                 .map(|s| s.parse().map_err(|_| invalid("seed-nodes", "holds no address and port")))
--- a/crates/data/settings/tests/files.rs
+++ b/crates/data/settings/tests/files.rs
@@ -40,6 +40,19 @@
     assert!(error.contains(field), "{error}");
 }
 
+#[rstest]
+#[case("9464/metrics", Some((9464, "metrics")))]
+#[case("9464/", Some((9464, "")))]
+#[case("9464", None)]
+#[case("0/metrics", None)]
+#[case("x/metrics", None)]
+#[case("9464/a b", None)]
+fn the_place_of_the_figures_is_a_port_and_a_path(#[case] text: &str, #[case] expected: Option<(u16, &str)>) {
+    let settings = Settings::read(&format!("{FILE}metrics={text}\n"));
+    let endpoint = settings.ok().and_then(|settings| settings.metrics);
+    assert_eq!(endpoint.as_ref().map(|e| (e.port, e.path.as_str())), expected);
+}
+
 #[rstest]
 #[case("1500ms", Some(1_500_000))]
 #[case("2.5s", Some(2_500_000))]
@@ -67,6 +80,7 @@
         readiness: port(8384),
         control: port(8383),
         directory: port(8385),
+        metrics: None,
         inner_ports: PortRange { first: 7460, last: 7475 },
         seeds: vec![SocketAddr::from(([10, 1, 0, 25], 8383)), SocketAddr::from(([10, 4, 0, 41], 8383))],
         initial_start: true,
