--- a/crates/balancer/src/proxy/attempts.rs
+++ b/crates/balancer/src/proxy/attempts.rs
@@ -41,9 +41,9 @@
     record: &RequestRecord,
 ) -> Result<Reply, LocalResponse> {
     let started = now();
-    let RoutedRequest { route, tenant, upstream, time_left, version } = route(gateway, message)?;
+    let RoutedRequest { route, tenant, upstream, time_left } = route(gateway, message, record)?;
     let service = pick_service(&route);
-    record.routed(&upstream.id, &service, tenant.as_ref(), version);
+    record.routed(&service, tenant.as_ref());
     let tenant_regions: &[String] = tenant.as_ref().map_or(&[], |tenant| &tenant.allowed_regions);
     let allowed_regions: [&[String]; 2] = [&route.allowed_regions, tenant_regions];
     if have_no_common_region(allowed_regions) {
--- a/crates/balancer/src/proxy/request.rs
+++ b/crates/balancer/src/proxy/request.rs
@@ -3,13 +3,14 @@
 use super::failure::Failure;
 use super::headers::append_request_headers;
 use super::local_response::LocalResponse;
+use super::request_record::RequestRecord;
 use super::upstream::UpstreamRequest;
 use crate::clock::random;
 use crate::gateway::Gateway;
 use limeway_http1::http::Head;
 use limeway_http1::inbound::Message;
 use limeway_routing_config::routing::{Route, Tenant};
-use limeway_routing_config::{RoutingSnapshot, Version};
+use limeway_routing_config::RoutingSnapshot;
 use limeway_types::{Micros, MILLISECOND, SECOND};
 use std::rc::Rc;
 
@@ -34,22 +35,26 @@
     pub upstream: UpstreamRequest,
     /// How long the client waits, and the route allows.
     pub time_left: Micros,
-    /// The version of the configuration that it was routed by.
-    pub version: Version,
 }
 
 /// Routes a client's request.
 ///
 /// # Errors
 /// The response of our own to one that may not be served.
-pub(super) fn route(gateway: &Gateway, message: &Message) -> Result<RoutedRequest, LocalResponse> {
+pub(super) fn route(
+    gateway: &Gateway,
+    message: &Message,
+    record: &RequestRecord,
+) -> Result<RoutedRequest, LocalResponse> {
     let (head, bytes) = (&message.head, &message.bytes[..]);
     let (method, target) = message.line();
     check_request_line(method, target)?;
     let id = request_id(head, bytes)?;
+    record.identified(id);
     let host = host(head, bytes)?;
     let deadline = deadline(head, bytes)?;
     let routing = gateway.routing();
+    record.version.set(routing.version);
     if routing.version == 0 {
         return Err(LocalResponse::unavailable(Failure::NoConfig));
     }
@@ -68,8 +73,7 @@
         id: id.to_vec(),
         idempotent: route.idempotent,
     };
-    let (time_left, version) = (deadline.min(route.timeout), routing.version);
-    Ok(RoutedRequest { route, tenant, upstream, time_left, version })
+    Ok(RoutedRequest { time_left: deadline.min(route.timeout), route, tenant, upstream })
 }
 
 fn bad_request() -> LocalResponse {
--- a/crates/balancer/src/proxy/request_record.rs
+++ b/crates/balancer/src/proxy/request_record.rs
@@ -35,7 +35,7 @@
     /// Its service.
     service: RefCell<Option<Rc<str>>>,
     /// The version that it was routed by.
-    version: Cell<Version>,
+    pub version: Cell<Version>,
     /// How long it waited for a unit of quota.
     pub unit_wait: Cell<Micros>,
     /// Time at the server, if its first attempt was answered.
@@ -46,12 +46,15 @@
 }
 
 impl RequestRecord {
-    /// It is known what the request is.
-    pub(super) fn routed(&self, id: &[u8], service: &Rc<str>, tenant: Option<&Rc<Tenant>>, version: Version) {
+    /// Its id has been read.
+    pub(super) fn identified(&self, id: &[u8]) {
         self.id.replace(id.to_vec());
+    }
+
+    /// It is known where it goes.
+    pub(super) fn routed(&self, service: &Rc<str>, tenant: Option<&Rc<Tenant>>) {
         self.service.replace(Some(service.clone()));
         self.tenant.replace(tenant.cloned());
-        self.version.set(version);
     }
 
     /// An attempt has ended.
