--- a/crates/testing/fault-injection/src/stream.rs
+++ b/crates/testing/fault-injection/src/stream.rs
@@ -71,7 +71,21 @@
     /// # Errors
     /// No port can be listened at.
     pub fn start(name: &str, ip: IpAddr, target: SocketAddr, seed: u64, record: &Record) -> io::Result<Self> {
-        let listener = listen(SocketAddr::new(ip, 0), BACKLOG)?;
+        Self::start_at(name, SocketAddr::new(ip, 0), target, seed, record)
+    }
+
+    /// The same on a given port; 0 for any.
+    ///
+    /// # Errors
+    /// The port cannot be listened at.
+    pub fn start_at(
+        name: &str,
+        at: SocketAddr,
+        target: SocketAddr,
+        seed: u64,
+        record: &Record,
+    ) -> io::Result<Self> {
+        let listener = listen(at, BACKLOG)?;
         let address = listener.local_addr()?;
         let forward = Way::new(name, seed, record);
         let back = Way::new(&format!("{name} back"), seed ^ 1, record);
--- /dev/null
+++ b/crates/testing/soak/src/client.rs
@@ -0,0 +1,202 @@
+//! Clients: some keep a connection, some open new ones, some leave in the middle. Each try is a request with an id of its own.
+
+use crate::cluster::frontend_address;
+use crate::ledger::{End, Ledger, Request, RequestId};
+use crate::plan::{CORE, GATEWAYS};
+use crate::server::{request_body, response_body};
+use limeway_http1::conn::{Conn, Reply};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+/// How long a client waits for an answer, as it states.
+const DEADLINE: Duration = Duration::from_millis(1_500);
+/// How much longer it keeps its connection: the system ends a request in time.
+const PATIENCE: Duration = Duration::from_millis(2_500);
+/// How long a new connection may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Pause between two requests of a client, in milliseconds.
+const THINK_MS: std::ops::Range<u64> = 20..120;
+/// When a client leaves in the middle of a request, in milliseconds.
+const LEAVE_AFTER_MS: std::ops::Range<u64> = 0..400;
+
+/// What clients ask for at a moment.
+#[derive(Debug, Default)]
+pub struct Demand {
+    /// Routes added by versions that may be in force, oldest first.
+    pub routes: RefCell<Vec<u32>>,
+    /// Keys of the tenant `ample`: in force, or taken away.
+    pub keys: RefCell<Vec<String>>,
+    /// Keys that were taken away lately.
+    pub revoked: RefCell<Vec<String>>,
+    /// The tenant `tight` asks for many times its quota.
+    pub is_hot: Cell<bool>,
+    /// Clients leave in the middle of requests.
+    pub impatient: Cell<bool>,
+    /// No more requests begin.
+    pub stopped: Cell<bool>,
+}
+
+/// A client.
+pub struct Client {
+    net: u8,
+    ledger: Rc<Ledger>,
+    demand: Rc<Demand>,
+    rng: ChaCha8Rng,
+    /// It keeps its connections.
+    keeps: bool,
+    /// It is one of the tenant whose quota is judged.
+    tight: bool,
+    conn: Option<(usize, Conn)>,
+}
+
+impl Client {
+    /// A client; every second keeps connections, every fourth is of the tenant `tight`.
+    pub fn new(number: usize, net: u8, seed: u64, ledger: Rc<Ledger>, demand: Rc<Demand>) -> Self {
+        let rng = ChaCha8Rng::seed_from_u64(seed ^ (number as u64) << 32);
+        Client {
+            net,
+            ledger,
+            demand,
+            rng,
+            keeps: number.is_multiple_of(2),
+            tight: number % 4 == 3,
+            conn: None,
+        }
+    }
+
+    /// Sends requests until no more are to begin.
+    pub async fn run(mut self) {
+        while !self.demand.stopped.get() {
+            let think = Duration::from_millis(self.rng.random_range(THINK_MS));
+            sleep(if self.tight && self.demand.is_hot.get() { think / 8 } else { think }).await;
+            self.request().await;
+        }
+    }
+
+    /// What to ask for: a key and a route.
+    fn draw_target(&mut self) -> (String, u32) {
+        if self.tight {
+            return ("key-tight".to_owned(), 0);
+        }
+        let mut pick = |from: &[String]| {
+            let at = self.rng.random_range(0..from.len().max(1));
+            from.get(at).cloned()
+        };
+        let revoked = pick(&self.demand.revoked.borrow());
+        let key = pick(&self.demand.keys.borrow()).unwrap_or_default();
+        let key = revoked.filter(|_| self.rng.random_ratio(1, 4)).unwrap_or(key);
+        let routes = self.demand.routes.borrow();
+        let route = match routes.len() {
+            0 => 0,
+            many => routes[self.rng.random_range(0..many)],
+        };
+        (key, if self.rng.random_ratio(1, 3) { route } else { 0 })
+    }
+
+    async fn request(&mut self) {
+        let (key, route) = self.draw_target();
+        let idempotent = self.rng.random_ratio(3, 5);
+        let gateway = CORE + self.rng.random_range(0..GATEWAYS);
+        let kept = self.conn.take().filter(|(_, conn)| conn.quiet());
+        let (gateway, conn, reused) = match kept {
+            Some((gateway, conn)) => (gateway, Some(conn), true),
+            None => (gateway, self.connect(gateway).await, false),
+        };
+        let id = self.ledger.next_request();
+        let sent = self.ledger.now();
+        let request = Request { idempotent, route, key, gateway, sent, end: None, reused, pipelined: false };
+        let message = message(id, &request);
+        self.ledger.seen.borrow_mut().requests.insert(id, request);
+        let Some(conn) = conn else { return self.ledger.ended(id, End::NotSent) };
+        let leaves = self.demand.impatient.get() && self.rng.random_ratio(1, 2);
+        if leaves {
+            self.leave(id, conn, message).await;
+        } else {
+            self.wait(id, gateway, conn, message).await;
+        }
+    }
+
+    async fn connect(&self, gateway: usize) -> Option<Conn> {
+        let to = frontend_address(self.net, gateway);
+        let mut conn = timeout(CONNECT_TIMEOUT, Conn::open(to, &Rc::default())).await.ok()?.ok()?;
+        conn.patient(PATIENCE);
+        conn.strict();
+        Some(conn)
+    }
+
+    /// Sends a request, and leaves before its answer; some send the first byte of a next request before.
+    async fn leave(&mut self, id: RequestId, mut conn: Conn, mut message: Vec<u8>) {
+        let pipelined = self.rng.random_ratio(1, 2);
+        if pipelined {
+            message.push(b'G');
+        }
+        let after = Duration::from_millis(self.rng.random_range(LEAVE_AFTER_MS));
+        let _ = conn.write(&message, &Cell::new(false)).await;
+        if let Some(request) = self.ledger.seen.borrow_mut().requests.get_mut(&id) {
+            request.pipelined = pipelined;
+        }
+        match timeout(after, conn.read()).await {
+            Ok(Ok(reply)) => self.ledger.ended(id, response(id, &reply)),
+            Ok(Err(_)) => self.ledger.ended(id, End::Closed),
+            Err(_) => {
+                drop(conn);
+                self.ledger.ended(id, End::GivenUp);
+            }
+        }
+    }
+
+    async fn wait(&mut self, id: RequestId, gateway: usize, mut conn: Conn, message: Vec<u8>) {
+        if conn.write(&message, &Cell::new(false)).await.is_err() {
+            return self.ledger.ended(id, End::Closed);
+        }
+        match timeout(PATIENCE, conn.read()).await {
+            Ok(Ok(reply)) => {
+                self.ledger.ended(id, response(id, &reply));
+                if self.keeps && reply.keep {
+                    conn.rest();
+                    self.conn = Some((gateway, conn));
+                }
+            }
+            Ok(Err(_)) => self.ledger.ended(id, End::Closed),
+            Err(_) => self.ledger.ended(id, End::Silent),
+        }
+    }
+}
+
+/// The path of a route.
+fn prefix(idempotent: bool, route: u32) -> String {
+    match (route, idempotent) {
+        (0, true) => "/read/".to_owned(),
+        (0, false) => "/post/".to_owned(),
+        (route, true) => format!("/read-{route}/"),
+        (route, false) => format!("/post-{route}/"),
+    }
+}
+
+fn message(id: RequestId, request: &Request) -> Vec<u8> {
+    let path = prefix(request.idempotent, request.route);
+    let (method, body) = if request.idempotent { ("GET", String::new()) } else { ("POST", request_body(id)) };
+    format!(
+        "{method} {path}{id:016x}?q=%0d%0a HTTP/1.1\r\nHost: soak.example\r\nLimeway-Request-Id: {id:016x}\r\n\
+         Limeway-Deadline-Ms: {}\r\nAuthorization: Bearer {}\r\nContent-Length: {}\r\n\r\n{body}",
+        DEADLINE.as_millis(),
+        request.key,
+        body.len()
+    )
+    .into_bytes()
+}
+
+/// Judges a whole response by itself.
+fn response(id: RequestId, reply: &Reply) -> End {
+    let has = |name| reply.head.header(&reply.bytes, name);
+    let own_id = has("limeway-request-id") == Some(format!("{id:016x}").as_bytes());
+    let body = String::from_utf8_lossy(&reply.body);
+    let instance = body.split(' ').next().unwrap_or("");
+    let is_own = own_id && response_body(instance, id) == body;
+    let is_stamped = has("limeway-server-stamp").is_some();
+    End::Response { status: reply.head.status, is_own, is_stamped }
+}
--- /dev/null
+++ b/crates/testing/soak/src/cluster.rs
@@ -0,0 +1,344 @@
+//! The processes of a run: core machines and gateways, each with an address of its own.
+
+use crate::bounds;
+use crate::plan::{CORE, GATEWAYS};
+use limeway_http1::conn::Conn;
+use rustix::process::{kill_process, Pid, Signal};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::process::{Child, Command};
+use tokio::time::timeout;
+
+/// Ports of all machines.
+const CONTROL: u16 = 30383;
+const FRONTEND: u16 = 30389;
+const READINESS: u16 = 30384;
+const METRICS: u16 = 30464;
+/// The inner port of machine 0; the others follow.
+const FIRST_INNER: u16 = 30420;
+/// How long a process may take to answer.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Zones, all of one region but the last.
+pub const ZONES: [(&str, &str); 3] = [("z1", "north"), ("z2", "north"), ("z3", "south")];
+
+/// The address of a machine.
+pub fn machine_ip(net: u8, machine: usize) -> Ipv4Addr {
+    Ipv4Addr::new(127, net, 0, machine as u8 + 1)
+}
+
+/// Where other processes reach a machine.
+pub fn inner_address(net: u8, machine: usize) -> SocketAddr {
+    (machine_ip(net, machine), FIRST_INNER + machine as u16).into()
+}
+
+/// Where a core machine listens for servers and operators.
+pub fn control_address(net: u8, machine: usize) -> SocketAddr {
+    (machine_ip(net, machine), CONTROL).into()
+}
+
+/// Where a gateway listens for clients.
+pub fn frontend_address(net: u8, machine: usize) -> SocketAddr {
+    (machine_ip(net, machine), FRONTEND).into()
+}
+
+/// The zone of a machine or a server.
+pub fn zone_of(at: usize) -> (&'static str, &'static str) {
+    ZONES[at % ZONES.len()]
+}
+
+/// The counts of one invariant.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct InvariantCounts {
+    /// Checks made.
+    pub checked: u64,
+    /// Checks in the situation that they guard against.
+    pub near: u64,
+    /// Checks that failed.
+    pub violated: u64,
+}
+
+/// A process, or the place for one.
+#[derive(Default)]
+struct Machine {
+    child: RefCell<Option<Child>>,
+    /// What its present process counted when it was looked at last.
+    counted: RefCell<BTreeMap<String, InvariantCounts>>,
+    /// What its earlier processes had counted.
+    earlier: RefCell<BTreeMap<String, InvariantCounts>>,
+    /// Fewer seeds than all: another settings file.
+    reloads: Cell<u32>,
+}
+
+/// The processes.
+pub struct Cluster {
+    /// The second byte of all addresses.
+    pub net: u8,
+    program: PathBuf,
+    folder: PathBuf,
+    machines: Vec<Machine>,
+}
+
+impl Cluster {
+    /// Processes of a program, with their files in a folder; none runs yet.
+    ///
+    /// # Errors
+    /// The folder cannot be made.
+    pub fn new(program: &Path, folder: &Path, net: u8) -> io::Result<Rc<Self>> {
+        std::fs::create_dir_all(folder)?;
+        let machines = (0..CORE + GATEWAYS).map(|_| Machine::default()).collect();
+        Ok(Rc::new(Cluster { net, program: program.to_owned(), folder: folder.to_owned(), machines }))
+    }
+
+    /// All machines.
+    pub fn all(&self) -> std::ops::Range<usize> {
+        0..self.machines.len()
+    }
+
+    /// The gateways.
+    pub fn gateways(&self) -> std::ops::Range<usize> {
+        CORE..self.machines.len()
+    }
+
+    fn settings(&self, at: usize, first: bool) -> String {
+        let (ip, (zone, region)) = (machine_ip(self.net, at), zone_of(at));
+        let listens = if at < CORE {
+            let data = self.data_directory(at);
+            format!(
+                "listen-addresses.control-plane={}\ndata-directory={}\nloss-counted=true\n",
+                control_address(self.net, at),
+                data.display()
+            )
+        } else {
+            let frontend = frontend_address(self.net, at);
+            format!("listen-addresses.frontend={frontend}\nlisten-addresses.readiness={ip}:{READINESS}\n")
+        };
+        let zones: String = ZONES.iter().map(|(zone, region)| format!("zones.{zone}={region}\n")).collect();
+        // Each reload names the seeds in another order.
+        let turn = self.machines[at].reloads.get() as usize;
+        let seed = |n: usize| control_address(self.net, (n + turn) % CORE).to_string();
+        let seeds: Vec<String> = (0..CORE).map(seed).collect();
+        let inner = inner_address(self.net, at).port();
+        let millis = |bound: Duration| format!("{}ms", bound.as_millis());
+        format!(
+            "node-name=m{at}\nip-address={ip}\nzone={zone}\nregion={region}\n{zones}{listens}internal-ports={inner},{inner}\n\
+             metrics={METRICS}/metrics\nseed-nodes={}\ninitial-start={first}\nfault-tolerance.machine-losses=1\nheartbeat=500ms\n\
+             limits.max-file-descriptors=4096\n\
+             bounds=contact={},ack-timeout=6s,catch-up=4s,drain={},grace-period={},config-apply={},revocation-strict=true,revoke={},\
+             evacuation={},quota-window={},quota-overshoot=0.1,quota-slack=20,retry-budget-ratio=0.2,retry-window=10s,retry-slack=50,\
+             cold-overshoot=1.5,cold-slack=5,ttl_max=5s\n",
+            seeds.join(","),
+            millis(bounds::CONTACT),
+            millis(bounds::DRAIN),
+            millis(bounds::GRACE),
+            millis(bounds::CONFIG_APPLY),
+            millis(bounds::REVOKE),
+            millis(bounds::EVACUATION),
+            millis(bounds::QUOTA_WINDOW),
+        )
+    }
+
+    fn settings_path(&self, at: usize) -> PathBuf {
+        self.folder.join(format!("settings-{at}"))
+    }
+
+    fn data_directory(&self, at: usize) -> PathBuf {
+        self.folder.join(format!("data-{at}"))
+    }
+
+    /// Starts a machine's process; `first` only when the whole system starts on empty disks.
+    ///
+    /// # Errors
+    /// It cannot be started.
+    pub fn start(&self, at: usize, first: bool) -> io::Result<()> {
+        let path = self.settings_path(at);
+        std::fs::write(&path, self.settings(at, first))?;
+        let log = self.folder.join(format!("log-{at}"));
+        let log = std::fs::File::options().create(true).append(true).open(log)?;
+        let child = Command::new(&self.program)
+            .args(["serve", "--log", "info", "--settings"])
+            .arg(&path)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .kill_on_drop(true)
+            .spawn()?;
+        *self.machines[at].child.borrow_mut() = Some(child);
+        Ok(())
+    }
+
+    fn pid(&self, at: usize) -> Option<Pid> {
+        let child = self.machines[at].child.borrow();
+        let id = child.as_ref().and_then(Child::id)?;
+        Pid::from_raw(i32::try_from(id).ok()?)
+    }
+
+    /// Sends a signal to a machine's process, by its id.
+    pub fn signal(&self, at: usize, signal: Signal) {
+        if let Some(pid) = self.pid(at) {
+            // It may have ended by itself: that shows elsewhere.
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Kills a machine's process, and waits until it is gone.
+    pub async fn kill(&self, at: usize) {
+        self.refresh_counts(at).await;
+        let child = self.machines[at].child.borrow_mut().take();
+        if let Some(mut child) = child {
+            let _ = child.kill().await;
+        }
+        self.process_ended(at);
+    }
+
+    /// Kills these processes at one moment, stopped ones too.
+    pub async fn kill_all(&self, machines: impl Iterator<Item = usize> + Clone) {
+        for at in machines.clone() {
+            self.signal(at, Signal::KILL);
+        }
+        for at in machines {
+            let child = self.machines[at].child.borrow_mut().take();
+            if let Some(mut child) = child {
+                let _ = child.wait().await;
+            }
+            self.process_ended(at);
+        }
+    }
+
+    /// Has a process end in order. False if it had to be killed, as it had not ended some time after its grace period.
+    pub async fn terminate(&self, at: usize) -> bool {
+        self.refresh_counts(at).await;
+        self.signal(at, Signal::TERM);
+        let child = self.machines[at].child.borrow_mut().take();
+        let Some(mut child) = child else { return true };
+        let ended = timeout(bounds::GRACE + Duration::from_millis(500), child.wait()).await;
+        let in_time = matches!(&ended, Ok(Ok(status)) if status.success());
+        if !in_time {
+            let _ = child.kill().await;
+        }
+        self.process_ended(at);
+        in_time
+    }
+
+    /// Gives a machine another settings file, and tells its process.
+    ///
+    /// # Errors
+    /// The file cannot be written.
+    pub fn reload(&self, at: usize) -> io::Result<()> {
+        let machine = &self.machines[at];
+        machine.reloads.set(machine.reloads.get() + 1);
+        std::fs::write(self.settings_path(at), self.settings(at, false))?;
+        self.signal(at, Signal::HUP);
+        Ok(())
+    }
+
+    /// A machine's disk is lost. Its process must not run.
+    pub fn lose_disk(&self, at: usize) {
+        let _ = std::fs::remove_dir_all(self.data_directory(at));
+    }
+
+    /// Whether a machine's process has ended though nobody ended it; with how.
+    pub fn ended_by_itself(&self, at: usize) -> Option<String> {
+        let status = self.machines[at].child.borrow_mut().as_mut()?.try_wait().ok()??;
+        self.machines[at].child.take();
+        self.process_ended(at);
+        Some(format!("machine {at}: {status}"))
+    }
+
+    fn process_ended(&self, at: usize) {
+        let machine = &self.machines[at];
+        let counted = machine.counted.take();
+        let mut earlier = machine.earlier.borrow_mut();
+        for (name, counts) in counted {
+            add(earlier.entry(name).or_default(), counts);
+        }
+    }
+
+    /// Whether a gateway says that it is ready.
+    pub async fn is_ready(&self, at: usize) -> bool {
+        let to = SocketAddr::from((machine_ip(self.net, at), READINESS));
+        get(to, "/-/readiness").await.is_some_and(|(status, _)| status == 200)
+    }
+
+    /// Figures of a machine's process, if it answers.
+    pub async fn figures(&self, at: usize) -> Option<String> {
+        let to = SocketAddr::from((machine_ip(self.net, at), METRICS));
+        get(to, "/metrics").await.filter(|(status, _)| *status == 200).map(|(_, text)| text)
+    }
+
+    /// Fetches what a process has counted of its invariants.
+    pub async fn refresh_counts(&self, at: usize) {
+        if let Some(text) = self.figures(at).await {
+            *self.machines[at].counted.borrow_mut() = parse_counts(&text);
+        }
+    }
+
+    /// What all processes have counted of their invariants, as far as it was fetched before they ended.
+    pub fn invariant_counts(&self) -> BTreeMap<String, InvariantCounts> {
+        let mut all: BTreeMap<String, InvariantCounts> = BTreeMap::new();
+        for machine in &self.machines {
+            for (name, counts) in machine.counted.borrow().iter().chain(machine.earlier.borrow().iter()) {
+                add(all.entry(name.clone()).or_default(), *counts);
+            }
+        }
+        all
+    }
+
+    /// Lines of all logs that tell of a violated invariant or a panic: they outlive the process.
+    pub fn violations_in_logs(&self) -> Vec<String> {
+        let mut found = Vec::new();
+        for at in self.all() {
+            let log = std::fs::read(self.folder.join(format!("log-{at}"))).unwrap_or_default();
+            let log = String::from_utf8_lossy(&log);
+            let tells = |line: &&str| line.contains("invariant violated") || line.contains("panicked at");
+            found.extend(log.lines().filter(tells).map(|line| format!("machine {at}: {line}")));
+        }
+        found
+    }
+}
+
+fn add(to: &mut InvariantCounts, counts: InvariantCounts) {
+    to.checked += counts.checked;
+    to.near += counts.near;
+    to.violated += counts.violated;
+}
+
+fn parse_counts(text: &str) -> BTreeMap<String, InvariantCounts> {
+    let mut all: BTreeMap<String, InvariantCounts> = BTreeMap::new();
+    for line in text.lines().filter(|line| line.starts_with("limeway_invariant_")) {
+        let parts: Vec<&str> = line.split('"').collect();
+        let [metric, name, value] = parts[..] else { continue };
+        let value = value.trim_start_matches('}').trim().parse().unwrap_or(0);
+        let counts = all.entry(name.to_owned()).or_default();
+        match metric.split('{').next() {
+            Some("limeway_invariant_checks_total") => counts.checked = value,
+            Some("limeway_invariant_near_total") => counts.near = value,
+            Some("limeway_invariant_violations_total") => counts.violated = value,
+            _ => {}
+        }
+    }
+    all
+}
+
+async fn get(to: SocketAddr, path: &str) -> Option<(u16, String)> {
+    let message = format!("GET {path} HTTP/1.1\r\nHost: s\r\nConnection: close\r\n\r\n");
+    call(to, &message, CALL_TIMEOUT).await
+}
+
+/// One HTTP call on a connection of its own; None without a whole answer in time.
+pub async fn call(to: SocketAddr, message: &str, patience: Duration) -> Option<(u16, String)> {
+    let answered = timeout(patience, async {
+        let mut conn = Conn::open(to, &Rc::default()).await.ok()?;
+        conn.patient(patience);
+        conn.write(message.as_bytes(), &Cell::new(false)).await.ok()?;
+        conn.read().await.ok()
+    });
+    let reply = answered.await.ok()??;
+    Some((reply.head.status, String::from_utf8_lossy(&reply.body).into_owned()))
+}
--- /dev/null
+++ b/crates/testing/soak/src/faults.rs
@@ -0,0 +1,126 @@
+//! Faults begin and end.
+
+use crate::client::Demand;
+use crate::cluster::Cluster;
+use crate::ledger::{Fired, Ledger};
+use crate::network::Network;
+use crate::plan::{Fault, TimedFault, CORE};
+use crate::server::{Manner, Server};
+use rustix::process::Signal;
+use std::rc::Rc;
+use tokio::time::sleep;
+
+/// What faults are done to.
+pub struct Stage {
+    /// The processes.
+    pub cluster: Rc<Cluster>,
+    /// The links.
+    pub network: Network,
+    /// The servers.
+    pub servers: Vec<Rc<Server>>,
+    /// What clients ask for.
+    pub demand: Rc<Demand>,
+    /// What was seen.
+    pub ledger: Rc<Ledger>,
+}
+
+impl Stage {
+    /// Brings a fault about, at its time and for its length.
+    pub async fn perform(&self, timed: TimedFault) {
+        sleep(timed.at).await;
+        let begun = self.ledger.now();
+        self.begin(timed.fault).await;
+        sleep(timed.length).await;
+        self.end(timed.fault).await;
+        let ended = self.ledger.now();
+        self.ledger.seen.borrow_mut().faults.push(Fired { fault: timed.fault, begun, ended });
+    }
+
+    async fn begin(&self, fault: Fault) {
+        let cluster = &self.cluster;
+        match fault {
+            Fault::Kill(machine) => cluster.kill(machine).await,
+            Fault::Pause(machine) => cluster.signal(machine, Signal::STOP),
+            Fault::Terminate(machine) => {
+                if !cluster.terminate(machine).await {
+                    self.note(format!("machine {machine} had not ended after its grace period"));
+                }
+            }
+            Fault::Reload(machine) => {
+                if let Err(e) = cluster.reload(machine) {
+                    self.note(format!("settings of machine {machine}: {e}"));
+                }
+            }
+            Fault::LoseDisk(machine) => {
+                cluster.kill(machine).await;
+                cluster.lose_disk(machine);
+            }
+            Fault::KillCore => cluster.kill_all(0..CORE).await,
+            Fault::CutPair(one, other) => self.network.cut(one, &[other], true),
+            Fault::CutOff(machine) => self.network.cut(machine, &others(machine), true),
+            Fault::CutGateway(machine) => self.network.cut(machine, &core(), true),
+            Fault::ResetLinks => self.network.reset(),
+            Fault::LoseControlAnswers(machine) => self.network.lose_control_answers(machine, true),
+            Fault::CrashServer(server) => {
+                self.servers[server].manner.set(Manner::Down);
+                self.network.reset_server(server);
+            }
+            Fault::GarbleServer(server) => self.servers[server].manner.set(Manner::Garbles),
+            Fault::LoseAnswers(server) => self.network.lose_server_answers(server, true),
+            Fault::DrainServer(server) => self.servers[server].drain().await,
+            Fault::DeregisterServer(server) => self.servers[server].deregister().await,
+            Fault::HotTenant => self.demand.is_hot.set(true),
+            Fault::ImpatientClients => self.demand.impatient.set(true),
+        }
+    }
+
+    async fn end(&self, fault: Fault) {
+        let cluster = &self.cluster;
+        match fault {
+            Fault::Kill(machine) | Fault::Terminate(machine) | Fault::LoseDisk(machine) => {
+                self.start(machine);
+            }
+            Fault::KillCore => (0..CORE).for_each(|machine| self.start(machine)),
+            Fault::Pause(machine) => cluster.signal(machine, Signal::CONT),
+            Fault::CutPair(one, other) => self.network.cut(one, &[other], false),
+            Fault::CutOff(machine) => self.network.cut(machine, &others(machine), false),
+            Fault::CutGateway(machine) => self.network.cut(machine, &core(), false),
+            Fault::LoseControlAnswers(machine) => self.network.lose_control_answers(machine, false),
+            Fault::CrashServer(server) => self.servers[server].begin_life(),
+            Fault::GarbleServer(server) => self.servers[server].manner.set(Manner::Sound),
+            Fault::LoseAnswers(server) => self.network.lose_server_answers(server, false),
+            Fault::DrainServer(server) => {
+                self.servers[server].deregister().await;
+                self.leave(server);
+            }
+            Fault::DeregisterServer(server) => self.leave(server),
+            Fault::HotTenant => self.demand.is_hot.set(false),
+            Fault::ImpatientClients => self.demand.impatient.set(false),
+            Fault::Reload(_) | Fault::ResetLinks => {}
+        }
+    }
+
+    fn start(&self, machine: usize) {
+        if let Err(e) = self.cluster.start(machine, false) {
+            self.note(format!("machine {machine} was not started: {e}"));
+        }
+    }
+
+    /// A server ends, and comes back as another instance at the same address.
+    fn leave(&self, server: usize) {
+        self.network.reset_server(server);
+        self.servers[server].begin_life();
+    }
+
+    fn note(&self, what: String) {
+        self.ledger.seen.borrow_mut().own_ends.push(what);
+    }
+}
+
+fn core() -> Vec<usize> {
+    (0..CORE).collect()
+}
+
+fn others(machine: usize) -> Vec<usize> {
+    (0..CORE).filter(|other| *other != machine).collect()
+}
--- /dev/null
+++ b/crates/testing/soak/src/judge/service.rs
@@ -0,0 +1,73 @@
+//! Rules on quotas, on what is left after a loss of power, and on processes.
+
+use super::Finding;
+use crate::bounds::{QUOTA_WINDOW, RECOVERY, TIGHT_IN_WINDOW};
+use crate::ledger::{ConfigVersion, End, Execution, Request, Seen};
+use std::time::Duration;
+
+/// QUOTA: over all machines, in touch or not, no span has more of a tenant than its quota.
+pub(super) fn quota(seen: &Seen) -> Finding {
+    let mut finding = Finding::new("QUOTA");
+    let of_tenant = |execution: &&Execution| {
+        seen.requests.get(&execution.request).is_some_and(|request| request.key == "key-tight")
+    };
+    // Sent and arrived within the span: those that arrive in it and were sent no sooner than it begins.
+    let mut runs: Vec<(Duration, Duration)> = seen
+        .executions
+        .iter()
+        .filter(of_tenant)
+        .map(|execution| (execution.begun, seen.requests[&execution.request].sent))
+        .collect();
+    runs.sort_unstable();
+    for (first, (begin, _)) in runs.iter().enumerate() {
+        let end = *begin + QUOTA_WINDOW;
+        let within = runs[first..].iter().take_while(|(at, _)| *at <= end).filter(|(_, sent)| sent >= begin);
+        let count = within.count() + 1;
+        let near = 4 * count >= 3 * TIGHT_IN_WINDOW;
+        finding.check(near, count <= TIGHT_IN_WINDOW, || {
+            format!("{count} of {TIGHT_IN_WINDOW} in the span from {begin:?}")
+        });
+    }
+    finding
+}
+
+/// LOST: after all machines lost power, one disk among them, what was acknowledged is read back.
+pub(super) fn power_loss(seen: &Seen) -> Finding {
+    let mut finding = Finding::new("LOST after a loss of power");
+    let Some((lost, _)) = seen.power_loss else { return finding };
+    let acknowledged =
+        |config: &&ConfigVersion| config.acknowledged.is_some_and(|at| at <= lost) && !config.refused;
+    let newest = seen.configs.iter().filter(acknowledged).map(|config| config.version).max().unwrap_or(0);
+    let holds = seen.read_back.is_some_and(|version| version >= newest);
+    finding.check(true, holds, || format!("{:?} was read back, {newest} was acknowledged", seen.read_back));
+    finding
+}
+
+/// No process ends by itself, or outlives its grace period.
+pub(super) fn own_ends(seen: &Seen) -> Finding {
+    let mut finding = Finding::new("own ends");
+    finding.checked = seen.faults.len() as u64;
+    finding.near = seen.faults.iter().filter(|fired| fired.fault.is_planned()).count() as u64;
+    for message in seen.own_ends.iter().filter(|m| !m.starts_with("both changes")) {
+        finding.check(true, false, || message.clone());
+    }
+    finding
+}
+
+/// RECOVER: after the loss of power, gateways are ready and requests are served within the bound on recovery.
+pub(super) fn recovery(seen: &Seen) -> Finding {
+    let mut finding = Finding::new("RECOVER");
+    let Some((_, restarted)) = seen.power_loss else { return finding };
+    let ready = seen.ready_again.is_some_and(|at| at <= restarted + RECOVERY);
+    finding.check(true, ready, || format!("ready at {:?}, restarted at {restarted:?}", seen.ready_again));
+    let from = seen.ready_again.unwrap_or(restarted + RECOVERY) + Duration::from_secs(1);
+    let after = seen.requests.values().filter(|request| request.sent > from && request.key != "key-tight");
+    let ended: Vec<&Request> = after.filter(|request| request.end.is_some()).collect();
+    let is_served =
+        |request: &&&Request| matches!(request.end, Some((_, End::Response { status: 200..=299, .. })));
+    let served = ended.iter().filter(is_served).count();
+    if !ended.is_empty() {
+        finding.check(true, 4 * served >= ended.len(), || format!("{served} of {} served", ended.len()));
+    }
+    finding
+}
--- /dev/null
+++ b/crates/testing/soak/src/lib.rs
@@ -0,0 +1,58 @@
+//! A soak of the whole system: real processes and real sockets on loopback, faults that overlap, and a judge.
+//!
+//! | module | concern |
+//! | --- | --- |
+//! | [`plan`] | the faults of a run and their times, drawn from a seed; no I/O |
+//! | [`cluster`] | the processes: settings, start, signals, figures |
+//! | [`network`] | links between the processes, before the servers and before the control API, whose faults are steered |
+//! | [`server`], [`client`], [`operator`] | who calls the system, and what they see |
+//! | [`faults`] | faults begin and end |
+//! | [`ledger`] | all that was seen, with its time |
+//! | [`judge`] | the rules on a ledger, and how often each was near to being broken; no I/O |
+//! | [`report`] | what a run shows |
+//! | [`run`] | one run from start to end |
+//!
+//! Faults have times; checks wait for conditions. Everything is on loopback, and each process is ended by its id.
+#![forbid(unsafe_code)]
+
+pub mod client;
+pub mod cluster;
+pub mod faults;
+pub mod judge;
+pub mod ledger;
+pub mod network;
+pub mod operator;
+pub mod plan;
+pub mod report;
+pub mod run;
+pub mod server;
+
+use std::time::Duration;
+
+/// Bounds of the rules, as the settings files of the processes state them.
+pub mod bounds {
+    use super::Duration;
+
+    /// A machine is in touch after so long without a fault.
+    pub const CONTACT: Duration = Duration::from_secs(4);
+    /// An acknowledged configuration is in force everywhere within it.
+    pub const CONFIG_APPLY: Duration = Duration::from_secs(3);
+    /// A leaving server gets nothing any more within it.
+    pub const DRAIN: Duration = Duration::from_secs(3);
+    /// A revoked key is refused everywhere within it.
+    pub const REVOKE: Duration = Duration::from_secs(5);
+    /// An evacuated zone gets nothing any more within it.
+    pub const EVACUATION: Duration = Duration::from_secs(5);
+    /// From SIGTERM to the end of a process.
+    pub const GRACE: Duration = Duration::from_secs(6);
+    /// Service is back so long after everything is.
+    pub const RECOVERY: Duration = Duration::from_secs(15);
+    /// After a client has closed, nothing more of its request happens later than this.
+    pub const GONE: Duration = Duration::from_millis(500);
+    /// The span over which a quota is judged.
+    pub const QUOTA_WINDOW: Duration = Duration::from_secs(5);
+    /// Requests a second, and burst, of the tenant whose quota is judged.
+    pub const TIGHT_RATE: f64 = 20.0;
+    /// Most requests of that tenant in any [`QUOTA_WINDOW`].
+    pub const TIGHT_IN_WINDOW: usize = ((TIGHT_RATE * 5.0 + TIGHT_RATE) * 1.1 + 20.0) as usize;
+}
--- /dev/null
+++ b/crates/testing/soak/src/operator.rs
@@ -0,0 +1,283 @@
+//! The operator, and how it and servers call the control API: to any core machine, again unchanged until there is a clear answer.
+
+use crate::client::Demand;
+use crate::cluster::call;
+use crate::ledger::{Acknowledged, ConfigVersion, Ledger, Read};
+use crate::network::control_link_address;
+use crate::plan::CORE;
+use crate::server::SERVICE;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::time::sleep;
+
+/// How long a caller waits for an answer.
+const CALL_PATIENCE: Duration = Duration::from_secs(1);
+/// First pause after a call without a clear answer; it doubles.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause.
+const MAX_PAUSE: Duration = Duration::from_millis(750);
+/// How long a call is sent again.
+const CLEAR_TIMEOUT: Duration = Duration::from_secs(40);
+/// Pause between two orders, in milliseconds.
+const ORDER_PAUSE_MS: std::ops::Range<u64> = 200..1_400;
+/// Routes beside the first ones that are in force at once.
+const MAX_ADDED_ROUTES: usize = 3;
+/// Keys that were taken away and are still tried.
+const MAX_REVOKED_KEYS: usize = 4;
+/// How long a zone stays evacuated.
+const EVACUATION_LENGTH: Duration = Duration::from_secs(7);
+
+/// Calls core machines in turn.
+pub struct ControlCaller {
+    net: u8,
+    next: Cell<usize>,
+}
+
+impl ControlCaller {
+    /// Begins with a machine by number.
+    pub fn new(net: u8, first: usize) -> Self {
+        ControlCaller { net, next: Cell::new(first) }
+    }
+
+    /// Calls one machine: the next one, after a call without a clear answer.
+    pub async fn call(&self, name: &str, body: &str) -> Option<(u16, String)> {
+        self.call_machine(self.next.get() % CORE, name, body).await.or_else(|| {
+            self.next.set(self.next.get() + 1);
+            None
+        })
+    }
+
+    async fn call_machine(&self, machine: usize, name: &str, body: &str) -> Option<(u16, String)> {
+        let message = format!(
+            "POST /-/rpc?call={name} HTTP/1.1\r\nHost: c\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        let answer = call(control_link_address(self.net, machine), &message, CALL_PATIENCE).await;
+        answer.filter(|(status, _)| *status < 500 && *status != 408 && *status != 429)
+    }
+
+    /// Calls until there is a clear answer: its status.
+    pub async fn until_clear(&self, name: &str, body: &str) -> Option<u16> {
+        let (begun, mut pause) = (Instant::now(), FIRST_PAUSE);
+        while begun.elapsed() < CLEAR_TIMEOUT {
+            if let Some((status, _)) = self.call(name, body).await {
+                return Some(status);
+            }
+            sleep(pause).await;
+            pause = (2 * pause).min(MAX_PAUSE);
+        }
+        None
+    }
+}
+
+/// What is in force as far as the operator knows.
+#[derive(Debug, Clone, Default)]
+struct Config {
+    version: u32,
+    routes: Vec<u32>,
+    keys: Vec<String>,
+}
+
+/// The operator.
+pub struct Operator {
+    ledger: Rc<Ledger>,
+    demand: Rc<Demand>,
+    caller: ControlCaller,
+    rng: RefCell<ChaCha8Rng>,
+    config: RefCell<Config>,
+}
+
+impl Operator {
+    /// An operator who has sent nothing yet.
+    pub fn new(net: u8, seed: u64, ledger: Rc<Ledger>, demand: Rc<Demand>) -> Rc<Self> {
+        Rc::new(Operator {
+            ledger,
+            demand,
+            caller: ControlCaller::new(net, 0),
+            rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed ^ 0x0bed)),
+            config: RefCell::default(),
+        })
+    }
+
+    /// Sends the first configuration until it is taken.
+    pub async fn begin(&self) -> bool {
+        let config = Config { version: 1, routes: Vec::new(), keys: vec!["key-1".to_owned()] };
+        self.send(config, 0).await == Some(200)
+    }
+
+    /// Sends orders until no more are to begin.
+    pub async fn run(self: Rc<Self>) {
+        while !self.demand.stopped.get() {
+            let pause = Duration::from_millis(self.rng.borrow_mut().random_range(ORDER_PAUSE_MS));
+            sleep(pause).await;
+            let choice = self.rng.borrow_mut().random_range(0..12);
+            match choice {
+                0..=1 => self.read().await,
+                2 => self.race().await,
+                3 => self.evacuate().await,
+                _ => self.change().await,
+            }
+        }
+    }
+
+    /// The next configuration: a route more, and one fewer where there are many; now and then another key.
+    fn next_config(&self) -> (Config, u32) {
+        let current = self.config.borrow().clone();
+        let mut rng = self.rng.borrow_mut();
+        let mut next = current.clone();
+        next.version += rng.random_range(1..4);
+        next.routes.push(next.version);
+        if next.routes.len() > MAX_ADDED_ROUTES {
+            next.routes.remove(0);
+        }
+        if rng.random_ratio(1, 3) {
+            next.keys = vec![format!("key-{}", next.version)];
+        }
+        (next, current.version)
+    }
+
+    /// Sends a change; one more after an acknowledgement is sure to be lost in a closing fault that comes with it.
+    pub async fn change(&self) {
+        let (next, base) = self.next_config();
+        self.send(next, base).await;
+    }
+
+    /// Two changes on one base at once: one of them prevails.
+    async fn race(&self) {
+        let (first, base) = self.next_config();
+        let mut second = first.clone();
+        second.version += 1;
+        second.routes.retain(|route| *route != first.version);
+        second.routes.push(second.version);
+        let sent = tokio::join!(self.send(first, base), self.send(second, base));
+        let acknowledged = [sent.0, sent.1].iter().filter(|status| **status == Some(200)).count();
+        if acknowledged > 1 {
+            self.ledger.seen.borrow_mut().own_ends.push(format!("both changes on {base} were acknowledged"));
+        }
+    }
+
+    async fn send(&self, config: Config, base: u32) -> Option<u16> {
+        let body = document(&config, base);
+        let index = self.note_sent(&config);
+        let status = self.caller.until_clear("config.replace", &body).await;
+        let now = self.ledger.now();
+        let mut seen = self.ledger.seen.borrow_mut();
+        match status {
+            Some(200) => {
+                seen.configs[index].acknowledged = Some(now);
+                self.take(config);
+            }
+            Some(_) => seen.configs[index].refused = true,
+            None => {}
+        }
+        status
+    }
+
+    fn note_sent(&self, config: &Config) -> usize {
+        let sent = self.ledger.now();
+        let mut seen = self.ledger.seen.borrow_mut();
+        seen.configs.push(ConfigVersion {
+            version: config.version,
+            sent,
+            acknowledged: None,
+            refused: false,
+            routes: config.routes.clone(),
+            keys: config.keys.clone(),
+        });
+        seen.configs.len() - 1
+    }
+
+    /// A configuration is in force: clients ask by it, and go on to try keys that were taken away.
+    fn take(&self, config: Config) {
+        if config.version <= self.config.borrow().version {
+            return;
+        }
+        let last = self.config.replace(config.clone());
+        let mut revoked = self.demand.revoked.borrow_mut();
+        revoked.extend(last.keys.into_iter().filter(|key| !config.keys.contains(key)));
+        let excess = revoked.len().saturating_sub(MAX_REVOKED_KEYS);
+        revoked.drain(..excess);
+        let mut routes = config.routes;
+        routes.extend(last.routes.first());
+        *self.demand.routes.borrow_mut() = routes;
+        *self.demand.keys.borrow_mut() = config.keys;
+    }
+
+    async fn read(&self) {
+        let machine = self.rng.borrow_mut().random_range(0..CORE);
+        let sent = self.ledger.now();
+        if let Some((200, text)) = self.caller.call_machine(machine, "config.read", "").await {
+            let version = version(&text);
+            self.ledger.seen.borrow_mut().reads.push(Read { machine, sent, version });
+        }
+    }
+
+    /// Reads the configuration back, again and again until it comes.
+    pub async fn read_back(&self, within: Duration) -> Option<u32> {
+        let begun = Instant::now();
+        let mut machine = 0;
+        while begun.elapsed() < within {
+            if let Some((200, text)) = self.caller.call_machine(machine % CORE, "config.read", "").await {
+                return Some(version(&text));
+            }
+            machine += 1;
+            sleep(FIRST_PAUSE).await;
+        }
+        None
+    }
+
+    async fn evacuate(&self) {
+        let zone = "z3";
+        if self.caller.until_clear(&format!("evacuations.start&of={zone}"), "").await != Some(200) {
+            return;
+        }
+        self.ledger.acknowledged(Acknowledged::Evacuated(zone.to_owned()));
+        sleep(EVACUATION_LENGTH).await;
+        let sent = self.ledger.now();
+        self.caller.until_clear(&format!("evacuations.finish&of={zone}"), "").await;
+        self.ledger.acknowledged(Acknowledged::Returned(zone.to_owned(), sent));
+    }
+}
+
+/// The version of a configuration as it is read.
+fn version(text: &str) -> u32 {
+    let after = text.split("\"config-version\":\"").nth(1).unwrap_or("");
+    u32::from_str_radix(after.split('"').next().unwrap_or(""), 16).unwrap_or(0)
+}
+
+fn document(config: &Config, base: u32) -> String {
+    let route = |name: &str, kind: &str| {
+        format!(
+            "{{\"resource-kind\":\"routes\",\"metadata\":{{\"name\":\"{name}\"}},\"specification\":{{\"hostname\":\"soak.example\",\
+             \"path-prefix\":\"/{name}/\",\"route-type\":\"{kind}\",\"timeout\":\"1500ms\",\"target-latency\":\"400ms\",\
+             \"target-service\":\"{SERVICE}\",\"max-attempts\":3}}}}"
+        )
+    };
+    let mut items = vec![route("read", "idempotent"), route("post", "non_idempotent")];
+    for added in &config.routes {
+        items.push(route(&format!("read-{added}"), "idempotent"));
+        items.push(route(&format!("post-{added}"), "non_idempotent"));
+    }
+    let tenant = |name: &str, keys: &[String], rate: f64| {
+        let keys: Vec<String> = keys.iter().map(|key| format!("\"{key}\"")).collect();
+        format!(
+            "{{\"resource-kind\":\"tenants\",\"metadata\":{{\"name\":\"{name}\"}},\"specification\":{{\"api-keys\":[{}],\
+             \"rate-per-s\":{rate},\"burst-size\":{rate}}}}}",
+            keys.join(",")
+        )
+    };
+    items.push(tenant("ample", &config.keys, 2_000.0));
+    items.push(tenant("tight", &["key-tight".to_owned()], crate::bounds::TIGHT_RATE));
+    items.push(format!(
+        "{{\"resource-kind\":\"services\",\"metadata\":{{\"name\":\"{SERVICE}\"}},\"specification\":{{\"health-path\":\"/health\",\
+         \"max-connections\":200}}}}"
+    ));
+    format!(
+        "{{\"config-version\":\"{:08x}\",\"base-version\":\"{base:08x}\",\"resource-list\":[{}]}}",
+        config.version,
+        items.join(",")
+    )
+}
--- /dev/null
+++ b/crates/testing/soak/src/run.rs
@@ -0,0 +1,204 @@
+//! One run: the system starts, traffic and faults go on, all machines lose power right after an acknowledgement and one of them its
+//! disk, and everything comes back.
+
+use crate::bounds::RECOVERY;
+use crate::client::{Client, Demand};
+use crate::cluster::Cluster;
+use crate::faults::Stage;
+use crate::judge::judge;
+use crate::ledger::Ledger;
+use crate::network::Network;
+use crate::operator::Operator;
+use crate::plan::{Plan, SERVERS};
+use crate::report::Report;
+use crate::server::Server;
+use std::fmt;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::task::{JoinHandle, LocalSet};
+use tokio::time::sleep;
+
+/// The system is up within it, or something is wrong.
+const UP: Duration = Duration::from_secs(25);
+/// Between two looks at a condition that is waited for.
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Between two looks at processes and their figures.
+const WATCH_INTERVAL: Duration = Duration::from_millis(500);
+/// All faults have ended for so long before power is lost: the machines that may be lost then are none of those just lost.
+const SETTLE: Duration = Duration::from_secs(5);
+/// Traffic goes on so long once all is ready again.
+const AFTERWARDS: Duration = Duration::from_secs(3);
+/// Threads for the links.
+const LINK_THREADS: usize = 2;
+
+/// What a run is.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// The program of the system.
+    pub program: PathBuf,
+    /// Where files and logs of runs go, a folder each.
+    pub folder: PathBuf,
+    /// The second byte of all addresses: runs at one time differ.
+    pub net: u8,
+    /// How long faults begin.
+    pub length: Duration,
+    /// Clients.
+    pub clients: usize,
+}
+
+/// Why a run could not be made.
+#[derive(Debug)]
+pub enum RunError {
+    /// Folder, address or process could not be had.
+    Io(std::io::Error),
+    /// The system did not come up.
+    NotUp(&'static str),
+}
+
+impl fmt::Display for RunError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            RunError::Io(e) => write!(f, "{e}"),
+            RunError::NotUp(what) => write!(f, "the system did not come up: {what}"),
+        }
+    }
+}
+
+impl std::error::Error for RunError {}
+
+impl From<std::io::Error> for RunError {
+    fn from(e: std::io::Error) -> Self {
+        RunError::Io(e)
+    }
+}
+
+/// Makes one run.
+///
+/// # Errors
+/// It could not be made: nothing was tested.
+pub fn run(options: &Options, seed: u64) -> Result<Report, RunError> {
+    let runtime =
+        tokio::runtime::Builder::new_multi_thread().worker_threads(LINK_THREADS).enable_all().build()?;
+    let folder = options.folder.join(format!("seed-{seed}"));
+    let _ = std::fs::remove_dir_all(&folder);
+    let report = LocalSet::new().block_on(&runtime, play(options, &folder, seed))?;
+    std::fs::write(folder.join("report.txt"), report.to_text())?;
+    Ok(report)
+}
+
+async fn play(options: &Options, folder: &Path, seed: u64) -> Result<Report, RunError> {
+    let plan = Plan::draw(seed, options.length);
+    let cluster = Cluster::new(&options.program, folder, options.net)?;
+    let (ledger, demand) = (Ledger::new(), Rc::new(Demand::default()));
+    let network = Network::start(options.net, seed)?;
+    for at in cluster.all() {
+        cluster.start(at, true)?;
+    }
+    let mut servers = Vec::new();
+    for at in 0..SERVERS {
+        servers.push(Server::start(at, options.net, seed, ledger.clone()).await?);
+    }
+    let operator = Operator::new(options.net, seed, ledger.clone(), demand.clone());
+    if !operator.begin().await {
+        return Err(RunError::NotUp("the first configuration was not taken"));
+    }
+    if !all_ready(&cluster, UP).await {
+        return Err(RunError::NotUp("a gateway is not ready"));
+    }
+    let stage = Rc::new(Stage { cluster: cluster.clone(), network, servers, demand: demand.clone(), ledger });
+    let watching = tokio::task::spawn_local(watch(stage.clone()));
+    let mut callers = start_clients(options, seed, &stage);
+    callers.push(tokio::task::spawn_local(operator.clone().run()));
+    perform(&stage, &plan).await;
+    sleep(SETTLE).await;
+    lose_power(&stage, &operator, plan.closing_wipe).await;
+    demand.stopped.set(true);
+    for caller in callers {
+        let _ = caller.await;
+    }
+    watching.abort();
+    finish(&stage, seed).await
+}
+
+fn start_clients(options: &Options, seed: u64, stage: &Stage) -> Vec<JoinHandle<()>> {
+    let client = |n| Client::new(n, options.net, seed, stage.ledger.clone(), stage.demand.clone());
+    (0..options.clients).map(|n| tokio::task::spawn_local(client(n).run())).collect()
+}
+
+/// Brings all faults about, and waits until they have ended.
+async fn perform(stage: &Rc<Stage>, plan: &Plan) {
+    let performing: Vec<JoinHandle<()>> = plan
+        .faults
+        .iter()
+        .map(|timed| {
+            let (stage, timed) = (stage.clone(), *timed);
+            tokio::task::spawn_local(async move { stage.perform(timed).await })
+        })
+        .collect();
+    sleep(plan.length).await;
+    for one in performing {
+        let _ = one.await;
+    }
+}
+
+/// Right after an acknowledgement all machines lose power at one moment, those that do not count too; one core machine loses its disk.
+async fn lose_power(stage: &Stage, operator: &Operator, wiped: usize) {
+    operator.change().await;
+    let lost = stage.ledger.now();
+    stage.cluster.kill_all(stage.cluster.all()).await;
+    stage.cluster.lose_disk(wiped);
+    for at in stage.cluster.all() {
+        // One that cannot be started shows as not ready.
+        let _ = stage.cluster.start(at, false);
+    }
+    let restarted = stage.ledger.now();
+    stage.ledger.seen.borrow_mut().power_loss = Some((lost, restarted));
+    let read_back = operator.read_back(RECOVERY).await;
+    let ready = all_ready(&stage.cluster, RECOVERY).await;
+    let now = stage.ledger.now();
+    {
+        let mut seen = stage.ledger.seen.borrow_mut();
+        seen.read_back = read_back;
+        seen.ready_again = ready.then_some(now);
+    }
+    sleep(AFTERWARDS).await;
+}
+
+async fn all_ready(cluster: &Cluster, within: Duration) -> bool {
+    let begun = Instant::now();
+    for at in cluster.gateways() {
+        while !cluster.is_ready(at).await {
+            if begun.elapsed() > within {
+                return false;
+            }
+            sleep(CHECK_INTERVAL).await;
+        }
+    }
+    true
+}
+
+/// Looks for processes that have ended by themselves, and fetches figures, for ever.
+async fn watch(stage: Rc<Stage>) {
+    loop {
+        sleep(WATCH_INTERVAL).await;
+        for at in stage.cluster.all() {
+            if let Some(end) = stage.cluster.ended_by_itself(at) {
+                stage.ledger.seen.borrow_mut().own_ends.push(end);
+                let _ = stage.cluster.start(at, false);
+            }
+            stage.cluster.refresh_counts(at).await;
+        }
+    }
+}
+
+/// Ends all processes in order, and judges.
+async fn finish(stage: &Stage, seed: u64) -> Result<Report, RunError> {
+    for at in stage.cluster.all() {
+        stage.cluster.refresh_counts(at).await;
+    }
+    stage.cluster.kill_all(stage.cluster.all()).await;
+    let seen = stage.ledger.seen.borrow();
+    let (invariants, logs) = (stage.cluster.invariant_counts(), stage.cluster.violations_in_logs());
+    Ok(Report::new(seed, &seen, judge(&seen), invariants, logs))
+}
--- /dev/null
+++ b/crates/testing/soak/src/server.rs
@@ -0,0 +1,278 @@
+//! Stand-in servers: they work on requests, report themselves, and misbehave when they are told to.
+
+use crate::cluster::zone_of;
+use crate::ledger::{Acknowledged, Execution, Ledger, RequestId};
+use crate::network::{server_address, server_link_address};
+use crate::operator::ControlCaller;
+use limeway_http1::http;
+use limeway_http1::inbound::{Bounds, Inbound, Message};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+
+/// The service of all servers.
+pub const SERVICE: &str = "orders";
+/// Requests that a server works on at once.
+const SLOTS: usize = 6;
+/// Requests beyond those that it takes in.
+const QUEUE: usize = 6;
+/// Shortest and longest work on a request.
+const WORK_MS: std::ops::Range<u64> = 5..60;
+/// One request in so many takes this long.
+const LONG_WORK: (u32, Duration) = (25, Duration::from_millis(1_200));
+/// Pause between two heartbeats.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+/// What a request may be.
+const BOUNDS: Bounds =
+    Bounds { body: 1 << 20, read_timeout: Duration::from_secs(5), idle: Duration::from_secs(10) };
+/// The body that a server gives to a request.
+pub fn response_body(instance: &str, request: RequestId) -> String {
+    format!("{instance} did {request:016x}\r\n\r\nHTTP/1.1 200 OK\r\n\r\n")
+}
+
+/// The body that a client sends with a request that may run once.
+pub fn request_body(request: RequestId) -> String {
+    format!("{request:016x}\r\n\r\nPOST /post/smuggled HTTP/1.1\r\nLimeway-Request-Id: 1\r\n\r\n")
+}
+
+/// How a server treats requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Manner {
+    /// As it should.
+    Sound,
+    /// Some of its answers are cut short, belong to another request, or have bytes too many.
+    Garbles,
+    /// It takes no connections.
+    Down,
+}
+
+/// What a server says of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    Ready,
+    Draining,
+    /// It says nothing any more.
+    Quiet,
+}
+
+/// A server.
+pub struct Server {
+    at: usize,
+    net: u8,
+    ledger: Rc<Ledger>,
+    caller: ControlCaller,
+    lives: Cell<u32>,
+    calls: Cell<u64>,
+    phase: Cell<Phase>,
+    /// How it treats requests.
+    pub manner: Cell<Manner>,
+    working: Cell<usize>,
+    instance: RefCell<String>,
+    rng: RefCell<ChaCha8Rng>,
+}
+
+impl Server {
+    /// Starts a server, which listens and reports itself for ever.
+    ///
+    /// # Errors
+    /// Its address cannot be listened at.
+    pub async fn start(at: usize, net: u8, seed: u64, ledger: Rc<Ledger>) -> io::Result<Rc<Self>> {
+        let listener = TcpListener::bind(server_address(net, at)).await?;
+        let server = Rc::new(Server {
+            at,
+            net,
+            caller: ControlCaller::new(net, at),
+            lives: Cell::new(0),
+            calls: Cell::new(0),
+            phase: Cell::new(Phase::Ready),
+            manner: Cell::new(Manner::Sound),
+            working: Cell::new(0),
+            instance: RefCell::default(),
+            rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed ^ at as u64)),
+            ledger,
+        });
+        server.begin_life();
+        tokio::task::spawn_local(server.clone().listen(listener));
+        tokio::task::spawn_local(server.clone().report());
+        Ok(server)
+    }
+
+    /// The id of its present instance.
+    pub fn instance(&self) -> String {
+        self.instance.borrow().clone()
+    }
+
+    /// It comes back as another instance.
+    pub fn begin_life(&self) {
+        self.lives.set(self.lives.get() + 1);
+        let instance = format!("i-{}-{}", self.at, self.lives.get());
+        let zone = zone_of(self.at).0.to_owned();
+        self.ledger.seen.borrow_mut().zones.insert(instance.clone(), zone);
+        *self.instance.borrow_mut() = instance;
+        self.calls.set(0);
+        self.phase.set(Phase::Ready);
+        self.manner.set(Manner::Sound);
+    }
+
+    fn heartbeat(&self, state: &str) -> String {
+        self.calls.set(self.calls.get() + 1);
+        format!(
+            "{{\"target-service\":\"{SERVICE}\",\"address\":\"{}\",\"zone\":\"{}\",\"config-version\":\"v1\",\"capacity-slots\":{SLOTS},\
+             \"state\":\"{state}\",\"cold-left\":\"0ms\",\"call-count\":{}}}",
+            server_link_address(self.net, self.at),
+            zone_of(self.at).0,
+            self.calls.get()
+        )
+    }
+
+    async fn report(self: Rc<Self>) {
+        loop {
+            let state = match self.phase.get() {
+                Phase::Ready if self.manner.get() != Manner::Down => Some("ready"),
+                Phase::Draining => Some("draining"),
+                _ => None,
+            };
+            if let Some(state) = state {
+                let (call, body) =
+                    (format!("instances.heartbeat&of={}", self.instance()), self.heartbeat(state));
+                self.caller.call(&call, &body).await;
+            }
+            sleep(HEARTBEAT_INTERVAL).await;
+        }
+    }
+
+    /// It drains: says so until that is acknowledged.
+    pub async fn drain(&self) {
+        self.phase.set(Phase::Draining);
+        let instance = self.instance();
+        let body = self.heartbeat("draining");
+        let call = format!("instances.heartbeat&of={instance}");
+        if self.caller.until_clear(&call, &body).await == Some(200) {
+            self.ledger.acknowledged(Acknowledged::Leaving(instance));
+        }
+    }
+
+    /// It deregisters, without having drained or after it.
+    pub async fn deregister(&self) {
+        self.phase.set(Phase::Quiet);
+        let instance = self.instance();
+        if self.caller.until_clear(&format!("instances.deregister&of={instance}"), "").await == Some(200) {
+            self.ledger.acknowledged(Acknowledged::Leaving(instance));
+        }
+    }
+
+    async fn listen(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else { continue };
+            if self.manner.get() == Manner::Down {
+                continue;
+            }
+            tokio::task::spawn_local(self.clone().serve(Inbound::new(stream)));
+        }
+    }
+
+    async fn serve(self: Rc<Self>, mut inbound: Inbound) {
+        while let Ok(message) = inbound.read(BOUNDS).await {
+            let Some(answer) = self.answer(&message, &inbound).await else { return };
+            if self.manner.get() == Manner::Down || !inbound.write(&answer).await || !message.head.keep_alive
+            {
+                return;
+            }
+        }
+    }
+
+    /// The answer to a request; None to end the connection.
+    async fn answer(&self, message: &Message, inbound: &Inbound) -> Option<Vec<u8>> {
+        let value = |name| message.head.header(&message.bytes, name).unwrap_or(b"");
+        let id = String::from_utf8_lossy(value("limeway-request-id")).into_owned();
+        let mut headers = format!("Limeway-Request-Id: {id}\r\n").into_bytes();
+        let mut out = Vec::new();
+        let instance = self.instance();
+        if value("limeway-expect-instance") != instance.as_bytes() {
+            http::write_answer(&mut out, 421, &headers, false, b"");
+            return Some(out);
+        }
+        if self.working.get() >= SLOTS + QUEUE {
+            headers.extend_from_slice(b"Limeway-Not-Executed: 1\r\n");
+            http::write_answer(&mut out, 503, &headers, false, b"");
+            return Some(out);
+        }
+        let number = u64::from_str_radix(&id, 16).unwrap_or(0);
+        let execution = self.begin(number, &instance, message);
+        self.working.set(self.working.get() + 1);
+        let work = draw_work(&mut self.rng.borrow_mut());
+        let finished = tokio::select! {
+            () = sleep(work) => true,
+            () = inbound.gone() => false,
+        };
+        self.working.set(self.working.get() - 1);
+        self.end(execution, !finished);
+        if !finished {
+            return None;
+        }
+        headers.extend_from_slice(b"Limeway-Server-Stamp: soak\r\n");
+        http::write_answer(&mut out, 200, &headers, false, response_body(&instance, number).as_bytes());
+        if self.manner.get() == Manner::Garbles {
+            garble(&mut out, &mut self.rng.borrow_mut());
+        }
+        Some(out)
+    }
+
+    fn begin(&self, number: RequestId, instance: &str, message: &Message) -> usize {
+        let begun = self.ledger.now();
+        let mut seen = self.ledger.seen.borrow_mut();
+        let request = if seen.requests.contains_key(&number) { number } else { 0 };
+        let is_unchanged = is_unchanged(number, message);
+        seen.executions.push(Execution {
+            request,
+            server: instance.to_owned(),
+            begun,
+            ended: None,
+            broken_off: false,
+            is_unchanged,
+        });
+        seen.executions.len() - 1
+    }
+
+    fn end(&self, execution: usize, broken_off: bool) {
+        let now = self.ledger.now();
+        if let Some(execution) = self.ledger.seen.borrow_mut().executions.get_mut(execution) {
+            (execution.ended, execution.broken_off) = (Some(now), broken_off);
+        }
+    }
+}
+
+fn draw_work(rng: &mut ChaCha8Rng) -> Duration {
+    if rng.random_ratio(1, LONG_WORK.0) {
+        LONG_WORK.1
+    } else {
+        Duration::from_millis(rng.random_range(WORK_MS))
+    }
+}
+
+/// Whether a request is as its client sent it.
+fn is_unchanged(number: RequestId, message: &Message) -> bool {
+    let (method, target) = message.line();
+    let names_itself = target.ends_with(&format!("/{number:016x}?q=%0d%0a"));
+    let has_body = match method {
+        "POST" => message.body == request_body(number).into_bytes(),
+        _ => message.body.is_empty(),
+    };
+    let tenant = message.head.header(&message.bytes, "limeway-tenant").unwrap_or(b"");
+    names_itself && has_body && (tenant == b"ample" || tenant == b"tight")
+}
+
+/// Spoils a whole answer in one of three ways.
+fn garble(answer: &mut Vec<u8>, rng: &mut ChaCha8Rng) {
+    match rng.random_range(0..4) {
+        0 => answer.truncate(answer.len() / 2),
+        1 => answer.extend_from_slice(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"),
+        2 => answer.splice(0..4, *b"\0\0\0\0").for_each(drop),
+        _ => {}
+    }
+}
