Red: a replica that reaches another one only through a third tells gateways too little

Cause: reports of servers and members are passed on by the replica that heard them, and by no other. With one link of the core cut both ends keep their quorum through the third machine, and the gateways of one hear nothing of servers that report to the other: DRAIN breaks, shares are cut by different members. Also: sight's test looks at the loss of a majority.

--- a/crates/balancer/tests/sight.rs
+++ b/crates/balancer/tests/sight.rs
@@ -67,4 +67,7 @@
     }
     let replica = figures(&system, REPLICA);
     assert!(replica.contains("limeway_has_quorum 1") && replica.contains("limeway_is_voter 1"), "{replica}");
+    system.kill(1);
+    system.kill(2);
+    until("the loss of the majority", &system, || figures(&system, REPLICA).contains("limeway_has_quorum 0"));
 }
--- a/crates/control/control-plane/tests/replica/cluster.rs
+++ b/crates/control/control-plane/tests/replica/cluster.rs
@@ -6,6 +6,7 @@
     Action, ApiRequest, ApiResponse, CallerId, ControlPlane, Event, LogRecord, RequestId, StartOptions,
     Timestamp, WriteId,
 };
+use limeway_distribution::{LongPoll, UpdateResponse};
 use limeway_quota::QuotaRule;
 use limeway_routing_config::{ConfigUpdate, State};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -16,6 +17,8 @@
 pub(crate) const SECOND: u64 = 1_000 * MS;
 /// When the replicas start.
 pub(crate) const START: Timestamp = 100 * SECOND;
+/// Stands for a gateway among callers.
+const GATEWAY: NodeId = 0;
 /// How long a step of [`Cluster::run`] is.
 const STEP: u64 = 5 * MS;
 
@@ -68,7 +71,11 @@
     callers: BTreeMap<(NodeId, CallerId), (NodeId, RequestId)>,
     next_caller: CallerId,
     cut: BTreeSet<NodeId>,
+    /// Two replicas that do not reach each other, the lower one first.
+    cut_pair: Option<(NodeId, NodeId)>,
     responses: BTreeMap<CallerId, ApiResponse>,
+    /// Answers to polls of gateways.
+    updates: Vec<UpdateResponse>,
 }
 
 impl Cluster {
@@ -81,7 +88,9 @@
             callers: BTreeMap::new(),
             next_caller: 0,
             cut: BTreeSet::new(),
+            cut_pair: None,
             responses: BTreeMap::new(),
+            updates: Vec::new(),
         };
         let seeds: Vec<NodeId> = (1..=count.min(3)).collect();
         for node in 1..=count {
@@ -115,6 +124,29 @@
         }
     }
 
+    /// Two replicas do not reach each other any more, while all others reach both.
+    pub(crate) fn cut_pair(&mut self, lower: NodeId, higher: NodeId) {
+        self.cut_pair = Some((lower, higher));
+    }
+
+    fn reaches(&self, one: NodeId, other: NodeId) -> bool {
+        let is_cut = self.cut.contains(&one) || self.cut.contains(&other);
+        !is_cut && self.cut_pair != Some((one.min(other), one.max(other)))
+    }
+
+    /// What a replica answers the poll of a gateway.
+    pub(crate) fn poll(&mut self, node: NodeId, poll: LongPoll) -> UpdateResponse {
+        self.next_caller += 1;
+        let caller = self.next_caller;
+        self.callers.insert((node, caller), (GATEWAY, 0));
+        self.handle(node, Event::Call(caller, Call::LongPoll(Box::new(poll))));
+        let end = self.now + 2 * SECOND;
+        while self.updates.is_empty() && self.now < end {
+            self.run(STEP);
+        }
+        self.updates.pop().expect("an update in time")
+    }
+
     /// Has a disk hang, or go on.
     pub(crate) fn set_disk_hangs(&mut self, node: NodeId, hangs: bool) {
         self.node_mut(node).disk_hangs = hangs;
@@ -176,8 +208,14 @@
                     self.network.push_back(Message::Call { from: node, request, to, call });
                 }
                 Action::Reply(caller, reply) => {
-                    let waiting = self.callers.remove(&(node, caller));
-                    let Some((to, request)) = waiting.filter(|_| !self.cut.contains(&node)) else { continue };
+                    let Some((to, request)) = self.callers.remove(&(node, caller)) else { continue };
+                    if let (GATEWAY, Reply::Update(update)) = (to, &reply) {
+                        self.updates.push((**update).clone());
+                        continue;
+                    }
+                    if !self.reaches(node, to) {
+                        continue;
+                    }
                     self.network.push_back(Message::Reply { to, request, reply: Some(reply) });
                 }
                 Action::Respond(caller, response) => {
@@ -193,7 +231,7 @@
     fn deliver(&mut self, message: Message) {
         match message {
             Message::Call { from, request, to, call } => {
-                if self.cut.contains(&from) || self.cut.contains(&to) || !self.nodes.contains_key(&to) {
+                if !self.reaches(from, to) || !self.nodes.contains_key(&to) {
                     return;
                 }
                 self.next_caller += 1;
--- /dev/null
+++ b/crates/control/control-plane/tests/replica/instances.rs
@@ -0,0 +1,113 @@
+//! Servers and members, as gateways hear of them from any replica with quorum contact.
+
+use crate::cluster::{Cluster, MS, SECOND};
+use limeway_control_plane::{ApiRequest, ApiResponse};
+use limeway_distribution::transfer::StateRequest;
+use limeway_distribution::{LongPoll, StateCache};
+use limeway_membership::MemberHeartbeat;
+use limeway_service_registry::{Phase, ServerReport};
+use rstest::rstest;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+/// A leaving server gets no request later than this after the acknowledgement.
+const DRAIN: u64 = 2_500 * MS;
+
+fn report(id: &str, sequence: u64, phase: Phase) -> ServerReport {
+    ServerReport {
+        id: id.to_owned(),
+        service: "s".into(),
+        address: SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, 1), 80),
+        zone: "z".into(),
+        capacity_slots: 3,
+        phase,
+        slow_start_left: 0,
+        sequence,
+        age: 0,
+        unresponsive: false,
+    }
+}
+
+/// The poll of a gateway that knows what a cache holds, and nothing of this replica's revisions.
+fn poll(gateway: u32, cache: &StateCache) -> LongPoll {
+    let ip = Ipv4Addr::from(gateway);
+    LongPoll {
+        sender: MemberHeartbeat {
+            node: gateway,
+            frontend: SocketAddrV4::new(ip, 80),
+            zone: "z".into(),
+            ready: true,
+            age: 0,
+        },
+        downstream: Vec::new(),
+        request: StateRequest { max_bytes: 32 * 1024, ..cache.state_request() },
+        incarnation: 0,
+        registry_revision: 0,
+        members_revision: 0,
+        max_wait: 100 * MS,
+    }
+}
+
+/// What a gateway knows after a poll to a replica.
+fn follow(cluster: &mut Cluster, replica: u32, gateway: u32, cache: &mut StateCache) {
+    let polled = cluster.now;
+    let request = poll(gateway, cache);
+    let slot = request.request.slot;
+    let response = cluster.poll(replica, request);
+    cache.apply_response(cluster.now, polled, slot, response);
+}
+
+fn may_be_used(cache: &StateCache, id: &str) -> bool {
+    cache.registry.servers().get(id).is_some_and(|server| server.phase == Phase::Ready)
+}
+
+/// Replicas 1 and 3 do not reach each other, for long; both have quorum contact through replica 2.
+#[rstest]
+fn a_replica_hears_by_way_of_others_that_a_server_leaves() {
+    let mut cluster = Cluster::start(3);
+    cluster.run(SECOND);
+    assert_eq!(cluster.ask(1, ApiRequest::Heartbeat(report("i", 1, Phase::Ready))), ApiResponse::Done);
+    cluster.run(500 * MS);
+    let mut gateway = StateCache::relay(9);
+    follow(&mut cluster, 3, 77, &mut gateway);
+    assert!(may_be_used(&gateway, "i"));
+    cluster.cut_pair(1, 3);
+    cluster.run(4 * SECOND);
+    assert_eq!(cluster.ask(1, ApiRequest::Heartbeat(report("i", 9, Phase::Draining))), ApiResponse::Done);
+    assert!(cluster.replica(3).has_quorum(cluster.now), "through replica 2");
+    cluster.run(DRAIN);
+    follow(&mut cluster, 3, 77, &mut gateway);
+    assert!(!may_be_used(&gateway, "i"), "its leaving was acknowledged long ago");
+}
+
+/// The same for new servers, and for those that only say that they are well.
+#[rstest]
+fn a_replica_hears_by_way_of_others_that_a_server_is_well() {
+    let mut cluster = Cluster::start(3);
+    cluster.run(SECOND);
+    cluster.cut_pair(1, 3);
+    for sequence in 1..=16 {
+        let heartbeat = ApiRequest::Heartbeat(report("i", sequence, Phase::Ready));
+        assert_eq!(cluster.ask(1, heartbeat), ApiResponse::Done);
+        cluster.run(500 * MS);
+    }
+    let mut gateway = StateCache::relay(9);
+    follow(&mut cluster, 3, 77, &mut gateway);
+    let server = gateway.registry.servers().get("i").expect("known");
+    assert!(server.phase == Phase::Ready && !server.unresponsive, "{server:?}");
+}
+
+/// Shares of what belongs to all are cut by the members: all gateways have to know the same ones.
+#[rstest]
+fn a_replica_hears_by_way_of_others_which_members_there_are() {
+    let mut cluster = Cluster::start(3);
+    cluster.run(SECOND);
+    cluster.cut_pair(1, 3);
+    let (mut first, mut third) = (StateCache::relay(8), StateCache::relay(9));
+    for _ in 0..20 {
+        follow(&mut cluster, 1, 71, &mut first);
+        follow(&mut cluster, 3, 73, &mut third);
+        cluster.run(300 * MS);
+    }
+    let members = |cache: &StateCache| cache.members().iter().map(|m| m.node).collect::<Vec<_>>();
+    assert_eq!((members(&first), members(&third)), (vec![71, 73], vec![71, 73]));
+}
