Replicas pass on what they hear to one that does not reach all others

Cause: reports of servers, members and announced role leases were passed on by the replica that heard them, and by no other; links between core machines were taken to fail for a machine as a whole. Change: a replica that misses a voter asks the others, in its heartbeats, for members and announced leases each round and for the whole registry once a second. Replies to others keep their bytes (encoding tests unchanged but for the new fields left empty).

--- a/crates/control/control-plane/src/messages.rs
+++ b/crates/control/control-plane/src/messages.rs
@@ -6,7 +6,7 @@
 use limeway_consensus::{AcceptorReply, DiskIncarnation, NodeId, ProposalNumber, Slot};
 use limeway_distribution::transfer::StateRequest;
 use limeway_distribution::{LongPoll, StateUpdate, UpdateResponse};
-use limeway_membership::{HeldLease, LeaseRequest, MemberHeartbeat};
+use limeway_membership::{AnnouncedLease, HeldLease, LeaseRequest, MemberHeartbeat};
 use limeway_quota::{QuotaRequest, QuotaResponse};
 use limeway_service_registry::ServerReport;
 use limeway_types::ProcessIncarnation;
@@ -120,6 +120,27 @@
     /// It wants the full service registry: it has just started, or was cut off.
     #[serde(rename = "a")]
     pub wants_registry: bool,
+    /// It does not reach some voter, and wants what the others hear from that one.
+    #[serde(rename = "r", default, skip_serializing_if = "is_false")]
+    pub wants_relayed: bool,
+}
+
+/// Whether a flag that was added later can be left out.
+#[allow(clippy::trivially_copy_pass_by_ref, reason = "serde passes fields by reference")]
+fn is_false(flag: &bool) -> bool {
+    !flag
+}
+
+/// What a replica hears from others, for one that does not reach all of them. Links between replicas may fail one by one: whoever is
+/// reached by way of a third replica has quorum contact, and is followed by gateways.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayedView {
+    /// The members, with the ages of their heartbeats.
+    #[serde(rename = "m")]
+    pub members: Vec<MemberHeartbeat>,
+    /// Role leases that others have announced.
+    #[serde(rename = "l")]
+    pub leases: Vec<AnnouncedLease>,
 }
 
 /// The reply to a heartbeat.
@@ -140,4 +161,7 @@
     /// The full service registry, if the sender wants it.
     #[serde(rename = "w")]
     pub servers: Vec<ServerReport>,
+    /// What it hears from others, if the sender wants it.
+    #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
+    pub relayed: Option<Box<RelayedView>>,
 }
--- a/crates/control/control-plane/src/quorum.rs
+++ b/crates/control/control-plane/src/quorum.rs
@@ -5,12 +5,12 @@
 //! state is *confirmed* as of the round's beginning (a linearizable read point), however many updates are under way meanwhile.
 
 use crate::control_plane::{ControlPlane, SentRequest};
-use crate::messages::{Call, Heartbeat, HeartbeatReply, Reply};
+use crate::messages::{Call, Heartbeat, HeartbeatReply, RelayedView, Reply};
 use crate::updates::MAX_LONG_POLLS;
 use limeway_consensus::{NodeId, Slot, Voter};
 use limeway_distribution::encode;
 use limeway_invariants::{check, Invariant};
-use limeway_membership::{Holder, LeaseRequest, MemberHeartbeat, MEMBER_LEASE};
+use limeway_membership::{AnnouncedLease, Holder, LeaseRequest, MemberHeartbeat, MEMBER_LEASE};
 use limeway_routing_config::Operation;
 use limeway_service_registry::ServerReport;
 use limeway_types::{Micros, Timestamp, SECOND};
@@ -31,6 +31,8 @@
 const HEARTBEAT_TIMEOUT: Micros = 300_000;
 /// The least interval between two rounds that callers wait for.
 const MIN_ROUND_INTERVAL: Micros = 10_000;
+/// While a voter is not reached, the others are asked for the whole service registry this often.
+const RELAY_INTERVAL: Micros = SECOND;
 /// Upper bound on the rounds under way.
 const MAX_ROUNDS: usize = 8;
 /// Upper bound on all that a replica has pending: long polls, and as much again.
@@ -65,6 +67,8 @@
     pub next_round: Timestamp,
     last_round: u64,
     last_started: Timestamp,
+    /// When the registry of others was last asked for in place of a voter that is not reached.
+    relay_requested: Timestamp,
     rounds: BTreeMap<u64, Round>,
     /// Rounds that confirm the state once a slot is applied here: when they began, and the slot.
     unconfirmed: Vec<(Timestamp, Slot)>,
@@ -151,6 +155,11 @@
         let members = self.direct_heartbeats();
         let number = self.open_round(&others, &lease_requests);
         let status = self.status(now);
+        let wants_relayed = self.misses_voter();
+        let relays_registry = wants_relayed && now >= self.quorum.relay_requested + RELAY_INTERVAL;
+        if relays_registry {
+            self.quorum.relay_requested = now;
+        }
         for node in others {
             let heartbeat = Heartbeat {
                 status,
@@ -158,7 +167,8 @@
                 members: members.clone(),
                 held: held.clone(),
                 lease_requests: lease_requests.clone(),
-                wants_registry: self.unanswered.contains(&node),
+                wants_registry: relays_registry || self.unanswered.contains(&node),
+                wants_relayed,
             };
             let purpose = SentRequest::Heartbeat(number, node);
             self.send(node, Call::Heartbeat(Box::new(heartbeat)), HEARTBEAT_TIMEOUT, purpose);
@@ -167,6 +177,32 @@
         self.close_round(number);
     }
 
+    /// Whether some voter does not answer: it may be gone, or reached by others only. What it hears comes by way of these then.
+    fn misses_voter(&self) -> bool {
+        self.voters().iter().any(|voter| self.unanswered.contains(&voter.node))
+    }
+
+    /// What this replica hears from others, for one that does not reach all of them. Nothing without quorum contact.
+    fn relayed_view(&self) -> Option<Box<RelayedView>> {
+        let now = self.now;
+        let view = || RelayedView {
+            members: self.membership.heartbeats(now),
+            leases: self.lease_voter.announced(now),
+        };
+        self.has_quorum(now).then(|| Box::new(view()))
+    }
+
+    /// Takes what another replica hears from those that this one does not reach.
+    fn observe_relayed(&mut self, from: NodeId, view: &RelayedView) {
+        for member in &view.members {
+            self.long_polls.review_members |= self.membership.observe(self.now, member);
+        }
+        let own = self.options.node;
+        let of_others = view.leases.iter().filter(|lease| lease.holder.node != own);
+        let leases: Vec<AnnouncedLease> = of_others.copied().collect();
+        self.lease_voter.observe_relayed(self.now, from, &leases);
+    }
+
     /// Opens a round with this replica's own votes. Returns its number.
     fn open_round(&mut self, others: &[NodeId], lease_requests: &[LeaseRequest]) -> u64 {
         let mut lease_votes = BTreeMap::new();
@@ -237,6 +273,7 @@
             } else {
                 Vec::new()
             },
+            relayed: if heartbeat.wants_relayed { self.relayed_view() } else { None },
         }
     }
 
@@ -255,6 +292,7 @@
         let possible_holders = self.possible_holders();
         self.lease_voter.complete_recovery(&possible_holders);
         self.observe_servers(&reply.servers, false);
+        self.observe_relayed(node, reply.relayed.as_deref().unwrap_or(&RelayedView::default()));
         let slot = reply.status.slot;
         if !self.count_reply(number, node, &reply) {
             return;
--- a/crates/control/control-plane/tests/encoding.rs
+++ b/crates/control/control-plane/tests/encoding.rs
@@ -141,6 +141,7 @@
 #[rstest]
 fn calls_keep_their_encoding() {
     let ping = Heartbeat {
+        wants_relayed: false,
         status: standing(),
         reports: vec![report(Phase::Ready)],
         members: vec![presence()],
@@ -172,6 +173,7 @@
 fn replies_keep_their_encoding() {
     let accepted = Some((ballot(2), ByteBuf::from(vec![9, 8])));
     let pong = HeartbeatReply {
+        relayed: None,
         status: standing(),
         has_accepted: true,
         held: vec![HeldLease { shard: 3, remaining: 7_000_000 }],
--- a/crates/control/membership/src/lib.rs
+++ b/crates/control/membership/src/lib.rs
@@ -16,5 +16,6 @@
 pub use members::{LiveMember, MemberHeartbeat, Membership, MAX_MEMBERS, MEMBER_LEASE};
 pub use rendezvous::{hash, preferred_node, rendezvous_weight, shard_of, SHARDS};
 pub use role_lease::{
-    HeldLease, HeldLeases, Holder, LeaseRequest, LeaseVoter, LEASE_REQUEST_TIMEOUT, ROLE_LEASE,
+    AnnouncedLease, HeldLease, HeldLeases, Holder, LeaseRequest, LeaseVoter, LEASE_REQUEST_TIMEOUT,
+    ROLE_LEASE,
 };
--- a/crates/control/membership/src/members.rs
+++ b/crates/control/membership/src/members.rs
@@ -88,6 +88,19 @@
         }
     }
 
+    /// The heartbeats of the members whose lease has not expired, with their ages, to be passed on.
+    pub fn heartbeats(&self, now: Timestamp) -> Vec<MemberHeartbeat> {
+        let heartbeat = |(node, member): (&NodeId, &Member)| MemberHeartbeat {
+            node: *node,
+            frontend: member.frontend,
+            zone: member.zone.clone(),
+            ready: member.ready,
+            age: now.saturating_sub(member.last_heartbeat),
+        };
+        let is_live = |member: &Member| now.saturating_sub(member.last_heartbeat) <= MEMBER_LEASE;
+        self.members.iter().filter(|(_, member)| is_live(member)).map(heartbeat).collect()
+    }
+
     /// Forgets members whose lease expired long ago.
     pub fn expire(&mut self, now: Timestamp) {
         let retention = MEMBER_LEASE + MEMBER_RETENTION;
--- a/crates/control/membership/src/role_lease.rs
+++ b/crates/control/membership/src/role_lease.rs
@@ -71,6 +71,28 @@
     }
 }
 
+/// A lease that a machine has announced, as another one passes it on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AnnouncedLease {
+    /// The shard.
+    #[serde(rename = "g")]
+    pub shard: usize,
+    /// Who holds it.
+    #[serde(rename = "h")]
+    pub holder: Holder,
+    /// For how much longer.
+    #[serde(rename = "l")]
+    pub remaining: Micros,
+}
+
+/// A lease that a machine that this one may not reach holds, as another one has heard it announced.
+#[derive(Debug, Clone, Copy)]
+struct RelayedLease {
+    holder: Holder,
+    expires: Timestamp,
+    relayed_by: NodeId,
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Vote {
     holder: Holder,
@@ -87,6 +109,10 @@
     new_voter: bool,
     heard: BTreeSet<NodeId>,
     votes: [Option<Vote>; SHARDS],
+    /// What holders have announced here themselves.
+    announced: [Option<Vote>; SHARDS],
+    /// What others pass on. It says whom to ask, and that a request would come to nothing; votes are given without it.
+    relayed: [Option<RelayedLease>; SHARDS],
 }
 
 impl LeaseVoter {
@@ -99,6 +125,8 @@
             new_voter: false,
             heard: BTreeSet::new(),
             votes: [None; SHARDS],
+            announced: [None; SHARDS],
+            relayed: [None; SHARDS],
         }
     }
 
@@ -109,14 +137,37 @@
 
     /// A machine is shutting down: it holds nothing any more and requests nothing, so the votes for it are free.
     pub fn release_node(&mut self, node: NodeId) {
-        for vote in self.votes.iter_mut().filter(|vote| vote.is_some_and(|v| v.holder.node == node)) {
+        let votes = self.votes.iter_mut().chain(&mut self.announced);
+        for vote in votes.filter(|vote| vote.is_some_and(|v| v.holder.node == node)) {
             *vote = None;
         }
     }
 
+    /// The leases that holders have announced here, to be passed on to a machine that may not reach them.
+    pub fn announced(&self, now: Timestamp) -> Vec<AnnouncedLease> {
+        let announced = |(shard, vote): (usize, &Option<Vote>)| {
+            let vote = vote.filter(|vote| vote.expires > now)?;
+            Some(AnnouncedLease { shard, holder: vote.holder, remaining: vote.expires - now })
+        };
+        self.announced.iter().enumerate().filter_map(announced).collect()
+    }
+
+    /// Takes what another machine has heard announced, in place of what it passed on before.
+    pub fn observe_relayed(&mut self, now: Timestamp, relayed_by: NodeId, leases: &[AnnouncedLease]) {
+        for lease in &mut self.relayed {
+            lease.take_if(|lease| lease.relayed_by == relayed_by);
+        }
+        for lease in leases {
+            if let Some(known) = self.relayed.get_mut(lease.shard) {
+                let expires = now + lease.remaining.min(ROLE_LEASE);
+                *known = Some(RelayedLease { holder: lease.holder, expires, relayed_by });
+            }
+        }
+    }
+
     /// Another voter says, in this incarnation of its process, what it holds. Any earlier incarnation has ended.
     pub fn observe_holder(&mut self, now: Timestamp, holder: Holder, held: &[HeldLease]) {
-        for vote in &mut self.votes {
+        for vote in self.votes.iter_mut().chain(&mut self.announced) {
             let earlier =
                 |v: &Vote| v.holder.node == holder.node && v.holder.incarnation != holder.incarnation;
             if vote.as_ref().is_some_and(earlier) {
@@ -129,6 +180,7 @@
             // is not given anew before its own expiry, as requests that count it may still be under way.
             let expires = vote.map_or(0, |v| v.expires).max(now + lease.remaining);
             *vote = Some(Vote { holder, expires });
+            self.announced[lease.shard] = Some(Vote { holder, expires: now + lease.remaining });
         }
         // Whatever was requested with a vote of this voter's earlier incarnation has been answered by then.
         if now >= self.started + LEASE_REQUEST_TIMEOUT {
@@ -170,6 +222,10 @@
 
     /// Who may hold a shard at this moment, as far as this voter knows.
     pub fn holder(&self, now: Timestamp, shard: usize) -> Option<Holder> {
+        let relayed = self.relayed.get(shard).copied().flatten();
+        if let Some(lease) = relayed.filter(|lease| lease.expires >= now) {
+            return Some(lease.holder);
+        }
         let vote = self.votes.get(shard).copied().flatten()?;
         (vote.expires >= now).then_some(vote.holder)
     }
