Red: three times an empty table is taken for knowledge

Cause, one class: what a process has not heard is taken for what is not there. A replica that does not know a server acknowledges its deregistration and tells nobody (all of the core had restarted, gateways know it); a full list leaves out servers that have ended, and a gateway that turns to another upstream keeps them; a replica with an empty disk, which knows no voters, has heard all of them at once and votes for role leases though its disk may have voted for another holder.

--- a/crates/control/control-plane/tests/replica/instances.rs
+++ b/crates/control/control-plane/tests/replica/instances.rs
@@ -1,7 +1,7 @@
 //! Servers and members, as gateways hear of them from any replica with quorum contact.
 
-use crate::cluster::{Cluster, MS, SECOND};
-use limeway_control_plane::{ApiRequest, ApiResponse};
+use crate::cluster::{options, Cluster, MS, SECOND};
+use limeway_control_plane::{ApiRequest, ApiResponse, StartOptions};
 use limeway_distribution::transfer::StateRequest;
 use limeway_distribution::{LongPoll, StateCache};
 use limeway_membership::MemberHeartbeat;
@@ -111,3 +111,51 @@
     let members = |cache: &StateCache| cache.members().iter().map(|m| m.node).collect::<Vec<_>>();
     assert_eq!((members(&first), members(&third)), (vec![71, 73], vec![71, 73]));
 }
+
+/// All of the core has ended and come back within a second: its replicas know of no server yet, gateways do.
+#[rstest]
+fn a_server_that_the_restarted_core_does_not_know_yet_can_leave() {
+    let mut cluster = Cluster::start(3);
+    cluster.run(SECOND);
+    assert_eq!(cluster.ask(1, ApiRequest::Heartbeat(report("i", 1, Phase::Ready))), ApiResponse::Done);
+    cluster.run(500 * MS);
+    let mut gateways: Vec<StateCache> = (0..3).map(StateCache::relay).collect();
+    for gateway in &mut gateways {
+        follow(&mut cluster, 2, 77, gateway);
+        assert!(may_be_used(gateway, "i"));
+    }
+    for node in 1..=3 {
+        cluster.kill(node);
+    }
+    for node in 1..=3 {
+        cluster.add(StartOptions { incarnation: 2_000 + u64::from(node), ..options(node, &[1, 2, 3]) });
+    }
+    cluster.run(SECOND);
+    assert_eq!(cluster.ask(1, ApiRequest::Deregister("i".into())), ApiResponse::Done);
+    cluster.run(200 * MS);
+    for (replica, gateway) in (1..).zip(&mut gateways) {
+        follow(&mut cluster, replica, 77, gateway);
+        assert!(!may_be_used(gateway, "i"), "by replica {replica}");
+    }
+    // A heartbeat that it had sent before comes late, to whichever replica.
+    cluster.ask(2, ApiRequest::Heartbeat(report("i", 2, Phase::Ready)));
+    cluster.run(500 * MS);
+    follow(&mut cluster, 3, 77, &mut gateways[0]);
+    assert!(!may_be_used(&gateways[0], "i"), "brought back by a late heartbeat");
+}
+
+/// A gateway turns to another replica just after a server has deregistered.
+#[rstest]
+fn a_gateway_that_turns_to_another_replica_hears_who_has_left() {
+    let mut cluster = Cluster::start(3);
+    cluster.run(SECOND);
+    assert_eq!(cluster.ask(1, ApiRequest::Heartbeat(report("i", 1, Phase::Ready))), ApiResponse::Done);
+    cluster.run(500 * MS);
+    let mut gateway = StateCache::relay(9);
+    follow(&mut cluster, 1, 77, &mut gateway);
+    assert!(may_be_used(&gateway, "i"));
+    assert_eq!(cluster.ask(1, ApiRequest::Deregister("i".into())), ApiResponse::Done);
+    cluster.run(300 * MS);
+    follow(&mut cluster, 2, 77, &mut gateway);
+    assert!(!may_be_used(&gateway, "i"), "its leaving was acknowledged");
+}
--- a/crates/control/membership/tests/role_leases.rs
+++ b/crates/control/membership/tests/role_leases.rs
@@ -195,3 +195,15 @@
             == SHARDS
     );
 }
+
+/// A replica with an empty disk knows of no voters yet: nobody it could have heard is no one that it has heard.
+#[rstest]
+fn a_voter_that_knows_no_others_has_not_heard_them_all() {
+    let now: Micros = 1_000_000_000;
+    let mut votes = LeaseVoter::new(now, true);
+    votes.observe_holder(now + LEASE_REQUEST_TIMEOUT, holder(1, 7), &[]);
+    votes.complete_recovery(&[]);
+    let request = LeaseRequest { shard: 3, incarnation: 8, renewal: false };
+    assert!(!votes.vote(now + LEASE_REQUEST_TIMEOUT, 2, request), "its disk may have voted for another one");
+    assert!(votes.vote(now + ROLE_LEASE, 2, request), "any such lease has expired");
+}
