What a process has not heard is no longer taken for what is not there

Change: the end of an unknown server is remembered and replicated; full lists name what has ended; a poll from before something was forgotten gets the full list; a voter that knows no others has not heard them all, and one that joins by a change of voters always waits.

--- a/crates/control/control-plane/src/instances.rs
+++ b/crates/control/control-plane/src/instances.rs
@@ -54,12 +54,12 @@
         if !self.has_quorum(self.now) {
             return self.actions.push(Action::Respond(caller, ApiResponse::Indeterminate));
         }
-        let known = self.cache.registry.deregister(self.now, id);
+        let noted = self.cache.registry.deregister(self.now, id);
         self.long_polls.update_available = true;
-        match known.then(|| self.cache.registry.report(self.now, id)).flatten() {
+        match noted.then(|| self.cache.registry.report(self.now, id)).flatten() {
             Some(report) => self.replicate_report(Some(caller), &report),
-            // Nothing is known of it, so no requests go there.
-            None => self.actions.push(Action::Respond(caller, ApiResponse::Done)),
+            // There is no room to remember it.
+            None => self.actions.push(Action::Respond(caller, ApiResponse::Indeterminate)),
         }
     }
 
--- a/crates/control/control-plane/src/voters.rs
+++ b/crates/control/control-plane/src/voters.rs
@@ -88,7 +88,8 @@
 
     /// Takes note of new voters after the state has changed.
     pub(crate) fn voters_may_have_changed(&mut self) {
-        let first_voters = self.voter_changes.known.is_empty();
+        // Those of the initial start are voters from the beginning, and have voted for nothing before.
+        let first_voters = self.options.initial_start && self.voter_changes.known.is_empty();
         if self.voter_changes.known != self.cache.state.voters {
             self.voter_changes.known.clone_from(&self.cache.state.voters);
             self.quorum.voters_changed();
--- a/crates/control/distribution/src/updates.rs
+++ b/crates/control/distribution/src/updates.rs
@@ -34,7 +34,8 @@
     /// The response to a poll that has waited for so long.
     pub fn respond(&self, now: Timestamp, poll: &LongPoll, waited: Micros) -> UpdateResponse {
         let known = poll.incarnation == self.incarnation;
-        let since = if known { poll.registry_revision } else { 0 };
+        let has_all = self.registry.has_all_since(poll.registry_revision);
+        let since = if known && has_all { poll.registry_revision } else { 0 };
         // A full list is only for those who will take it: a stale upstream sends none.
         let sends_registry = self.is_confirmed(now) || since > 0;
         let up_to_date = known && since == self.registry.revision;
--- a/crates/control/distribution/tests/freshness.rs
+++ b/crates/control/distribution/tests/freshness.rs
@@ -5,7 +5,7 @@
 use common::{core, poll, report};
 use limeway_distribution::{encode, Freshness, StateCache, MAX_STALENESS};
 use limeway_routing_config::Operation;
-use limeway_service_registry::Phase;
+use limeway_service_registry::{Phase, INSTANCE_RETENTION};
 use rstest::rstest;
 
 const NOW: u64 = 100_000_000;
@@ -87,3 +87,26 @@
     assert_eq!(upstream.long_poll_deadline(came, &asked, 2_000_000), NOW + MAX_STALENESS);
     assert_eq!(upstream.long_poll_deadline(NOW, &asked, 2_000_000), NOW + 600_000);
 }
+
+/// A gateway was cut off for longer than anyone remembers what has ended: it is sent the full list, and not a delta without a word of it.
+#[rstest]
+fn who_was_away_for_long_hears_what_was_forgotten_meanwhile() {
+    let mut upstream = core(1, NOW, &[1, 2, 3], 0);
+    upstream.registry.observe(NOW, &report(1, 1, Phase::Ready));
+    upstream.registry.observe(NOW, &report(2, 1, Phase::Ready));
+    let mut limiter = StateCache::relay(9);
+    let response = upstream.respond(NOW, &poll(&limiter, 0, 0, 0), 0);
+    let revision = response.registry_revision;
+    limiter.apply_response(NOW, NOW, 0, response);
+    upstream.registry.deregister(NOW, "i-1");
+    let later = NOW + INSTANCE_RETENTION + 1_000_000;
+    upstream.registry.observe(later, &report(2, 90, Phase::Ready));
+    upstream.registry.expire(later, u64::MAX);
+    upstream.confirmed_at = later;
+    assert!(!upstream.registry.servers().contains_key("i-1"), "it is forgotten");
+    let asked = poll(&limiter, upstream.incarnation, revision, 0);
+    let response = upstream.respond(later, &asked, 0);
+    limiter.apply_response(later, later, asked.request.slot, response);
+    assert!(limiter.registry.servers()["i-1"].unlisted, "{:?}", limiter.registry.servers());
+    assert!(!limiter.registry.servers()["i-2"].unlisted);
+}
--- a/crates/control/membership/src/role_lease.rs
+++ b/crates/control/membership/src/role_lease.rs
@@ -188,9 +188,10 @@
         }
     }
 
-    /// Once all of these have said what they hold, this voter knows again what it may have voted for.
+    /// Once all of these have said what they hold, this voter knows again what it may have voted for. Whoever knows of no others yet has
+    /// not heard them.
     pub fn complete_recovery(&mut self, others: &[NodeId]) {
-        if !self.new_voter && others.iter().all(|node| self.heard.contains(node)) {
+        if !self.new_voter && !others.is_empty() && others.iter().all(|node| self.heard.contains(node)) {
             self.votes_from = 0;
         }
     }
--- a/crates/control/service-registry/src/registry.rs
+++ b/crates/control/service-registry/src/registry.rs
@@ -56,6 +56,8 @@
     servers: BTreeMap<String, Server>,
     /// Number of the last change to the table.
     pub revision: u64,
+    /// Up to this revision changes may have been of instances that are forgotten by now.
+    forgotten_revision: u64,
 }
 
 impl ServiceRegistry {
@@ -108,14 +110,18 @@
         }
     }
 
-    /// An instance says that it ends. False if it is not known.
+    /// An instance says that it ends. One that is not known here may be known elsewhere, and its heartbeats may still come: that it has
+    /// ended is remembered all the same. False if there is no room for that.
     pub fn deregister(&mut self, now: Timestamp, id: &str) -> bool {
-        let Some(server) = self.servers.get_mut(id) else { return false };
-        if server.phase != Phase::Gone {
-            self.revision += 1;
-            (server.phase, server.last_heartbeat, server.revision) = (Phase::Gone, now, self.revision);
+        match self.servers.get_mut(id) {
+            Some(server) if server.phase == Phase::Gone => true,
+            Some(server) => {
+                self.revision += 1;
+                (server.phase, server.last_heartbeat, server.revision) = (Phase::Gone, now, self.revision);
+                true
+            }
+            None => self.insert(now, &ServerReport::ended(id)) == Observation::Changed,
         }
-        true
     }
 
     /// Marks instances without a heartbeat for `timeout` as unresponsive, and forgets those of which nothing more can come.
@@ -127,10 +133,21 @@
                 (server.unresponsive, server.revision) = (true, self.revision);
             }
         }
+        let mut forgotten = self.forgotten_revision;
         self.servers.retain(|_, server| {
             let recent = now.saturating_sub(server.last_heartbeat) < INSTANCE_RETENTION;
-            recent || !(server.phase == Phase::Gone || server.unresponsive || server.unlisted)
+            let keep = recent || !(server.phase == Phase::Gone || server.unresponsive || server.unlisted);
+            if !keep {
+                forgotten = forgotten.max(server.revision);
+            }
+            keep
         });
+        self.forgotten_revision = forgotten;
+    }
+
+    /// Whether all that changed after this revision is known here: nothing of it is forgotten.
+    pub fn has_all_since(&self, revision: u64) -> bool {
+        revision >= self.forgotten_revision
     }
 
     /// Marks instances that an upstream's full list leaves out: they count as unresponsive until they are reported again, be it with
@@ -149,13 +166,13 @@
         self.servers.get(id).map(|server| server.report(now, id))
     }
 
-    /// All that changed after this revision; from revision 0 on, what has ended is left out.
+    /// All that changed after this revision, what has ended too: whoever asks may know it from elsewhere.
     pub fn changed_since(&self, now: Timestamp, revision: u64) -> Vec<ServerReport> {
-        let changed = |s: &&Server| s.revision > revision && (revision > 0 || s.phase != Phase::Gone);
+        let changed = |s: &&Server| s.revision > revision;
         self.servers.iter().filter(|(_, s)| changed(s)).map(|(id, s)| s.report(now, id)).collect()
     }
 
-    /// All instances, with those that have ended: for another replica's table.
+    /// All instances, with those that have ended.
     pub fn full_report(&self, now: Timestamp) -> Vec<ServerReport> {
         self.servers.iter().map(|(id, server)| server.report(now, id)).collect()
     }
--- a/crates/control/service-registry/src/report.rs
+++ b/crates/control/service-registry/src/report.rs
@@ -2,7 +2,7 @@
 
 use limeway_types::Micros;
 use serde::{Deserialize, Serialize};
-use std::net::SocketAddrV4;
+use std::net::{Ipv4Addr, SocketAddrV4};
 
 /// Where an instance stands in its life cycle; it only goes forward.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -52,3 +52,21 @@
     #[serde(rename = "m", default)]
     pub unresponsive: bool,
 }
+
+impl ServerReport {
+    /// Nothing but that an instance has ended, of which nothing else is known.
+    pub(crate) fn ended(id: &str) -> Self {
+        ServerReport {
+            id: id.to_owned(),
+            service: String::new(),
+            address: SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0),
+            zone: String::new(),
+            capacity_slots: 0,
+            phase: Phase::Gone,
+            slow_start_left: 0,
+            sequence: 0,
+            age: 0,
+            unresponsive: false,
+        }
+    }
+}
