--- a/crates/balancer/tests/system/mod.rs
+++ b/crates/balancer/tests/system/mod.rs
@@ -43,7 +43,21 @@
     }
 
     pub(crate) fn run(&self, at: usize, first: bool) {
+        self.write_settings(at, first, &self.seeds());
+        self.spawn(at);
+    }
+
+    /// The addresses of the core machines, as a settings file names them.
+    pub(crate) fn seeds(&self) -> String {
         let seeds: Vec<String> = self.machines[..3].iter().map(|m| format!("{}:{CONTROL}", m.ip)).collect();
+        seeds.join(",")
+    }
+
+    fn settings_path(&self, at: usize) -> PathBuf {
+        self.folder.join(format!("settings-{at}"))
+    }
+
+    pub(crate) fn write_settings(&self, at: usize, first: bool, seeds: &str) {
         let (ip, edge) = (self.machines[at].ip, self.machines[at].edge);
         let zone = ["z1", "z1", "z2", "z1", "z1", "z2"][at];
         let listens = if edge {
@@ -61,15 +75,18 @@
              internal-ports={INNER},{INNER}\nmetrics={METRICS}/metrics\nseed-nodes={}\ninitial-start={first}\n\
              fault-tolerance.machine-losses=1\nheartbeat=500ms\n\
              bounds=contact=4s,revoke=5s,revocation-strict=true,grace-period=6s,quota-window=5s,quota-overshoot=0.1,quota-slack=20,retry-budget-ratio=0.2,retry-slack=50\n",
-            seeds.join(",")
+            seeds
         );
-        let path = self.folder.join(format!("settings-{at}"));
-        std::fs::write(&path, text).expect("settings");
+        std::fs::write(self.settings_path(at), text).expect("settings");
+    }
+
+    /// Starts a machine's process with the settings that were written last.
+    pub(crate) fn spawn(&self, at: usize) {
         let log =
             std::fs::File::options().create(true).append(true).open(self.folder.join("log")).expect("log");
         let child = Command::new(env!("CARGO_BIN_EXE_limeway-balancer"))
             .args(["serve", "--log", "info", "--settings"])
-            .arg(&path)
+            .arg(self.settings_path(at))
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log)
--- a/crates/control/control-plane/tests/replica/instances.rs
+++ b/crates/control/control-plane/tests/replica/instances.rs
@@ -1,6 +1,7 @@
 //! Servers and members, as gateways hear of them from any replica with quorum contact.
 
-use crate::cluster::{options, Cluster, MS, SECOND};
+use crate::cluster::{options, update, Cluster, MS, SECOND};
+use limeway_consensus::Acceptor;
 use limeway_control_plane::{ApiRequest, ApiResponse, StartOptions};
 use limeway_distribution::transfer::StateRequest;
 use limeway_distribution::{LongPoll, StateCache};
@@ -159,3 +160,34 @@
     follow(&mut cluster, 2, 77, &mut gateway);
     assert!(!may_be_used(&gateway, "i"), "its leaving was acknowledged");
 }
+
+/// A replica that has lost its disk gives no vote for a while, and may hold shards by the votes of others meanwhile.
+#[rstest]
+fn a_replica_names_itself_as_the_holder_of_what_it_holds() {
+    let mut cluster = Cluster::start(3);
+    cluster.run(SECOND);
+    assert_eq!(cluster.ask(1, ApiRequest::UpdateConfig(update(1, 0))), ApiResponse::Done);
+    let (state, acceptor) = (cluster.replica(1).state().clone(), cluster.replica(1).acceptor().clone());
+    for node in 1..=3 {
+        cluster.kill(node);
+    }
+    let restarted = |node| StartOptions {
+        incarnation: 2_000 + u64::from(node),
+        initial_start: false,
+        ..options(node, &[1, 2, 3])
+    };
+    for node in 1..=2 {
+        let (state, acceptor) = (state.clone(), acceptor.clone());
+        cluster.add(StartOptions { state, acceptor, ..restarted(node) });
+    }
+    let acceptor = Acceptor { disk: 77, ..Acceptor::default() };
+    cluster.add(StartOptions { acceptor, ..restarted(3) });
+    let mut gateway = StateCache::relay(9);
+    cluster.run(2 * SECOND);
+    follow(&mut cluster, 3, 77, &mut gateway);
+    let held = cluster.replica(3).held_shards(cluster.now);
+    assert!(!held.is_empty(), "the case is tested");
+    for shard in held {
+        assert_eq!(gateway.holders[shard], (3, 2_003).into(), "shard {shard}");
+    }
+}
