A holder names itself; a client that sends on before it closes is seen to close

Holders were published by votes alone; gone() stopped at the first readable byte. Change: a replica publishes itself for what it holds; gone() reads ahead, 64 KB at most, and sees the end behind it.

--- a/crates/control/control-plane/src/role_leases.rs
+++ b/crates/control/control-plane/src/role_leases.rs
@@ -3,7 +3,7 @@
 use crate::control_plane::ControlPlane;
 use crate::messages::PeerStatus;
 use limeway_consensus::NodeId;
-use limeway_membership::{LeaseRequest, SHARDS};
+use limeway_membership::{Holder, LeaseRequest, SHARDS};
 use limeway_types::Timestamp;
 
 impl ControlPlane {
@@ -43,6 +43,14 @@
         }
     }
 
+    /// Who holds a shard, as far as this replica knows. What it holds itself it knows better than its votes say: a new voter gives none.
+    fn known_holder(&self, shard: usize) -> Option<Holder> {
+        if self.held_leases.holds(self.now, shard) {
+            return Some(self.as_holder());
+        }
+        self.lease_voter.holder(self.now, shard)
+    }
+
     /// Publishes the members and the holders of roles to limiters. Without quorum contact they are not known.
     pub(crate) fn publish_members(&mut self) {
         if !self.has_quorum(self.now) {
@@ -52,7 +60,7 @@
         let members = live.map(|member| (member.node, member.zone.to_owned()).into()).collect();
         let mut changed = self.cache.set_members(members);
         for shard in 0..SHARDS {
-            let holder = self.lease_voter.holder(self.now, shard).unwrap_or_default();
+            let holder = self.known_holder(shard).unwrap_or_default();
             changed |= self.cache.holders[shard] != holder;
             self.cache.holders[shard] = holder;
         }
--- a/crates/data/http1/src/inbound.rs
+++ b/crates/data/http1/src/inbound.rs
@@ -11,6 +11,8 @@
 const ANSWER: Duration = Duration::from_secs(10);
 /// After an error, what is still on its way is read for so long, lest the answer be lost to a reset.
 const LINGER: Duration = Duration::from_millis(300);
+/// Bytes of further requests that are read before the answer to the last one.
+const MAX_READ_AHEAD_BYTES: usize = 64 * 1024;
 /// Bytes of a buffer that are kept.
 const MAX_IDLE_BUFFER_BYTES: usize = 4 * 1024;
 
@@ -143,17 +145,17 @@
         self.buffer.is_empty() && crate::conn::quiet(&self.stream)
     }
 
-    /// Ends once the other side has closed its connection.
-    pub async fn gone(&self) {
-        if !self.buffer.is_empty() {
-            return std::future::pending().await;
-        }
-        let mut byte = [0; 1];
-        match self.stream.peek(&mut byte).await {
-            Ok(0) | Err(_) => {}
-            // It has sent more before its answer: whether it is there shows when that is read.
-            Ok(_) => std::future::pending().await,
+    /// Ends once the other side has closed its connection. What it sends on before its answer is read ahead, up to
+    /// [`MAX_READ_AHEAD_BYTES`]: only behind these bytes its end can be seen. May be given up at any time: nothing is lost.
+    pub async fn gone(&mut self) {
+        while self.buffer.len() < MAX_READ_AHEAD_BYTES {
+            match self.stream.read_buf(&mut self.buffer).await {
+                Ok(0) | Err(_) => return,
+                Ok(_) => {}
+            }
         }
+        // Who sends so much ahead is read on after its answer: whether it is there shows then.
+        std::future::pending::<()>().await;
     }
 
     /// Waits until the other side has taken the last answer, as far as can be told: it asks on, or closes in order. False if the
--- a/crates/testing/simulation/tests/schedules.rs
+++ b/crates/testing/simulation/tests/schedules.rs
@@ -82,3 +82,13 @@
         assert_eq!(runner::once(schedule, DisabledGuard::None).0, None, "seed {seed}");
     }
 }
+
+/// What is late may be late on a few schedules (issue 45); nothing may ever be unsafe.
+#[rstest]
+fn nothing_is_unsafe() {
+    let outcome = runner::play(1_000..1_400, Schedule::draw, DisabledGuard::None, JOBS, usize::MAX);
+    let is_late = |broken: &str| broken.contains("no clear answer") || broken.contains("is not up to date");
+    let (late, other): (Vec<_>, Vec<_>) = outcome.broken.iter().partition(|(_, broken)| is_late(broken));
+    assert_eq!(other, Vec::<&(u64, String)>::new());
+    assert!(late.len() <= 4, "one in a hundred at most: {late:?}");
+}
--- a/crates/testing/soak/src/server.rs
+++ b/crates/testing/soak/src/server.rs
@@ -178,7 +178,7 @@
 
     async fn serve(self: Rc<Self>, mut inbound: Inbound) {
         while let Ok(message) = inbound.read(BOUNDS).await {
-            let Some(answer) = self.answer(&message, &inbound).await else { return };
+            let Some(answer) = self.answer(&message, &mut inbound).await else { return };
             if self.manner.get() == Manner::Down || !inbound.write(&answer).await || !message.head.keep_alive
             {
                 return;
@@ -187,7 +187,7 @@
     }
 
     /// The answer to a request; None to end the connection.
-    async fn answer(&self, message: &Message, inbound: &Inbound) -> Option<Vec<u8>> {
+    async fn answer(&self, message: &Message, inbound: &mut Inbound) -> Option<Vec<u8>> {
         let value = |name| message.head.header(&message.bytes, name).unwrap_or(b"");
         let id = String::from_utf8_lossy(value("limeway-request-id")).into_owned();
         let mut headers = format!("Limeway-Request-Id: {id}\r\n").into_bytes();
