--- /dev/null
+++ b/crates/balancer/tests/reload.rs
@@ -0,0 +1,41 @@
+//! A changed settings file counts once the process is told, whichever way the file was named at its start.
+
+mod operations;
+mod system;
+
+use operations::{ask, config};
+use rustix::process::{kill_process, Pid, Signal};
+use std::time::Instant;
+use system::{System, FRONT, SOON};
+
+const GATEWAY: usize = 3;
+/// Where nobody listens.
+const NOBODY: &str = "127.64.0.250:28383";
+
+fn status(system: &System) -> Option<u16> {
+    let headers = [("Host", "a.example"), ("Limeway-Request-Id", "id-1")];
+    ask((system.machines[GATEWAY].ip, FRONT).into(), "GET", "/y/1", &headers, "").map(|(status, _)| status)
+}
+
+fn until(what: &str, system: &System, so: impl Fn() -> bool) {
+    let begun = Instant::now();
+    while !so() {
+        assert!(begun.elapsed() < SOON, "{what}: {}", system.log());
+    }
+}
+
+#[test]
+fn seeds_of_a_changed_file_are_used_after_a_signal() {
+    let system = System::start(64, 1);
+    assert_eq!(system.order("config.replace", &config(1, 0, "/x/", r#""k1""#)).0, 200);
+    system.kill(GATEWAY);
+    system.write_settings(GATEWAY, false, NOBODY);
+    system.spawn(GATEWAY);
+    until("the gateway", &system, || status(&system).is_some());
+    assert_eq!(status(&system), Some(503), "it finds nobody to follow");
+    system.write_settings(GATEWAY, false, &system.seeds());
+    let child = system.machines[GATEWAY].child.lock().expect("lock").as_ref().expect("runs").id();
+    let pid = Pid::from_raw(i32::try_from(child).expect("an id")).expect("an id");
+    kill_process(pid, Signal::HUP).expect("a signal");
+    until("the configuration", &system, || status(&system) == Some(404));
+}
