--- a/crates/balancer/src/gateway/mod.rs
+++ b/crates/balancer/src/gateway/mod.rs
@@ -175,6 +175,8 @@
     /// The settings file has changed: its seeds are used from now on.
     pub fn reload(&self, settings: &Settings) {
         self.following.follower.borrow_mut().seeds = transport::nodes(&settings.seeds);
+        self.metrics.reloads.inc();
+        log::info!("settings read again");
     }
 
     /// Answers where a client should go.
--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -107,7 +107,7 @@
             return ExitCode::FAILURE;
         }
     };
-    match LocalSet::new().block_on(&runtime, process::run(settings)) {
+    match LocalSet::new().block_on(&runtime, process::run(settings, path)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => fail(&e),
     }
--- a/crates/balancer/src/process.rs
+++ b/crates/balancer/src/process.rs
@@ -21,7 +21,7 @@
 use limeway_storage::Recovered;
 use std::fmt;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
@@ -74,18 +74,18 @@
     Settings::read(&text).change_context(StartError::Settings)
 }
 
-/// Runs the process that the settings describe, until it is shut down.
+/// Runs the process that the settings describe, until it is shut down. The file that they are from is watched.
 ///
 /// # Errors
 /// It cannot start.
-pub async fn run(settings: Settings) -> StartResult<()> {
+pub async fn run(settings: Settings, path: PathBuf) -> StartResult<()> {
     clock::seed(NodeId::from(settings.ip));
     let mut terminate = signal(SignalKind::terminate()).change_context(StartError::Signals)?;
     let reload = signal(SignalKind::hangup()).change_context(StartError::Signals)?;
     if settings.frontend.is_some() {
-        run_gateway(settings, &mut terminate, reload).await
+        run_gateway(settings, path, &mut terminate, reload).await
     } else {
-        run_replica(settings, &mut terminate, reload).await
+        run_replica(settings, path, &mut terminate, reload).await
     }
 }
 
@@ -110,7 +110,12 @@
     SocketAddr::from((settings.ip, settings.inner_ports.first))
 }
 
-async fn run_replica(settings: Settings, terminate: &mut Signal, reload: Signal) -> StartResult<()> {
+async fn run_replica(
+    settings: Settings,
+    path: PathBuf,
+    terminate: &mut Signal,
+    reload: Signal,
+) -> StartResult<()> {
     let (initial, writer) = open_disk(&settings).await?;
     let (inner, is_new) = (inner_address(&settings), initial.is_new);
     let api_addresses = [settings.control, settings.directory];
@@ -124,7 +129,7 @@
     serve_metrics(&replica.settings, move || figures.render_metrics());
     log::info!(slot = replica.control_plane().state().slot, is_new; "control-plane replica started");
     let reloaded = replica.clone();
-    tokio::task::spawn_local(watch_settings(reload, move |settings| {
+    tokio::task::spawn_local(watch_settings(path, reload, move |settings| {
         reloaded.handle(Event::SeedsChanged(transport::nodes(&settings.seeds)));
     }));
     tokio::task::spawn_local(replica.clone().run());
@@ -163,7 +168,12 @@
     (state.slot == applied).then_some(state)
 }
 
-async fn run_gateway(settings: Settings, terminate: &mut Signal, reload: Signal) -> StartResult<()> {
+async fn run_gateway(
+    settings: Settings,
+    path: PathBuf,
+    terminate: &mut Signal,
+    reload: Signal,
+) -> StartResult<()> {
     let (inner, frontend) = (inner_address(&settings), settings.frontend);
     let probe_addresses = [settings.readiness, settings.directory];
     let grace = Duration::from_micros(settings.bounds.grace_period);
@@ -176,7 +186,7 @@
         tokio::task::spawn_local(readiness::listen(gateway.clone(), bind(address)?));
     }
     let reloaded = gateway.clone();
-    tokio::task::spawn_local(watch_settings(reload, move |settings| reloaded.reload(&settings)));
+    tokio::task::spawn_local(watch_settings(path, reload, move |settings| reloaded.reload(&settings)));
     gateway.spawn_tasks();
     tokio::task::spawn_local(proxy::log_traffic(gateway.clone(), clients.clone()));
     let figures = (gateway.clone(), clients.clone());
--- a/crates/balancer/src/settings_watch.rs
+++ b/crates/balancer/src/settings_watch.rs
@@ -1,22 +1,21 @@
 //! Watches the settings file: it is read again at SIGHUP, and when it has changed without one.
 
 use crate::process;
-use limeway_settings::{Settings, VARIABLE};
+use limeway_settings::Settings;
 use std::path::PathBuf;
 use std::time::Duration;
 use tokio::signal::unix::Signal;
 
-/// The file may change without a signal: its time of change is looked at this often.
+/// The file may change without a signal: its content is looked at this often.
 const FILE_CHECK_INTERVAL: Duration = Duration::from_secs(5);
 
-/// Watches the file for ever, and hands on what it says. An invalid one changes nothing.
-pub(crate) async fn watch_settings(mut reload: Signal, changed: impl Fn(Settings)) {
-    let Some(path) = std::env::var_os(VARIABLE).map(PathBuf::from) else { return };
-    let modified = || std::fs::metadata(&path).and_then(|m| m.modified()).ok();
-    let mut last = modified();
+/// Watches the file for ever, and hands on what it says when that has changed. An invalid one changes nothing.
+pub(crate) async fn watch_settings(path: PathBuf, mut reload: Signal, changed: impl Fn(Settings)) {
+    // The content tells, not its time of change: two writes may have one time.
+    let mut last = std::fs::read(&path).ok();
     loop {
         let signalled = tokio::time::timeout(FILE_CHECK_INTERVAL, reload.recv()).await.is_ok();
-        let current = modified();
+        let current = std::fs::read(&path).ok();
         if !signalled && current == last {
             continue;
         }
