--- a/crates/balancer/src/process.rs
+++ b/crates/balancer/src/process.rs
@@ -222,5 +222,6 @@
         sleep(DRAIN_CHECK_INTERVAL).await;
     }
     let left = clients.busy_count();
+    log::info!(in_flight, left; "shut down");
     check(Invariant::CleanShutdown, in_flight > 0, left == 0, || format!("{left} requests are cut off"));
 }
--- a/crates/testing/soak/src/cluster.rs
+++ b/crates/testing/soak/src/cluster.rs
@@ -287,17 +287,28 @@
                 add(all.entry(name.clone()).or_default(), *counts);
             }
         }
+        add(all.entry("clean-shutdown".to_owned()).or_default(), self.shutdowns());
         all
     }
 
     /// Lines of all logs that tell of a violated invariant or a panic: they outlive the process.
     pub fn violations_in_logs(&self) -> Vec<String> {
+        self.log_lines(|line| line.contains("invariant violated") || line.contains("panicked at"))
+    }
+
+    /// Ends of gateways in order. What a process counts at its end is told by its log only.
+    fn shutdowns(&self) -> InvariantCounts {
+        let lines = self.log_lines(|line| line.contains("\"says\":\"shut down\""));
+        let near = lines.iter().filter(|line| !line.contains("\"in_flight\":\"0\"")).count() as u64;
+        InvariantCounts { checked: lines.len() as u64, near, violated: 0 }
+    }
+
+    fn log_lines(&self, tells: impl Fn(&str) -> bool) -> Vec<String> {
         let mut found = Vec::new();
         for at in self.all() {
             let log = std::fs::read(self.folder.join(format!("log-{at}"))).unwrap_or_default();
             let log = String::from_utf8_lossy(&log);
-            let tells = |line: &&str| line.contains("invariant violated") || line.contains("panicked at");
-            found.extend(log.lines().filter(tells).map(|line| format!("machine {at}: {line}")));
+            found.extend(log.lines().filter(|line| tells(line)).map(|line| format!("machine {at}: {line}")));
         }
         found
     }
--- a/crates/testing/soak/src/judge/mod.rs
+++ b/crates/testing/soak/src/judge/mod.rs
@@ -5,6 +5,8 @@
 mod requests;
 mod service;
 
+pub use service::is_served_since;
+
 use crate::ledger::Seen;
 
 /// Upper bound on the violations that are told of one rule.
--- a/crates/testing/soak/src/ledger.rs
+++ b/crates/testing/soak/src/ledger.rs
@@ -144,6 +144,8 @@
     pub read_back: Option<u32>,
     /// When all gateways were ready after it.
     pub ready_again: Option<Duration>,
+    /// When a quarter or more of the requests were served again.
+    pub served_again: Option<Duration>,
 }
 
 /// The ledger of a run.
--- a/crates/testing/soak/src/operator.rs
+++ b/crates/testing/soak/src/operator.rs
@@ -23,6 +23,8 @@
 const CLEAR_TIMEOUT: Duration = Duration::from_secs(40);
 /// Pause between two orders, in milliseconds.
 const ORDER_PAUSE_MS: std::ops::Range<u64> = 200..1_400;
+/// One change in so many takes a key away and brings another.
+const CHANGES_PER_KEY: u32 = 2;
 /// Routes beside the first ones that are in force at once.
 const MAX_ADDED_ROUTES: usize = 3;
 /// Keys that were taken away and are still tried.
@@ -88,6 +90,8 @@
     caller: ControlCaller,
     rng: RefCell<ChaCha8Rng>,
     config: RefCell<Config>,
+    /// Changes that were made.
+    changes: Cell<u32>,
 }
 
 impl Operator {
@@ -99,6 +103,7 @@
             caller: ControlCaller::new(net, 0),
             rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed ^ 0x0bed)),
             config: RefCell::default(),
+            changes: Cell::new(0),
         })
     }
 
@@ -133,7 +138,8 @@
         if next.routes.len() > MAX_ADDED_ROUTES {
             next.routes.remove(0);
         }
-        if rng.random_ratio(1, 3) {
+        self.changes.set(self.changes.get() + 1);
+        if self.changes.get().is_multiple_of(CHANGES_PER_KEY) {
             next.keys = vec![format!("key-{}", next.version)];
         }
         (next, current.version)
--- a/crates/testing/soak/src/run.rs
+++ b/crates/testing/soak/src/run.rs
@@ -5,7 +5,7 @@
 use crate::client::{Client, Demand};
 use crate::cluster::Cluster;
 use crate::faults::Stage;
-use crate::judge::judge;
+use crate::judge::{is_served_since, judge};
 use crate::ledger::Ledger;
 use crate::network::Network;
 use crate::operator::Operator;
@@ -29,6 +29,8 @@
 const SETTLE: Duration = Duration::from_secs(5);
 /// Traffic goes on so long once all is ready again.
 const AFTERWARDS: Duration = Duration::from_secs(3);
+/// Service is judged by the requests of so long.
+const SERVICE_WINDOW: Duration = Duration::from_secs(1);
 /// Threads for the links.
 const LINK_THREADS: usize = 2;
 
@@ -162,9 +164,23 @@
         seen.read_back = read_back;
         seen.ready_again = ready.then_some(now);
     }
+    wait_for_service(stage, restarted + RECOVERY).await;
     sleep(AFTERWARDS).await;
 }
 
+/// Waits until requests are served again, or until then at most.
+async fn wait_for_service(stage: &Stage, until: Duration) {
+    while stage.ledger.now() < until {
+        sleep(CHECK_INTERVAL).await;
+        let now = stage.ledger.now();
+        let mut seen = stage.ledger.seen.borrow_mut();
+        if is_served_since(&seen, now.saturating_sub(SERVICE_WINDOW)) {
+            seen.served_again = Some(now);
+            return;
+        }
+    }
+}
+
 async fn all_ready(cluster: &Cluster, within: Duration) -> bool {
     let begun = Instant::now();
     for at in cluster.gateways() {
