--- a/crates/control/control-plane/src/agreement.rs
+++ b/crates/control/control-plane/src/agreement.rs
@@ -141,9 +141,7 @@
 
     /// Calls the acceptors of all other voters, before the own disk is waited for.
     fn call_acceptors(&mut self, ballot: u64, call: &Call) {
-        let own = self.options.node;
-        let nodes = self.voters().iter().map(|voter| voter.node).filter(|node| *node != own);
-        let nodes: Vec<NodeId> = nodes.collect();
+        let nodes = self.other_voters();
         let outstanding = nodes.len() + usize::from(self.own_voter().is_some());
         for node in nodes {
             self.send(node, call.clone(), ACCEPTOR_TIMEOUT, SentRequest::Ballot(ballot, node));
--- a/crates/control/control-plane/src/control_plane.rs
+++ b/crates/control/control-plane/src/control_plane.rs
@@ -14,16 +14,15 @@
 use limeway_consensus::{Acceptor, Slot, Voter};
 use limeway_distribution::transfer::StateRequest;
 use limeway_distribution::StateCache;
-use limeway_membership::{HeldLeases, Holder, LeaseVoter, MemberHeartbeat, Membership, SHARDS};
+use limeway_membership::{
+    HeartbeatBuffer, HeldLeases, Holder, LeaseVoter, Membership, RandomSequence, MAX_MEMBERS, SHARDS,
+};
 use limeway_quota::counter::Counter;
 use limeway_routing_config::{RoutingSnapshot, State};
 use limeway_types::{Micros, NodeId, Timestamp};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
-/// Increment of the random number generator (SplitMix64).
-const RANDOM_INCREMENT: u64 = 0x9e37_79b9_7f4a_7c15;
-
 /// A replica of the control plane.
 #[derive(Debug)]
 pub struct ControlPlane {
@@ -38,8 +37,8 @@
     pub(crate) acceptor: Acceptor,
     pub(crate) routing: Rc<RoutingSnapshot>,
     pub(crate) membership: Membership,
-    /// Heartbeats of members that renew their lease here; `age` is the time at which they were sent.
-    pub(crate) direct_members: BTreeMap<NodeId, MemberHeartbeat>,
+    /// Heartbeats of members that renew their lease here.
+    pub(crate) direct_members: HeartbeatBuffer,
     pub(crate) lease_voter: LeaseVoter,
     pub(crate) held_leases: HeldLeases,
     pub(crate) counters: [Option<Counter>; SHARDS],
@@ -59,7 +58,7 @@
     pub(crate) last_request: RequestId,
     shutting_down_since: Option<Timestamp>,
     exited: bool,
-    random_state: u64,
+    random: RandomSequence,
     sent: BTreeMap<RequestId, SentRequest>,
 }
 
@@ -93,7 +92,7 @@
             acceptor: options.acceptor.clone(),
             routing: Rc::new(routing),
             membership: Membership::default(),
-            direct_members: BTreeMap::new(),
+            direct_members: HeartbeatBuffer::new(MAX_MEMBERS),
             lease_voter: LeaseVoter::new(now, !options.initial_start),
             held_leases: HeldLeases::default(),
             counters: Default::default(),
@@ -111,7 +110,7 @@
             last_request: 0,
             shutting_down_since: None,
             exited: false,
-            random_state: options.incarnation,
+            random: RandomSequence::new(options.incarnation),
             sent: BTreeMap::new(),
             cache,
             options,
@@ -251,8 +250,7 @@
 
     /// A random number.
     pub(crate) fn random(&mut self) -> u64 {
-        self.random_state = self.random_state.wrapping_add(RANDOM_INCREMENT);
-        limeway_membership::hash(&self.random_state.to_le_bytes())
+        self.random.draw()
     }
 
     /// The voters of the next slot; none on a replica that knows of no voters yet.
@@ -260,6 +258,12 @@
         &self.cache.state.voters
     }
 
+    /// The machines of the voters, without this one.
+    pub(crate) fn other_voters(&self) -> Vec<NodeId> {
+        let own = self.options.node;
+        self.voters().iter().map(|voter| voter.node).filter(|node| *node != own).collect()
+    }
+
     pub(crate) fn majority(&self) -> usize {
         self.voters().len() / 2 + 1
     }
--- a/crates/control/control-plane/src/instances.rs
+++ b/crates/control/control-plane/src/instances.rs
@@ -3,7 +3,6 @@
 use crate::api::{Action, ApiResponse, CallerId};
 use crate::control_plane::{ControlPlane, SentRequest};
 use crate::messages::Call;
-use limeway_consensus::NodeId;
 use limeway_service_registry::{Observation, Phase, ServerReport};
 use limeway_types::Micros;
 
@@ -64,8 +63,7 @@
     }
 
     fn replicate_report(&mut self, caller: Option<CallerId>, report: &ServerReport) {
-        let others: Vec<NodeId> =
-            self.voters().iter().map(|voter| voter.node).filter(|node| *node != self.options.node).collect();
+        let others = self.other_voters();
         let replication = ReportReplication {
             caller,
             needed: self.majority(),
--- a/crates/control/control-plane/src/peers.rs
+++ b/crates/control/control-plane/src/peers.rs
@@ -85,9 +85,8 @@
     /// The peers that a voter has to hear from before it knows again which leases it may have voted for: the voters, and those that
     /// were voters not long ago.
     pub(crate) fn possible_holders(&self) -> Vec<NodeId> {
-        let mut nodes: Vec<NodeId> = self.voters().iter().map(|voter| voter.node).collect();
-        nodes.extend(&self.cache.state.former_voters);
-        nodes.retain(|node| *node != self.options.node);
+        let mut nodes = self.other_voters();
+        nodes.extend(self.cache.state.former_voters.iter().filter(|node| **node != self.options.node));
         nodes
     }
 }
--- a/crates/control/control-plane/src/quorum.rs
+++ b/crates/control/control-plane/src/quorum.rs
@@ -10,7 +10,7 @@
 use limeway_consensus::{NodeId, Slot, Voter};
 use limeway_distribution::encode;
 use limeway_invariants::{check, Invariant};
-use limeway_membership::{AnnouncedLease, Holder, LeaseRequest, MemberHeartbeat, MEMBER_LEASE};
+use limeway_membership::{AnnouncedLease, Holder, LeaseRequest};
 use limeway_routing_config::Operation;
 use limeway_service_registry::ServerReport;
 use limeway_types::{Micros, Timestamp, SECOND};
@@ -152,7 +152,7 @@
         let lease_requests = self.lease_requests();
         let held = self.held_leases.held(now);
         let reports = self.fresh_reports();
-        let members = self.direct_heartbeats();
+        let members = self.direct_members.pass_on(now);
         let number = self.open_round(&others, &lease_requests);
         let status = self.status(now);
         let wants_relayed = self.misses_voter();
@@ -236,17 +236,6 @@
         ids.iter().filter_map(|id| self.cache.registry.report(self.now, id)).collect()
     }
 
-    /// Heartbeats of the members that renew their lease here.
-    fn direct_heartbeats(&mut self) -> Vec<MemberHeartbeat> {
-        let now = self.now;
-        self.direct_members.retain(|_, heartbeat| now.saturating_sub(heartbeat.age) < MEMBER_LEASE);
-        let aged = |heartbeat: &MemberHeartbeat| MemberHeartbeat {
-            age: now.saturating_sub(heartbeat.age),
-            ..heartbeat.clone()
-        };
-        self.direct_members.values().map(aged).collect()
-    }
-
     /// Answers another replica's heartbeat.
     pub(crate) fn handle_heartbeat(&mut self, heartbeat: Heartbeat) -> HeartbeatReply {
         let sender = heartbeat.status;
--- a/crates/control/control-plane/src/updates.rs
+++ b/crates/control/control-plane/src/updates.rs
@@ -4,7 +4,6 @@
 use crate::control_plane::ControlPlane;
 use crate::messages::Reply;
 use limeway_distribution::LongPoll;
-use limeway_membership::{MemberHeartbeat, MAX_MEMBERS};
 use limeway_types::{Micros, Timestamp, SECOND};
 
 /// The longest that a poll waits.
@@ -46,7 +45,7 @@
         let members = std::iter::once(&poll.sender).chain(&poll.downstream);
         for heartbeat in members.filter(|heartbeat| heartbeat.frontend.port() != 0) {
             self.long_polls.review_members |= self.membership.observe(self.now, heartbeat);
-            self.remember_direct(heartbeat);
+            self.direct_members.observe(self.now, heartbeat);
         }
         let deadline = self.now + poll.max_wait.min(LONG_POLL_TIMEOUT);
         let poll = WaitingPoll { caller, poll, received: self.now, deadline };
@@ -57,15 +56,6 @@
         self.long_polls.update_available = true;
     }
 
-    /// Remembers a member that renews its lease here, with the time at which its heartbeat was sent.
-    fn remember_direct(&mut self, heartbeat: &MemberHeartbeat) {
-        let known = self.direct_members.contains_key(&heartbeat.node);
-        if known || self.direct_members.len() < MAX_MEMBERS {
-            let age = self.now.saturating_sub(heartbeat.age);
-            self.direct_members.insert(heartbeat.node, MemberHeartbeat { age, ..heartbeat.clone() });
-        }
-    }
-
     fn answer_poll(&mut self, poll: &WaitingPoll) {
         let response = self.cache.respond(self.now, &poll.poll, self.now - poll.received);
         self.actions.push(Action::Reply(poll.caller, Reply::Update(Box::new(response))));
--- a/crates/control/distribution/src/follower.rs
+++ b/crates/control/distribution/src/follower.rs
@@ -14,7 +14,7 @@
 use crate::messages::{LongPoll, StateUpdate, UpdateResponse};
 use crate::transfer::{StateRequest, MAX_CHUNK_BYTES, MIN_CHUNK_BYTES};
 use crate::{relay_tree, StateCache};
-use limeway_membership::{hash, rendezvous_weight, MemberHeartbeat, MEMBER_LEASE};
+use limeway_membership::{hash, rendezvous_weight, HeartbeatBuffer, MemberHeartbeat};
 use limeway_types::{Micros, NodeId, ProcessIncarnation, Timestamp, SECOND};
 use std::collections::BTreeMap;
 
@@ -83,7 +83,7 @@
     deferred: Option<DeferredUpdate>,
     /// Members named by any upstream, current or not: upstreams to try, nothing more.
     hinted_members: Vec<NodeId>,
-    downstream: BTreeMap<NodeId, MemberHeartbeat>,
+    downstream: HeartbeatBuffer,
     /// Bytes of updates to request: fewer while responses do not come in time.
     max_bytes: usize,
     not_before: Timestamp,
@@ -103,7 +103,7 @@
             cursor: Cursor::default(),
             deferred: None,
             hinted_members: Vec::new(),
-            downstream: BTreeMap::new(),
+            downstream: HeartbeatBuffer::new(MAX_DOWNSTREAM),
             max_bytes: MAX_CHUNK_BYTES,
             not_before: 0,
             last_poll: 0,
@@ -197,15 +197,9 @@
         sender: MemberHeartbeat,
         max_wait: Micros,
     ) -> LongPoll {
-        // `age` holds when the heartbeat was sent while it is kept here.
-        self.downstream.retain(|_, heartbeat| now.saturating_sub(heartbeat.age) < MEMBER_LEASE);
-        let aged = |heartbeat: &MemberHeartbeat| MemberHeartbeat {
-            age: now.saturating_sub(heartbeat.age),
-            ..heartbeat.clone()
-        };
         LongPoll {
             sender,
-            downstream: self.downstream.values().map(aged).collect(),
+            downstream: self.downstream.pass_on(now),
             request: self.state_request(cache),
             incarnation: self.cursor.incarnation,
             registry_revision: self.cursor.registry_revision,
@@ -218,13 +212,7 @@
     pub fn observe_downstream(&mut self, now: Timestamp, poll: &LongPoll) -> bool {
         let mut changed = false;
         for heartbeat in std::iter::once(&poll.sender).chain(&poll.downstream) {
-            let known = self.downstream.contains_key(&heartbeat.node);
-            if known || self.downstream.len() < MAX_DOWNSTREAM {
-                let sent = now.saturating_sub(heartbeat.age);
-                let kept = MemberHeartbeat { age: sent, ..heartbeat.clone() };
-                let previous = self.downstream.insert(heartbeat.node, kept);
-                changed |= previous.is_none_or(|previous| previous.ready != heartbeat.ready);
-            }
+            changed |= self.downstream.observe(now, heartbeat);
         }
         changed
     }
