--- a/crates/testing/soak/src/cluster.rs
+++ b/crates/testing/soak/src/cluster.rs
@@ -198,12 +198,14 @@
     }
 
     /// Kills these processes at one moment, stopped ones too.
-    pub async fn kill_all(&self, machines: impl Iterator<Item = usize> + Clone) {
-        for at in machines.clone() {
+    pub async fn kill_all(&self, machines: impl Iterator<Item = usize>) {
+        let mut children = Vec::new();
+        for at in machines {
             self.signal(at, Signal::KILL);
+            // Whoever watches over processes must not take this end for their own.
+            children.push((at, self.machines[at].child.borrow_mut().take()));
         }
-        for at in machines {
-            let child = self.machines[at].child.borrow_mut().take();
+        for (at, child) in children {
             if let Some(mut child) = child {
                 let _ = child.wait().await;
             }
--- a/crates/testing/soak/src/ledger.rs
+++ b/crates/testing/soak/src/ledger.rs
@@ -65,6 +65,8 @@
     pub ended: Option<Duration>,
     /// It was broken off, as its connection closed.
     pub broken_off: bool,
+    /// It was to last for more than a second.
+    pub is_long: bool,
     /// The request was what the client sent: method, path, body, tenant.
     pub is_unchanged: bool,
 }
--- a/crates/testing/soak/src/server.rs
+++ b/crates/testing/soak/src/server.rs
@@ -24,7 +24,7 @@
 /// Shortest and longest work on a request.
 const WORK_MS: std::ops::Range<u64> = 5..60;
 /// One request in so many takes this long.
-const LONG_WORK: (u32, Duration) = (25, Duration::from_millis(1_200));
+const LONG_WORK: (u32, Duration) = (12, Duration::from_millis(1_200));
 /// Pause between two heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// What a request may be.
@@ -203,9 +203,9 @@
             return Some(out);
         }
         let number = u64::from_str_radix(&id, 16).unwrap_or(0);
-        let execution = self.begin(number, &instance, message);
-        self.working.set(self.working.get() + 1);
         let work = draw_work(&mut self.rng.borrow_mut());
+        let execution = self.begin(number, &instance, message, work);
+        self.working.set(self.working.get() + 1);
         let finished = tokio::select! {
             () = sleep(work) => true,
             () = inbound.gone() => false,
@@ -223,7 +223,7 @@
         Some(out)
     }
 
-    fn begin(&self, number: RequestId, instance: &str, message: &Message) -> usize {
+    fn begin(&self, number: RequestId, instance: &str, message: &Message, work: Duration) -> usize {
         let begun = self.ledger.now();
         let mut seen = self.ledger.seen.borrow_mut();
         let request = if seen.requests.contains_key(&number) { number } else { 0 };
@@ -234,6 +234,7 @@
             begun,
             ended: None,
             broken_off: false,
+            is_long: work == LONG_WORK.1,
             is_unchanged,
         });
         seen.executions.len() - 1
