--- a/crates/control/control-plane/src/proposals.rs
+++ b/crates/control/control-plane/src/proposals.rs
@@ -18,6 +18,9 @@
 const REQUEST_TIMEOUT: Micros = 900_000;
 /// The same without quorum contact: the caller is told at once, after one round.
 const NO_QUORUM_TIMEOUT: Micros = 330_000;
+/// An evacuation call that has waited for the answer to a like one is proposed no later than this before its time is over: two round
+/// trips on the longest links, and some writes.
+const LATE_PROPOSAL_MARGIN: Micros = 300_000;
 /// Upper bound on the requests under way.
 const MAX_REQUESTS: usize = 64;
 /// Upper bound on the evacuation calls whose responses were delivered, and that are still to be closed.
@@ -229,6 +232,12 @@
                         pending.retry_at = until;
                         RequestStep::Wait
                     }
+                    // Proposed so late, its answer would hardly come in time, and its caller's retry would wait for that answer.
+                    CallStep::Propose(_)
+                        if pending.retry_at > 0 && now + LATE_PROPOSAL_MARGIN > pending.deadline =>
+                    {
+                        RequestStep::Wait
+                    }
                     CallStep::Propose(operation) => {
                         pending.admitted = Some((state.slot, Ok(operation)));
                         RequestStep::Propose
--- a/crates/control/control-plane/tests/replica/proposals.rs
+++ b/crates/control/control-plane/tests/replica/proposals.rs
@@ -105,3 +105,28 @@
     cluster.run(200 * MS);
     assert_eq!(cluster.replica(3).state().evacuated.get("north"), Some(&2));
 }
+
+/// A call that had to wait for the answer to a like one until its own time was nearly over is not proposed any more: its caller would
+/// not hear of it, and the retry would wait for an answer that never comes.
+#[rstest]
+fn a_call_that_has_waited_for_too_long_leaves_nothing_for_its_retry_to_wait_for() {
+    let mut cluster = Cluster::start(3);
+    cluster.run(SECOND);
+    let start = || ApiRequest::Evacuate { zone: "z".into(), starts: true };
+    (1..=3).for_each(|node| cluster.set_disk_hangs(node, true));
+    let first = cluster.call_api(1, start());
+    let second = cluster.call_api(1, start());
+    cluster.run(300 * MS);
+    (1..=3).for_each(|node| cluster.set_disk_hangs(node, false));
+    cluster.run(SECOND);
+    assert!(matches!(cluster.response(first), Some(ApiResponse::EvacuationDone(_))));
+    assert_eq!(cluster.response(second), Some(&ApiResponse::Indeterminate));
+    let ApiResponse::EvacuationDone(first_call) = cluster.response(first).expect("answered") else {
+        panic!("not done")
+    };
+    let open: Vec<u64> = cluster.replica(1).state().open_calls().iter().map(|call| call.call_id).collect();
+    assert_eq!(open, [*first_call], "the second one left nothing behind");
+    let sent = cluster.now;
+    assert!(matches!(cluster.ask(2, start()), ApiResponse::EvacuationDone(_)));
+    assert!(cluster.now - sent < 300 * MS, "the retry waits for nobody");
+}
