A wait for quota ends with the deadline of its request

Change: the wait is bounded by the time that the request has left; then 429, with the advice to come back.

--- a/crates/balancer/src/proxy/attempts.rs
+++ b/crates/balancer/src/proxy/attempts.rs
@@ -15,6 +15,7 @@
     have_no_common_region, AttemptResult, Conclusion, NextStep, RequestAttempts, ResponseHead,
 };
 use limeway_load_balancing::Outcome;
+use limeway_routing_config::routing::Tenant;
 use limeway_types::{Micros, Timestamp};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -29,6 +30,8 @@
 const MIN_HEDGE_DELAY: Micros = 350_000;
 /// One in so many parts of its latency target a request waits for a server with room.
 const CAPACITY_WAIT_DIVISOR: u64 = 5;
+/// When to retry after a wait for a unit that was longer than the request's own time.
+const UNANSWERED_UNIT_RETRY: Micros = 250_000;
 /// Interval at which a server with room is looked for.
 const CAPACITY_POLL_INTERVAL: Duration = Duration::from_millis(15);
 /// One in so many parts of the time left stands for the latency of a server that is not known.
@@ -52,7 +55,7 @@
     }
     gateway.retries.borrow_mut().count_request(started, &service);
     if let Some(tenant) = &tenant {
-        let unit = gateway.take_unit(&tenant.name, tenant.rate_per_second, tenant.burst_size).await;
+        let unit = take_unit_within(gateway, tenant, time_left).await;
         record.unit_wait.set(now() - started);
         unit.map_err(|wait| LocalResponse::retry_after(429, Failure::QuotaExhausted, wait as f64 / 1e6))?;
     }
@@ -70,6 +73,16 @@
     attempts.run(request_attempts, started + route.target_latency / CAPACITY_WAIT_DIVISOR).await
 }
 
+/// Takes a unit of the tenant's quota, and waits for it no longer than the request itself may take.
+///
+/// # Errors
+/// There is none: how long until there may be one.
+async fn take_unit_within(gateway: &Gateway, tenant: &Tenant, time_left: Micros) -> Result<(), Micros> {
+    let unit = gateway.take_unit(&tenant.name, tenant.rate_per_second, tenant.burst_size);
+    let taken = timeout(Duration::from_micros(time_left), unit).await;
+    taken.unwrap_or(Err(UNANSWERED_UNIT_RETRY))
+}
+
 /// A server that was chosen for an attempt.
 #[derive(Clone)]
 struct ChosenServer {
