--- a/crates/balancer/tests/deadline.rs
+++ b/crates/balancer/tests/deadline.rs
@@ -2,11 +2,11 @@
 
 mod operations;
 mod system;
+mod waiting;
 
 use operations::{ask, config};
 use rustix::process::{kill_process, Pid, Signal};
-use std::time::Instant;
-use system::{System, FRONT, SOON};
+use system::{System, FRONT};
 
 const GATEWAY: usize = 3;
 
@@ -28,13 +28,6 @@
     line.split(&format!("\"{field}\":\"")).nth(1)?.split('"').next()?.parse().ok()
 }
 
-fn until(what: &str, system: &System, so: impl Fn() -> bool) {
-    let begun = Instant::now();
-    while !so() {
-        assert!(begun.elapsed() < SOON, "{what}: {}", system.log());
-    }
-}
-
 #[test]
 fn a_short_deadline_ends_a_wait_for_quota() {
     let system = System::start(65, 1);
@@ -47,8 +40,8 @@
     assert_eq!(system.order("config.replace", &config).0, 200);
     // Its unit was leased, so the gateway knows who holds the counters; there is no server.
     let no_server = r#""request":"id-first","status":"503","cause":"no-server""#;
-    until("a unit", &system, || {
-        request(&system, "k1", "id-first", "1000").is_some() && system.log().contains(no_server)
+    system.until("a unit", |system| {
+        request(system, "k1", "id-first", "1000").is_some() && system.log().contains(no_server)
     });
     for at in 0..3 {
         let id = system.machines[at].child.lock().expect("lock").as_ref().expect("runs").id();
@@ -58,7 +51,7 @@
     assert_eq!(request(&system, "k-u", "id-patient", "2000"), Some(429), "{}", system.log());
     assert_eq!(request(&system, "k-v", "id-short", "50"), Some(429), "{}", system.log());
     let wait = |id: &str| logged(&system, id, "unit_wait_ms").expect("logged");
-    until("both lines", &system, || logged(&system, "id-short", "unit_wait_ms").is_some());
+    system.until("both lines", |system| logged(system, "id-short", "unit_wait_ms").is_some());
     system.kill(GATEWAY);
     assert!(wait("id-short") < wait("id-patient"), "{} and {} ms", wait("id-short"), wait("id-patient"));
 }
--- a/crates/balancer/tests/reload.rs
+++ b/crates/balancer/tests/reload.rs
@@ -2,11 +2,11 @@
 
 mod operations;
 mod system;
+mod waiting;
 
 use operations::{ask, config};
 use rustix::process::{kill_process, Pid, Signal};
-use std::time::Instant;
-use system::{System, FRONT, SOON};
+use system::{System, FRONT};
 
 const GATEWAY: usize = 3;
 /// Where nobody listens.
@@ -17,13 +17,6 @@
     ask((system.machines[GATEWAY].ip, FRONT).into(), "GET", "/y/1", &headers, "").map(|(status, _)| status)
 }
 
-fn until(what: &str, system: &System, so: impl Fn() -> bool) {
-    let begun = Instant::now();
-    while !so() {
-        assert!(begun.elapsed() < SOON, "{what}: {}", system.log());
-    }
-}
-
 #[test]
 fn seeds_of_a_changed_file_are_used_after_a_signal() {
     let system = System::start(64, 1);
@@ -31,11 +24,11 @@
     system.kill(GATEWAY);
     system.write_settings(GATEWAY, false, NOBODY);
     system.spawn(GATEWAY);
-    until("the gateway", &system, || status(&system).is_some());
+    system.until("the gateway", |system| status(system).is_some());
     assert_eq!(status(&system), Some(503), "it finds nobody to follow");
     system.write_settings(GATEWAY, false, &system.seeds());
     let child = system.machines[GATEWAY].child.lock().expect("lock").as_ref().expect("runs").id();
     let pid = Pid::from_raw(i32::try_from(child).expect("an id")).expect("an id");
     kill_process(pid, Signal::HUP).expect("a signal");
-    until("the configuration", &system, || status(&system) == Some(404));
+    system.until("the configuration", |system| status(system) == Some(404));
 }
--- a/crates/balancer/tests/sight.rs
+++ b/crates/balancer/tests/sight.rs
@@ -2,10 +2,10 @@
 
 mod operations;
 mod system;
+mod waiting;
 
 use operations::{ask, config};
-use std::time::Instant;
-use system::{System, FRONT, METRICS, SOON};
+use system::{System, FRONT, METRICS};
 
 /// The machines: a replica, and the gateway.
 const REPLICA: usize = 0;
@@ -22,27 +22,22 @@
     ask((system.machines[GATEWAY].ip, FRONT).into(), "GET", path, &headers, "").map(|(status, _)| status)
 }
 
-fn until(what: &str, system: &System, so: impl Fn() -> bool) {
-    let begun = Instant::now();
-    while !so() {
-        assert!(begun.elapsed() < SOON, "{what}: {}", system.log());
-    }
-}
-
 #[test]
 fn each_failure_has_a_cause_in_log_and_figures() {
     let system = System::start(63, 1);
     assert_eq!(system.order("config.replace", &config(1, 0, "/x/", r#""k1""#)).0, 200);
-    until("the configuration", &system, || request(&system, "/y/1", "k1", "id-wait") == Some(404));
+    system.until("the configuration", |system| request(system, "/y/1", "k1", "id-wait") == Some(404));
     assert_eq!(request(&system, "/y/1", "k1", "id-route"), Some(404));
     assert_eq!(request(&system, "/x/1", "nobody", "id-key"), Some(401));
     // Until a unit of the quota can be had it is 429.
-    until("a request without a server", &system, || request(&system, "/x/1", "k1", "id-server") == Some(503));
+    system.until("a request without a server", |system| {
+        request(system, "/x/1", "k1", "id-server") == Some(503)
+    });
     let line = |id: &str| {
         let quoted = format!("\"request\":\"{id}\"");
         system.log().lines().rfind(|line| line.contains(&quoted)).map(str::to_owned)
     };
-    until("a line for each", &system, || {
+    system.until("a line for each", |_| {
         ["id-route", "id-key", "id-server"].iter().all(|id| line(id).is_some())
     });
     let cause = |id: &str, cause: &str| {
@@ -69,5 +64,7 @@
     assert!(replica.contains("limeway_has_quorum 1") && replica.contains("limeway_is_voter 1"), "{replica}");
     system.kill(1);
     system.kill(2);
-    until("the loss of the majority", &system, || figures(&system, REPLICA).contains("limeway_has_quorum 0"));
+    system.until("the loss of the majority", |system| {
+        figures(system, REPLICA).contains("limeway_has_quorum 0")
+    });
 }
--- a/crates/balancer/tests/whole.rs
+++ b/crates/balancer/tests/whole.rs
@@ -4,14 +4,14 @@
 
 mod operations;
 mod system;
+mod waiting;
 
 use operations::{ask, config};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{Ipv4Addr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Arc;
-use std::time::Instant;
-use system::{System, DIRECTORY, FRONT, SOON};
+use system::{System, DIRECTORY, FRONT};
 
 impl System {
     fn get(&self, at: usize, path: &str, key: &str, id: &str) -> Option<(u16, String)> {
@@ -24,13 +24,6 @@
         ];
         ask((self.machines[at].ip, FRONT).into(), "GET", path, &headers, "")
     }
-
-    fn until(&self, what: &str, mut so: impl FnMut(&Self) -> bool) {
-        let begun = Instant::now();
-        while !so(self) {
-            assert!(begun.elapsed() < SOON, "{what} did not come about: {}", self.log());
-        }
-    }
 }
 
 /// A server that counts what it runs, and checks that it is meant.
--- a/crates/testing/soak/src/faults.rs
+++ b/crates/testing/soak/src/faults.rs
@@ -56,9 +56,9 @@
                 cluster.lose_disk(machine);
             }
             Fault::KillCore => cluster.kill_all(0..CORE).await,
-            Fault::CutPair(one, other) => self.network.cut(one, &[other], true),
-            Fault::CutOff(machine) => self.network.cut(machine, &others(machine), true),
-            Fault::CutGateway(machine) => self.network.cut(machine, &core(), true),
+            Fault::CutPair(one, other) => self.network.partition(one, &[other], true),
+            Fault::CutOff(machine) => self.network.partition(machine, &others(machine), true),
+            Fault::CutGateway(machine) => self.network.partition(machine, &core(), true),
             Fault::ResetLinks => self.network.reset(),
             Fault::LoseControlAnswers(machine) => self.network.lose_control_answers(machine, true),
             Fault::CrashServer(server) => {
@@ -82,11 +82,11 @@
             }
             Fault::KillCore => (0..CORE).for_each(|machine| self.start(machine)),
             Fault::Pause(machine) => cluster.signal(machine, Signal::CONT),
-            Fault::CutPair(one, other) => self.network.cut(one, &[other], false),
-            Fault::CutOff(machine) => self.network.cut(machine, &others(machine), false),
-            Fault::CutGateway(machine) => self.network.cut(machine, &core(), false),
+            Fault::CutPair(one, other) => self.network.partition(one, &[other], false),
+            Fault::CutOff(machine) => self.network.partition(machine, &others(machine), false),
+            Fault::CutGateway(machine) => self.network.partition(machine, &core(), false),
             Fault::LoseControlAnswers(machine) => self.network.lose_control_answers(machine, false),
-            Fault::CrashServer(server) => self.servers[server].begin_life(),
+            Fault::CrashServer(server) => self.servers[server].start_instance(),
             Fault::GarbleServer(server) => self.servers[server].manner.set(Manner::Sound),
             Fault::LoseAnswers(server) => self.network.lose_server_answers(server, false),
             Fault::DrainServer(server) => {
@@ -109,7 +109,7 @@
     /// A server ends, and comes back as another instance at the same address.
     fn leave(&self, server: usize) {
         self.network.reset_server(server);
-        self.servers[server].begin_life();
+        self.servers[server].start_instance();
     }
 
     fn note(&self, what: String) {
--- a/crates/testing/soak/src/judge/mod.rs
+++ b/crates/testing/soak/src/judge/mod.rs
@@ -9,8 +9,8 @@
 
 use crate::ledger::Seen;
 
-/// Upper bound on the violations that are told of one rule.
-const MAX_TOLD: usize = 12;
+/// Upper bound on the violations that are kept of one rule.
+const MAX_EXAMPLES: usize = 12;
 
 /// What became of one rule.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -23,8 +23,8 @@
     pub near: u64,
     /// How often it was broken.
     pub broken: u64,
-    /// What broke it, as far as it is told.
-    pub told: Vec<String>,
+    /// What broke it: the first few.
+    pub examples: Vec<String>,
 }
 
 impl Finding {
@@ -37,8 +37,8 @@
         self.near += u64::from(near);
         if !holds {
             self.broken += 1;
-            if self.told.len() < MAX_TOLD {
-                self.told.push(detail());
+            if self.examples.len() < MAX_EXAMPLES {
+                self.examples.push(detail());
             }
         }
     }
--- a/crates/testing/soak/src/judge/requests.rs
+++ b/crates/testing/soak/src/judge/requests.rs
@@ -105,18 +105,18 @@
             finding.near += 1;
             lasting += 1;
             working += u64::from(lasts);
-            if lasts && finding.told.len() < 4 {
-                finding.told.push(format!("still at work: {request:?}, {execution:?}"));
+            if lasts && finding.examples.len() < 4 {
+                finding.examples.push(format!("still at work: {request:?}, {execution:?}"));
             }
         }
     }
     if reached > MAX_GONE || (lasting >= 8 && 4 * working > lasting) {
         finding.broken = 1;
-        finding.told.push(format!(
+        finding.examples.push(format!(
             "{reached} reached a server late; servers stayed at work on {working} of {lasting}"
         ));
     } else {
-        finding.told.clear();
+        finding.examples.clear();
     }
     finding
 }
@@ -167,7 +167,7 @@
     }
     if denied.len() as u64 > MAX_DENIED + finding.checked / 500 {
         finding.broken = denied.len() as u64;
-        finding.told = denied.into_iter().take(4).collect();
+        finding.examples = denied.into_iter().take(4).collect();
     }
     finding
 }
--- a/crates/testing/soak/src/network.rs
+++ b/crates/testing/soak/src/network.rs
@@ -76,7 +76,7 @@
     }
 
     /// Nothing passes between these machines any more, or all does again.
-    pub fn cut(&self, one: usize, others: &[usize], is_cut: bool) {
+    pub fn partition(&self, one: usize, others: &[usize], is_cut: bool) {
         let conditions = if is_cut { Conditions::swallowed() } else { Conditions::default() };
         for other in others {
             self.set(one, *other, conditions);
--- a/crates/testing/soak/src/operator.rs
+++ b/crates/testing/soak/src/operator.rs
@@ -15,14 +15,14 @@
 
 /// How long a caller waits for an answer.
 const CALL_PATIENCE: Duration = Duration::from_secs(1);
-/// First pause after a call without a clear answer; it doubles.
-const FIRST_PAUSE: Duration = Duration::from_millis(100);
-/// Longest pause.
-const MAX_PAUSE: Duration = Duration::from_millis(750);
+/// First backoff after a call without a clear answer; it doubles.
+const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
+/// Longest backoff.
+const MAX_BACKOFF: Duration = Duration::from_millis(750);
 /// How long a call is sent again.
 const CLEAR_TIMEOUT: Duration = Duration::from_secs(40);
 /// Pause between two orders, in milliseconds.
-const ORDER_PAUSE_MS: std::ops::Range<u64> = 200..1_400;
+const ORDER_INTERVAL_MS: std::ops::Range<u64> = 200..1_400;
 /// One change in so many takes a key away and brings another.
 const CHANGES_PER_KEY: u32 = 2;
 /// Routes beside the first ones that are in force at once.
@@ -63,13 +63,13 @@
 
     /// Calls until there is a clear answer: its status.
     pub async fn until_clear(&self, name: &str, body: &str) -> Option<u16> {
-        let (begun, mut pause) = (Instant::now(), FIRST_PAUSE);
+        let (begun, mut backoff) = (Instant::now(), INITIAL_BACKOFF);
         while begun.elapsed() < CLEAR_TIMEOUT {
             if let Some((status, _)) = self.call(name, body).await {
                 return Some(status);
             }
-            sleep(pause).await;
-            pause = (2 * pause).min(MAX_PAUSE);
+            sleep(backoff).await;
+            backoff = (2 * backoff).min(MAX_BACKOFF);
         }
         None
     }
@@ -116,7 +116,7 @@
     /// Sends orders until no more are to begin.
     pub async fn run(self: Rc<Self>) {
         while !self.demand.stopped.get() {
-            let pause = Duration::from_millis(self.rng.borrow_mut().random_range(ORDER_PAUSE_MS));
+            let pause = Duration::from_millis(self.rng.borrow_mut().random_range(ORDER_INTERVAL_MS));
             sleep(pause).await;
             let choice = self.rng.borrow_mut().random_range(0..12);
             match choice {
@@ -230,7 +230,7 @@
                 return Some(version(&text));
             }
             machine += 1;
-            sleep(FIRST_PAUSE).await;
+            sleep(INITIAL_BACKOFF).await;
         }
         None
     }
--- a/crates/testing/soak/src/report.rs
+++ b/crates/testing/soak/src/report.rs
@@ -40,7 +40,7 @@
             findings,
             invariants,
             log_violations,
-            overlap: most_at_once(seen),
+            overlap: max_overlap(seen),
             ..Report::default()
         };
         for fired in &seen.faults {
@@ -75,7 +75,9 @@
                     own.checked += finding.checked;
                     own.near += finding.near;
                     own.broken += finding.broken;
-                    own.told.extend(finding.told.iter().map(|told| format!("seed {}: {told}", other.seed)));
+                    own.examples.extend(
+                        finding.examples.iter().map(|example| format!("seed {}: {example}", other.seed)),
+                    );
                 }
                 None => self.findings.push(finding.clone()),
             }
@@ -106,8 +108,8 @@
             let verdict = verdict(finding.near, finding.broken);
             let (rule, checked, near, broken) = (finding.rule, finding.checked, finding.near, finding.broken);
             let _ = writeln!(text, "  {rule:<28} {checked:>9} {near:>9} {broken:>7}  {verdict}");
-            for told in &finding.told {
-                let _ = writeln!(text, "      {told}");
+            for example in &finding.examples {
+                let _ = writeln!(text, "      {example}");
             }
         }
         let _ = writeln!(
@@ -136,7 +138,7 @@
 }
 
 /// Most faults that lasted at one moment.
-fn most_at_once(seen: &Seen) -> usize {
+fn max_overlap(seen: &Seen) -> usize {
     let lasts = |at: Duration| seen.faults.iter().filter(|f| f.begun <= at && at <= f.ended).count();
     seen.faults.iter().map(|fired| lasts(fired.begun)).max().unwrap_or(0)
 }
--- a/crates/testing/soak/src/run.rs
+++ b/crates/testing/soak/src/run.rs
@@ -26,7 +26,7 @@
 /// Between two looks at processes and their figures.
 const WATCH_INTERVAL: Duration = Duration::from_millis(500);
 /// All faults have ended for so long before power is lost: the machines that may be lost then are none of those just lost.
-const SETTLE: Duration = Duration::from_secs(5);
+const SETTLING_TIME: Duration = Duration::from_secs(5);
 /// Traffic goes on so long once all is ready again.
 const AFTERWARDS: Duration = Duration::from_secs(3);
 /// Service is judged by the requests of so long.
@@ -113,7 +113,7 @@
     let mut callers = start_clients(options, seed, &stage);
     callers.push(tokio::task::spawn_local(operator.clone().run()));
     perform(&stage, &plan).await;
-    sleep(SETTLE).await;
+    sleep(SETTLING_TIME).await;
     lose_power(&stage, &operator, plan.closing_wipe).await;
     demand.stopped.set(true);
     for caller in callers {
--- a/crates/testing/soak/src/server.rs
+++ b/crates/testing/soak/src/server.rs
@@ -66,7 +66,7 @@
     net: u8,
     ledger: Rc<Ledger>,
     caller: ControlCaller,
-    lives: Cell<u32>,
+    instances: Cell<u32>,
     calls: Cell<u64>,
     phase: Cell<Phase>,
     /// How it treats requests.
@@ -87,7 +87,7 @@
             at,
             net,
             caller: ControlCaller::new(net, at),
-            lives: Cell::new(0),
+            instances: Cell::new(0),
             calls: Cell::new(0),
             phase: Cell::new(Phase::Ready),
             manner: Cell::new(Manner::Sound),
@@ -96,7 +96,7 @@
             rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed ^ at as u64)),
             ledger,
         });
-        server.begin_life();
+        server.start_instance();
         tokio::task::spawn_local(server.clone().listen(listener));
         tokio::task::spawn_local(server.clone().report());
         Ok(server)
@@ -108,9 +108,9 @@
     }
 
     /// It comes back as another instance.
-    pub fn begin_life(&self) {
-        self.lives.set(self.lives.get() + 1);
-        let instance = format!("i-{}-{}", self.at, self.lives.get());
+    pub fn start_instance(&self) {
+        self.instances.set(self.instances.get() + 1);
+        let instance = format!("i-{}-{}", self.at, self.instances.get());
         let zone = zone_of(self.at).0.to_owned();
         self.ledger.seen.borrow_mut().zones.insert(instance.clone(), zone);
         *self.instance.borrow_mut() = instance;
