--- a/crates/data/http1/src/inbound.rs
+++ b/crates/data/http1/src/inbound.rs
@@ -146,7 +146,7 @@
     }
 
     /// Ends once the other side has closed its connection. What it sends on before its answer is read ahead, up to
-    /// [`MAX_READ_AHEAD_BYTES`]: only behind these bytes its end can be seen. May be given up at any time: nothing is lost.
+    /// 64 KB: only behind these bytes its end can be seen. May be given up at any time: nothing is lost.
     pub async fn gone(&mut self) {
         while self.buffer.len() < MAX_READ_AHEAD_BYTES {
             match self.stream.read_buf(&mut self.buffer).await {
