Soak: gateways are cut off for longer than keys are admitted without confirmation

Cause: a planted fault (keys admitted ten times too long) was not found: cuts of gateways lasted 4 s at most.

--- a/crates/testing/soak/src/plan.rs
+++ b/crates/testing/soak/src/plan.rs
@@ -249,6 +249,8 @@
         Fault::KillCore => rng.random_range(50..900),
         // Long enough for the others to be in touch again meanwhile.
         Fault::CutPair(..) => rng.random_range(3_000..14_000),
+        // Longer than a configuration may go unconfirmed where keys are admitted.
+        Fault::CutGateway(_) => rng.random_range(3_000..12_000),
         Fault::DrainServer(_) | Fault::DeregisterServer(_) => rng.random_range(5_000..8_000),
         Fault::Pause(_) => rng.random_range(200..6_000),
         _ => rng.random_range(100..4_000),
