Soak: one arm for all faults of the core where who is in touch is judged

Cause: two like arms, and the test for a fault of the core written out beside them. Change: is_of_core serves both.

--- a/crates/testing/soak/src/judge/contact.rs
+++ b/crates/testing/soak/src/judge/contact.rs
@@ -32,11 +32,7 @@
         Fault::CutGateway(m) => m == gateway && within(fired.begun, fired.ended),
         Fault::ResetLinks => within(fired.begun, fired.ended),
         // The core is unsettled for a while after each of its events, and as long as no majority of it is connected.
-        Fault::CutPair(..) | Fault::CutOff(_) => {
-            let persists = loses_majority(fired, seen) && within(fired.begun, fired.ended);
-            persists || within(fired.begun, fired.begun) || within(fired.ended, fired.ended)
-        }
-        fault if !fault.lost_core().is_empty() => {
+        _ if is_of_core(fired.fault) => {
             let persists = loses_majority(fired, seen) && within(fired.begun, fired.ended);
             persists || within(fired.begun, fired.begun) || within(fired.ended, fired.ended)
         }
@@ -44,13 +40,16 @@
     }
 }
 
+/// Whether a fault concerns processes of the core, or links between them.
+fn is_of_core(fault: Fault) -> bool {
+    !fault.lost_core().is_empty() || matches!(fault, Fault::CutPair(..))
+}
+
 /// Whether a fault of the core overlaps another one, so that half of it or less may be left.
 fn loses_majority(fired: &Fired, seen: &Seen) -> bool {
-    let is_of_core = |f: &Fired| {
-        !f.fault.lost_core().is_empty() || matches!(f.fault, Fault::CutPair(..) | Fault::CutOff(_))
-    };
     let overlaps = |other: &&Fired| {
-        other.begun <= fired.ended + CONTACT && other.ended + CONTACT >= fired.begun && is_of_core(other)
+        let is_near = other.begun <= fired.ended + CONTACT && other.ended + CONTACT >= fired.begun;
+        is_near && is_of_core(other.fault)
     };
     fired.fault == Fault::KillCore || seen.faults.iter().filter(overlaps).count() > 1
 }
