Sight: each request that a shutdown cuts off logs its line, with the time since SIGTERM

Cause: a gateway that exited with requests in flight said how many, not which, so a cut could not be told from a client that left. No change of what clients get: they are closed as before, 25 ms later at most.

--- a/crates/balancer/src/gateway/mod.rs
+++ b/crates/balancer/src/gateway/mod.rs
@@ -53,7 +53,7 @@
     following: Following,
     quota: QuotaClient,
     /// It is shutting down: it says so to its upstream, and clients are sent elsewhere.
-    draining: Cell<bool>,
+    draining_since: Cell<Option<Timestamp>>,
 }
 
 impl Gateway {
@@ -68,7 +68,7 @@
             channels: Channels::new(settings.inner_ports.first),
             following: Following::new(&settings),
             quota: QuotaClient::new(quota_rule(&settings)),
-            draining: Cell::new(false),
+            draining_since: Cell::new(None),
             settings,
         })
     }
@@ -134,12 +134,17 @@
 
     /// Whether it is shutting down.
     pub fn is_draining(&self) -> bool {
-        self.draining.get()
+        self.draining_since.get().is_some()
+    }
+
+    /// For how long it has been shutting down.
+    pub fn draining_for(&self) -> Micros {
+        self.draining_since.get().map_or(0, |since| now().saturating_sub(since))
     }
 
     /// Shuts down: its upstream hears of it at once.
     pub fn drain(&self) {
-        self.draining.set(true);
+        self.draining_since.set(Some(now()));
         self.following.poll_now.notify_one();
     }
 
--- a/crates/balancer/src/process.rs
+++ b/crates/balancer/src/process.rs
@@ -222,6 +222,11 @@
         sleep(DRAIN_CHECK_INTERVAL).await;
     }
     let left = clients.busy_count();
+    if left > 0 {
+        // Each logs what becomes of it.
+        clients.cut_off();
+        sleep(DRAIN_CHECK_INTERVAL).await;
+    }
     log::info!(in_flight, left; "shut down");
     check(Invariant::CleanShutdown, in_flight > 0, left == 0, || format!("{left} requests are cut off"));
 }
--- a/crates/balancer/src/proxy/connections.rs
+++ b/crates/balancer/src/proxy/connections.rs
@@ -31,6 +31,9 @@
     busy: Rc<Cell<usize>>,
     draining: Cell<bool>,
     close_idle: Notify,
+    /// The time for requests in flight is over.
+    is_cut_off: Cell<bool>,
+    cut_off: Notify,
     /// Responses since the last log line: local ones by status, and those of servers.
     responses: RefCell<BTreeMap<u16, u32>>,
     /// Time that was spent here on requests that a server answered at the first attempt, in buckets.
@@ -46,6 +49,8 @@
             busy: Rc::default(),
             draining: Cell::new(false),
             close_idle: Notify::new(),
+            is_cut_off: Cell::new(false),
+            cut_off: Notify::new(),
             responses: RefCell::default(),
             added_time: RefCell::new(vec![0; BUCKETS]),
             max_open: max_open.max(MIN_CONNECTIONS),
@@ -98,6 +103,20 @@
         self.close_idle.notified()
     }
 
+    /// Ends what is still in flight: the process is about to exit.
+    pub fn cut_off(&self) {
+        self.is_cut_off.set(true);
+        self.cut_off.notify_waiters();
+    }
+
+    /// Ready once what is in flight is to be ended.
+    pub(super) async fn cut_off_notified(&self) {
+        let notified = self.cut_off.notified();
+        if !self.is_cut_off.get() {
+            notified.await;
+        }
+    }
+
     /// Counts a response: a local one with its status, or a server's.
     pub(super) fn count_response(&self, local_status: Option<u16>) {
         *self.responses.borrow_mut().entry(local_status.unwrap_or(SERVER_RESPONSE)).or_default() += 1;
--- a/crates/balancer/src/proxy/failure.rs
+++ b/crates/balancer/src/proxy/failure.rs
@@ -33,11 +33,13 @@
     ClientGone,
     /// The client did not take its response.
     NotTaken,
+    /// The process shuts down: it could not be ended in time, or was not begun as it might not have been.
+    ShuttingDown,
 }
 
 impl Failure {
     /// All of them.
-    pub const ALL: [Failure; 15] = [
+    pub const ALL: [Failure; 16] = [
         Failure::Malformed,
         Failure::ReadTimedOut,
         Failure::NoConfig,
@@ -53,6 +55,7 @@
         Failure::TimedOut,
         Failure::ClientGone,
         Failure::NotTaken,
+        Failure::ShuttingDown,
     ];
 
     /// Its name in logs and metrics.
@@ -73,6 +76,7 @@
             Failure::TimedOut => "timed-out",
             Failure::ClientGone => "client-gone",
             Failure::NotTaken => "not-taken",
+            Failure::ShuttingDown => "shutting-down",
         }
     }
 }
--- a/crates/balancer/src/proxy/mod.rs
+++ b/crates/balancer/src/proxy/mod.rs
@@ -105,14 +105,18 @@
         tokio::pin!(handling);
         tokio::select! {
             biased;
-            response = &mut handling => Some(response),
+            response = &mut handling => Ok(response),
             // Nobody waits for the response any more: the server may drop the request, too.
-            () = inbound.gone() => None,
+            () = inbound.gone() => Err(Failure::ClientGone),
+            () = clients.cut_off_notified() => Err(Failure::ShuttingDown),
         }
     };
-    let Some(response) = response else {
-        note_end(gateway, &record, 0, Some(Failure::ClientGone), started);
-        return AfterResponse::Closed;
+    let response = match response {
+        Ok(response) => response,
+        Err(failure) => {
+            note_end(gateway, &record, 0, Some(failure), started);
+            return AfterResponse::Closed;
+        }
     };
     // What has been read of a next request is owed a response, too.
     let close = !message.head.keep_alive || (clients.is_draining() && !inbound.begun());
--- a/crates/balancer/src/proxy/request_record.rs
+++ b/crates/balancer/src/proxy/request_record.rs
@@ -106,7 +106,8 @@
             confirmed_ms,
             unit_wait_ms = self.unit_wait.get() / MILLISECOND,
             attempts = self.describe_attempts().as_str(),
-            draining = gateway.is_draining();
+            draining = gateway.is_draining(),
+            draining_ms = gateway.draining_for() / MILLISECOND;
             "request failed"
         );
     }
