--- a/crates/balancer/tests/answers.rs
+++ b/crates/balancer/tests/answers.rs
@@ -8,7 +8,7 @@
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
-use system::{System, CONTROL, DIRECTORY, FRONT, READY, SOON};
+use system::{System, CONTROL, DIRECTORY, FRONT, GRACE, READY, SOON};
 
 const ANSWERS: &str = include_str!("data/answers.txt");
 /// The second byte of this system's addresses.
@@ -59,7 +59,7 @@
 
 #[test]
 fn all_responses_are_those_of_landing_14() {
-    let _system = System::start(NET, 1);
+    let _system = System::start(NET, 1, GRACE);
     let lines: Vec<&str> = ANSWERS.lines().collect();
     assert_eq!(lines.len() % 2, 0, "two lines for each exchange");
     for exchange in lines.chunks(2) {
--- a/crates/balancer/tests/deadline.rs
+++ b/crates/balancer/tests/deadline.rs
@@ -1,12 +1,14 @@
 //! A request waits for a unit of quota no longer than its client does.
 
+mod kill;
 mod operations;
+mod signals;
 mod system;
 mod waiting;
 
 use operations::{ask, config};
-use rustix::process::{kill_process, Pid, Signal};
-use system::{System, FRONT};
+use rustix::process::Signal;
+use system::{System, FRONT, GRACE};
 
 const GATEWAY: usize = 3;
 
@@ -30,7 +32,7 @@
 
 #[test]
 fn a_short_deadline_ends_a_wait_for_quota() {
-    let system = System::start(65, 1);
+    let system = System::start(65, 1, GRACE);
     let other_tenants: String = ["u", "v"]
         .iter()
         .map(|name| format!(r#",{{"resource-kind":"tenants","metadata":{{"name":"{name}"}},"specification":{{"api-keys":["k-{name}"],"rate-per-s":200,"burst-size":200}}}}"#))
@@ -44,9 +46,7 @@
         request(system, "k1", "id-first", "1000").is_some() && system.log().contains(no_server)
     });
     for at in 0..3 {
-        let id = system.machines[at].child.lock().expect("lock").as_ref().expect("runs").id();
-        let pid = Pid::from_raw(i32::try_from(id).expect("an id")).expect("an id");
-        kill_process(pid, Signal::STOP).expect("a signal");
+        system.signal(at, Signal::STOP);
     }
     assert_eq!(request(&system, "k-u", "id-patient", "2000"), Some(429), "{}", system.log());
     assert_eq!(request(&system, "k-v", "id-short", "50"), Some(429), "{}", system.log());
--- a/crates/balancer/tests/kills.rs
+++ b/crates/balancer/tests/kills.rs
@@ -1,12 +1,13 @@
 //! Core machines are killed (SIGKILL) at many points while an order is under way, all or one of them, and started again: what was
 //! acknowledged is there, and the order ends with a clear answer.
 
+mod kill;
 mod operations;
 mod system;
 
 use operations::config;
 use std::time::{Duration, Instant};
-use system::System;
+use system::{System, GRACE};
 
 /// Kills, each a little later in an order than the one before.
 const ROUNDS: u32 = 12;
@@ -21,7 +22,7 @@
 #[test]
 fn orders_outlive_kills_at_any_point() {
     let net = 180 + (std::process::id() % 60) as u8;
-    let system = System::start(net, 0);
+    let system = System::start(net, 0, GRACE);
     assert_eq!(order(&system, 1), 200);
     for round in 0..ROUNDS {
         let version = round + 2;
--- a/crates/balancer/tests/operations/mod.rs
+++ b/crates/balancer/tests/operations/mod.rs
@@ -6,12 +6,6 @@
 use std::time::{Duration, Instant};
 
 impl System {
-    pub(crate) fn kill(&self, at: usize) {
-        let mut child = self.machines[at].child.lock().expect("lock").take().expect("runs");
-        child.kill().expect("killed");
-        child.wait().expect("ended");
-    }
-
     pub(crate) fn control(&self, at: usize, call: &str, body: &str) -> Option<(u16, String)> {
         ask((self.machines[at].ip, CONTROL).into(), "POST", &format!("/-/rpc?call={call}"), &[], body)
     }
--- a/crates/balancer/tests/reload.rs
+++ b/crates/balancer/tests/reload.rs
@@ -1,12 +1,14 @@
 //! A changed settings file counts once the process is told, whichever way the file was named at its start.
 
+mod kill;
 mod operations;
+mod signals;
 mod system;
 mod waiting;
 
 use operations::{ask, config};
-use rustix::process::{kill_process, Pid, Signal};
-use system::{System, FRONT};
+use rustix::process::Signal;
+use system::{System, FRONT, GRACE};
 
 const GATEWAY: usize = 3;
 /// Where nobody listens.
@@ -19,7 +21,7 @@
 
 #[test]
 fn seeds_of_a_changed_file_are_used_after_a_signal() {
-    let system = System::start(64, 1);
+    let system = System::start(64, 1, GRACE);
     assert_eq!(system.order("config.replace", &config(1, 0, "/x/", r#""k1""#)).0, 200);
     system.kill(GATEWAY);
     system.write_settings(GATEWAY, false, NOBODY);
@@ -27,8 +29,6 @@
     system.until("the gateway", |system| status(system).is_some());
     assert_eq!(status(&system), Some(503), "it finds nobody to follow");
     system.write_settings(GATEWAY, false, &system.seeds());
-    let child = system.machines[GATEWAY].child.lock().expect("lock").as_ref().expect("runs").id();
-    let pid = Pid::from_raw(i32::try_from(child).expect("an id")).expect("an id");
-    kill_process(pid, Signal::HUP).expect("a signal");
+    system.signal(GATEWAY, Signal::HUP);
     system.until("the configuration", |system| status(system) == Some(404));
 }
--- a/crates/balancer/tests/sight.rs
+++ b/crates/balancer/tests/sight.rs
@@ -1,11 +1,12 @@
 //! A failed request can be explained afterwards: by the log line with its id, and by the figures of the process.
 
+mod kill;
 mod operations;
 mod system;
 mod waiting;
 
 use operations::{ask, config};
-use system::{System, FRONT, METRICS};
+use system::{System, FRONT, GRACE, METRICS};
 
 /// The machines: a replica, and the gateway.
 const REPLICA: usize = 0;
@@ -24,7 +25,7 @@
 
 #[test]
 fn each_failure_has_a_cause_in_log_and_figures() {
-    let system = System::start(63, 1);
+    let system = System::start(63, 1, GRACE);
     assert_eq!(system.order("config.replace", &config(1, 0, "/x/", r#""k1""#)).0, 200);
     system.until("the configuration", |system| request(system, "/y/1", "k1", "id-wait") == Some(404));
     assert_eq!(request(&system, "/y/1", "k1", "id-route"), Some(404));
--- a/crates/balancer/tests/system/mod.rs
+++ b/crates/balancer/tests/system/mod.rs
@@ -24,20 +24,26 @@
     pub child: Mutex<Option<Child>>,
 }
 
+/// The grace period of processes, unless a test needs another one.
+#[allow(dead_code, reason = "a test may need another one")]
+pub(crate) const GRACE: Duration = Duration::from_secs(6);
+
 pub(crate) struct System {
     pub folder: PathBuf,
     pub machines: Vec<Machine>,
+    grace: Duration,
 }
 
 impl System {
     /// Addresses 127.`net`.0.1 and up: three core machines, then limiters.
-    pub(crate) fn start(net: u8, limiters: u8) -> Self {
+    pub(crate) fn start(net: u8, limiters: u8, grace: Duration) -> Self {
         let folder = std::env::temp_dir().join(format!("limeway-whole-{}-{net}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder).expect("a folder");
         let machine =
             |n: u8| Machine { ip: Ipv4Addr::new(127, net, 0, n), edge: n > 3, child: Mutex::default() };
-        let system = System { folder, machines: (1..=3 + limiters).map(machine).collect() };
+        let machines = (1..=3 + limiters).map(machine).collect();
+        let system = System { folder, machines, grace };
         (0..system.machines.len()).for_each(|at| system.run(at, true));
         system
     }
@@ -74,8 +80,9 @@
             "node-name=m{at}\nip-address={ip}\nzone={zone}\nregion=r1\nzones.z1=r1\nzones.z2=r1\n{listens}\
              internal-ports={INNER},{INNER}\nmetrics={METRICS}/metrics\nseed-nodes={}\ninitial-start={first}\n\
              fault-tolerance.machine-losses=1\nheartbeat=500ms\n\
-             bounds=contact=4s,revoke=5s,revocation-strict=true,grace-period=6s,quota-window=5s,quota-overshoot=0.1,quota-slack=20,retry-budget-ratio=0.2,retry-slack=50\n",
-            seeds
+             bounds=contact=4s,revoke=5s,revocation-strict=true,grace-period={}ms,quota-window=5s,quota-overshoot=0.1,quota-slack=20,retry-budget-ratio=0.2,retry-slack=50\n",
+            seeds,
+            self.grace.as_millis()
         );
         std::fs::write(self.settings_path(at), text).expect("settings");
     }
--- a/crates/balancer/tests/whole.rs
+++ b/crates/balancer/tests/whole.rs
@@ -2,16 +2,19 @@
 //!
 //! Every machine has an address of its own in 127.0.0.0/8, as in the system every machine has the same ports.
 
+mod kill;
 mod operations;
+mod servers;
 mod system;
 mod waiting;
 
 use operations::{ask, config};
+use servers::heartbeat;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{Ipv4Addr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Arc;
-use system::{System, DIRECTORY, FRONT};
+use system::{System, DIRECTORY, FRONT, GRACE};
 
 impl System {
     fn get(&self, at: usize, path: &str, key: &str, id: &str) -> Option<(u16, String)> {
@@ -66,25 +69,17 @@
     }
 }
 
-fn beat(system: &System, life: &str, address: (Ipv4Addr, u16), state: &str, count: u32) -> u16 {
-    let body = format!(
-        r#"{{"target-service":"s","address":"{}:{}","zone":"z1","config-version":"v1","capacity-slots":4,"state":"{state}","cold-left":"0ms","call-count":{count}}}"#,
-        address.0, address.1
-    );
-    system.order(&format!("instances.heartbeat&of={life}"), &body).0
-}
-
 #[test]
 #[allow(clippy::too_many_lines, reason = "one schedule, read from top to bottom")]
 fn the_whole_path_serves_and_outlives_a_kill_of_each() {
     let net = 80 + (std::process::id() % 100) as u8;
-    let system = System::start(net, 3);
+    let system = System::start(net, 3, GRACE);
     let address = (Ipv4Addr::new(127, net, 0, 99), 28100);
     let ran = server(address.0, address.1, "i-1");
     let mut beats = 0;
     let mut alive = |system: &System| {
         beats += 1;
-        assert_eq!(beat(system, "i-1", address, "ready", beats), 200);
+        assert_eq!(heartbeat(system, "i-1", address, "ready", beats), 200);
     };
     // The first configuration, a wrong one, and two on one base.
     assert_eq!(system.order("config.replace", &config(1, 0, "/x/", r#""k1","k2""#)).0, 200);
@@ -142,7 +137,7 @@
     system.kill(0);
     assert_eq!(system.order("config.replace", &config(version + 1, version, "/last/", r#""k1""#)).0, 200);
     // The server leaves: it is told so, and gets nothing more.
-    assert_eq!(beat(&system, "i-1", address, "draining", 1_000), 200);
+    assert_eq!(heartbeat(&system, "i-1", address, "draining", 1_000), 200);
     for at in 3..6 {
         system.until("the end of service", |s| !served(s, at, "/last/1", "k1"));
     }
