Red: a core machine exits with calls in flight and answers none

A call that waits for agreement while two of three core machines stand still is closed without an answer when the third gets SIGTERM.

--- /dev/null
+++ b/crates/balancer/tests/replica_shutdown.rs
@@ -0,0 +1,61 @@
+//! A core machine that gets SIGTERM answers the calls that it has taken.
+
+mod operations;
+mod signals;
+mod system;
+mod waiting;
+
+use operations::config;
+use rustix::process::Signal;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+use system::{System, CONTROL, GRACE, SOON};
+
+const STAYS: usize = 2;
+
+/// Sends a call to a machine, and leaves its answer to be read.
+fn call(system: &System, at: usize, call: &str, body: &str) -> TcpStream {
+    let mut stream = TcpStream::connect((system.machines[at].ip, CONTROL)).expect("a connection");
+    stream.set_read_timeout(Some(SOON)).expect("a timeout");
+    let head =
+        format!("POST /-/rpc?call={call} HTTP/1.1\r\nHost: c\r\nContent-Length: {}\r\n\r\n", body.len());
+    stream.write_all(format!("{head}{body}").as_bytes()).expect("sent");
+    stream
+}
+
+fn answer(mut stream: TcpStream) -> String {
+    let mut answer = String::new();
+    // A reset after the answer leaves what has come.
+    let _ = stream.read_to_string(&mut answer);
+    answer
+}
+
+/// Whether the process has exited; with whether it was in order.
+fn exited(system: &System, at: usize) -> Option<bool> {
+    let mut child = system.machines[at].child.lock().expect("lock");
+    child.as_mut().expect("started").try_wait().expect("a child").map(|status| status.success())
+}
+
+#[test]
+fn a_call_in_flight_at_the_exit_is_answered() {
+    let system = System::start(69, 0, GRACE);
+    assert_eq!(system.order("config.replace", &config(1, 0, "/x/", r#""k1""#)).0, 200);
+    // Nothing can be agreed any more, so the call waits.
+    system.signal(0, Signal::STOP);
+    system.signal(1, Signal::STOP);
+    let waiting = call(&system, STAYS, "config.replace", &config(2, 1, "/y/", r#""k1""#));
+    system.until("a later call answered", |system| system.control(STAYS, "no.such.call", "").is_some());
+    system.signal(STAYS, Signal::TERM);
+    let answer = answer(waiting);
+    assert!(answer.starts_with("HTTP/1.1 503 "), "{answer:?}, {}", system.log());
+}
+
+#[test]
+fn a_replica_exits_within_a_short_grace_period() {
+    let grace = Duration::from_millis(500);
+    let system = System::start(70, 0, grace);
+    assert_eq!(system.order("config.replace", &config(1, 0, "/x/", r#""k1""#)).0, 200);
+    system.signal(STAYS, Signal::TERM);
+    system.until("its exit", |system| exited(system, STAYS) == Some(true));
+}
