A core machine answers the calls that it has taken before it exits, within its grace period

Cause: the exit was timed without a look at the calls in flight, and the hand-over of a vote (2.5 s) without one at the grace period. Now waiting calls get 503 before the exit, and a shutdown has a limit from the grace period (Event::Shutdown { within }).

--- a/crates/balancer/src/control_api/mod.rs
+++ b/crates/balancer/src/control_api/mod.rs
@@ -79,6 +79,7 @@
             }
         };
         let received = now();
+        let unanswered = replica.count_unanswered();
         let (response, evacuation) = answer(&replica, &message).await;
         let close = !message.head.keep_alive;
         let headers = b"Content-Type: application/json\r\n";
@@ -86,6 +87,7 @@
         if !inbound.write(&out).await {
             return;
         }
+        drop(unanswered);
         if let Some(call_id) = evacuation {
             confirm_delivery(&replica, &mut inbound, received, call_id).await;
         }
--- a/crates/balancer/src/process.rs
+++ b/crates/balancer/src/process.rs
@@ -8,7 +8,7 @@
 use crate::readiness;
 use crate::replica::{InitialState, Replica};
 use crate::settings_watch::watch_settings;
-use crate::shutdown::drain;
+use crate::shutdown::{drain, shut_down_replica};
 use crate::state_writer::StateWriter;
 use crate::transport;
 use error_stack::{Report, ResultExt};
@@ -124,9 +124,7 @@
     }));
     tokio::task::spawn_local(replica.clone().run());
     terminate.recv().await;
-    // Calls in flight end meanwhile, and the vote passes on; what was acknowledged is on disk.
-    replica.handle(Event::Shutdown);
-    replica.exited.notified().await;
+    shut_down_replica(&replica).await;
     Ok(())
 }
 
--- a/crates/balancer/src/replica.rs
+++ b/crates/balancer/src/replica.rs
@@ -10,6 +10,7 @@
 use limeway_control_plane::{
     Action, ApiRequest, ApiResponse, CallerId, ControlPlane, Event, RequestId, StartOptions, WriteId,
 };
+use limeway_http1::conn::Counted;
 use limeway_quota::QuotaRule;
 use limeway_routing_config::State;
 use limeway_settings::Settings;
@@ -59,10 +60,14 @@
     pending_writes: Cell<Option<mpsc::Receiver<PendingWrite>>>,
     channels: Channels,
     callers: RefCell<HashMap<CallerId, Caller>>,
+    /// Calls of servers and operators that were read and are not answered yet.
+    unanswered: Rc<Cell<usize>>,
     last_caller: Cell<CallerId>,
     /// When the next tick is due.
     next_tick: Cell<Timestamp>,
     tick_moved: Notify,
+    /// The process exits: no caller waits any more.
+    exiting: Cell<bool>,
     /// The process may exit: the state machine says when.
     pub exited: Notify,
     metrics: ReplicaMetrics,
@@ -94,9 +99,11 @@
             writer,
             channels: Channels::new(settings.inner_ports.first),
             callers: RefCell::default(),
+            unanswered: Rc::default(),
             last_caller: Cell::new(0),
             next_tick: Cell::new(0),
             tick_moved: Notify::new(),
+            exiting: Cell::new(false),
             exited: Notify::new(),
             metrics: ReplicaMetrics::default(),
             settings,
@@ -162,7 +169,7 @@
 
     fn add_caller(&self, caller: Caller) -> Option<CallerId> {
         let mut callers = self.callers.borrow_mut();
-        if callers.len() >= MAX_CALLERS {
+        if self.exiting.get() || callers.len() >= MAX_CALLERS {
             return None;
         }
         self.last_caller.set(self.last_caller.get() + 1);
@@ -170,6 +177,22 @@
         Some(self.last_caller.get())
     }
 
+    /// Counts a call of a server or an operator as unanswered until the value is dropped.
+    pub(crate) fn count_unanswered(&self) -> Counted {
+        Counted::new(&self.unanswered)
+    }
+
+    /// Number of calls of servers and operators that were read and are not answered yet.
+    pub fn unanswered_count(&self) -> usize {
+        self.unanswered.get()
+    }
+
+    /// Nothing more comes of calls: each gets the answer that its outcome is not known here.
+    pub fn release_callers(&self) {
+        self.exiting.set(true);
+        self.callers.borrow_mut().clear();
+    }
+
     /// Answers a call of another process.
     pub async fn answer(self: Rc<Self>, call: Call) -> Reply {
         let (sender, reply) = oneshot::channel();
--- a/crates/balancer/src/shutdown.rs
+++ b/crates/balancer/src/shutdown.rs
@@ -1,4 +1,4 @@
-//! Graceful shutdown of a gateway: what is still taken after SIGTERM, and until when it is answered.
+//! Graceful shutdown: what a process still takes after SIGTERM, and until when it is answered.
 //!
 //! Two bounds meet here: how long a request may take, which its client and its route state, and how long the process may go on, which is
 //! the platform's grace period. A request is taken during a shutdown only if the first ends before the second does, so that whatever is
@@ -8,8 +8,11 @@
 use crate::clock::now;
 use crate::gateway::Gateway;
 use crate::proxy::ClientConnections;
+use crate::replica::Replica;
+use limeway_control_plane::Event;
 use limeway_invariants::{check, Invariant};
 use limeway_types::{Micros, Timestamp, MILLISECOND};
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
@@ -72,10 +75,10 @@
         accepting.abort();
     }
     clients.close_idle();
-    wait_until_idle(clients, schedule.cut_off).await;
+    wait_while(|| clients.busy_count() > 0, schedule.cut_off).await;
     let left = clients.busy_count();
     clients.cut_off();
-    wait_until_idle(clients, schedule.exit).await;
+    wait_while(|| clients.busy_count() > 0, schedule.exit).await;
     let cut_short = clients.cut_short_count();
     log::info!(in_flight, left, cut_short; "shut down");
     check(Invariant::CleanShutdown, in_flight > 0, cut_short == 0, || {
@@ -87,9 +90,20 @@
     sleep(Duration::from_micros(time.saturating_sub(now()))).await;
 }
 
-/// Waits until no connection is busy, or until then at most.
-async fn wait_until_idle(clients: &ClientConnections, until: Timestamp) {
-    while clients.busy_count() > 0 && now() < until {
+/// Shuts a control-plane replica down: its vote passes on if somebody can take it, and the calls that it has taken are answered. What
+/// was acknowledged is on disk.
+pub async fn shut_down_replica(replica: &Rc<Replica>) {
+    let schedule = DrainSchedule::new(now(), replica.settings.bounds.grace_period);
+    replica.handle(Event::Shutdown { within: schedule.cut_off - schedule.begun });
+    replica.exited.notified().await;
+    replica.release_callers();
+    let exit = schedule.exit.min(now() + STEP);
+    wait_while(|| replica.unanswered_count() > 0, exit).await;
+}
+
+/// Waits as long as something holds, or until then at most.
+async fn wait_while(holds: impl Fn() -> bool, until: Timestamp) {
+    while holds() && now() < until {
         sleep(CHECK_INTERVAL).await;
     }
 }
--- a/crates/control/control-plane/src/api.rs
+++ b/crates/control/control-plane/src/api.rs
@@ -60,7 +60,10 @@
     /// The settings file names these machines now.
     SeedsChanged(Vec<NodeId>),
     /// The process is to shut down.
-    Shutdown,
+    Shutdown {
+        /// It exits within this time, also if nobody has taken over its vote, in microseconds.
+        within: Micros,
+    },
 }
 
 /// What a server or an operator asks for.
--- a/crates/control/control-plane/src/control_plane.rs
+++ b/crates/control/control-plane/src/control_plane.rs
@@ -57,6 +57,8 @@
     pub(crate) report_replications: BTreeMap<u64, ReportReplication>,
     pub(crate) last_request: RequestId,
     shutting_down_since: Option<Timestamp>,
+    /// When it exits in any case, while it is shutting down.
+    shutdown_deadline: Timestamp,
     exited: bool,
     random: RandomSequence,
     sent: BTreeMap<RequestId, SentRequest>,
@@ -109,6 +111,7 @@
             report_replications: BTreeMap::new(),
             last_request: 0,
             shutting_down_since: None,
+            shutdown_deadline: 0,
             exited: false,
             random: RandomSequence::new(options.incarnation),
             sent: BTreeMap::new(),
@@ -136,7 +139,7 @@
             Event::ResponseDelivered(call_id) => self.response_delivered(call_id),
             Event::Tick => {}
             Event::SeedsChanged(seeds) => self.options.seeds = seeds,
-            Event::Shutdown => self.shut_down(),
+            Event::Shutdown { within } => self.shut_down(within),
         }
         self.run_due();
         actions.append(&mut self.actions);
@@ -196,12 +199,13 @@
         self.run_shutdown();
     }
 
-    fn shut_down(&mut self) {
+    fn shut_down(&mut self, within: Micros) {
         if self.shutting_down_since.is_some() {
             return;
         }
         log::info!("shutting down");
         self.shutting_down_since = Some(self.now);
+        self.shutdown_deadline = self.now + within;
         // What it holds passes on at once, not when the leases expire.
         self.held_leases.release_all();
         self.expire_counters();
@@ -215,7 +219,8 @@
         let is_voter = self.own_voter().is_some();
         let hands_over = is_voter && self.candidate().is_some();
         let timeout = if hands_over { HANDOVER_TIMEOUT } else { SHUTDOWN_GRACE };
-        if self.now >= since + timeout || (!is_voter && self.now >= since + SHUTDOWN_GRACE) {
+        let exit = self.shutdown_deadline.min(since + timeout);
+        if self.now >= exit || (!is_voter && self.now >= since + SHUTDOWN_GRACE) {
             self.exited = true;
             self.actions.push(Action::Exit);
         }
@@ -224,7 +229,10 @@
     /// When the next [`Event::Tick`] is due, at the latest.
     pub fn next_tick(&self) -> Timestamp {
         let now = self.now;
-        let shutdown = self.shutting_down_since.map(|since| since + SHUTDOWN_GRACE).filter(|at| *at > now);
+        let shutdown = self.shutting_down_since.and_then(|since| {
+            let steps = [since + SHUTDOWN_GRACE, self.shutdown_deadline];
+            steps.into_iter().filter(|at| *at > now).min()
+        });
         let requested_round = self.requested_round().map(|at| at.max(now));
         let ballot = self.agreement.next_tick(now, self.proposals.any_pending());
         let next_round = self.quorum.next_round;
--- a/crates/control/control-plane/tests/replica/cluster.rs
+++ b/crates/control/control-plane/tests/replica/cluster.rs
@@ -15,6 +15,8 @@
 pub(crate) const MS: u64 = 1_000;
 /// A second, in microseconds.
 pub(crate) const SECOND: u64 = 1_000 * MS;
+/// The grace period of a replica that shuts down.
+pub(crate) const GRACE: u64 = 6 * SECOND;
 /// When the replicas start.
 pub(crate) const START: Timestamp = 100 * SECOND;
 /// Stands for a gateway among callers.
--- a/crates/control/control-plane/tests/replica/role_leases.rs
+++ b/crates/control/control-plane/tests/replica/role_leases.rs
@@ -1,6 +1,6 @@
 //! Role leases: every shard has one holder, and changes hands only once the last lease has expired.
 
-use crate::cluster::{Cluster, MS, SECOND};
+use crate::cluster::{Cluster, GRACE, MS, SECOND};
 use limeway_control_plane::Event;
 use limeway_membership::{ROLE_LEASE, SHARDS};
 use rstest::rstest;
@@ -47,7 +47,7 @@
 fn a_replica_that_shuts_down_hands_its_shards_over_at_once() {
     let mut cluster = Cluster::start(3);
     cluster.run(2 * SECOND);
-    cluster.handle(2, Event::Shutdown);
+    cluster.handle(2, Event::Shutdown { within: GRACE });
     cluster.run(SECOND);
     assert!(cluster.replica(2).held_shards(cluster.now).is_empty());
     assert_one_holder_each(&cluster, &[1, 3]);
--- a/crates/control/control-plane/tests/replica/voters.rs
+++ b/crates/control/control-plane/tests/replica/voters.rs
@@ -1,6 +1,6 @@
 //! Changes of the voters: one at a time, never by a replica that lacks what was acknowledged.
 
-use crate::cluster::{options, update, Cluster, MS, SECOND};
+use crate::cluster::{options, update, Cluster, GRACE, MS, SECOND};
 use limeway_consensus::{Acceptor, Voter};
 use limeway_control_plane::{ApiRequest, ApiResponse, Event, StartOptions};
 use rstest::rstest;
@@ -75,7 +75,7 @@
     cluster.run(4 * SECOND);
     cluster.add(newcomer(4, 88));
     cluster.run(2 * SECOND);
-    cluster.handle(3, Event::Shutdown);
+    cluster.handle(3, Event::Shutdown { within: GRACE });
     assert!(!cluster.has_exited(3));
     cluster.run(3 * SECOND);
     assert!(cluster.has_exited(3));
@@ -86,8 +86,24 @@
 fn a_replica_that_shuts_down_without_a_spare_exits_soon_and_keeps_its_vote() {
     let mut cluster = Cluster::start(3);
     cluster.run(4 * SECOND);
-    cluster.handle(3, Event::Shutdown);
+    cluster.handle(3, Event::Shutdown { within: GRACE });
     cluster.run(600 * MS);
     assert!(cluster.has_exited(3));
     assert_eq!(voters(&cluster, 1), [voter(1, 0), voter(2, 0), voter(3, 0)]);
 }
+
+#[rstest]
+fn a_replica_that_nobody_can_replace_exits_within_its_time() {
+    let mut cluster = Cluster::start(3);
+    cluster.run(4 * SECOND);
+    cluster.add(newcomer(4, 88));
+    cluster.run(2 * SECOND);
+    // Without a majority no change of voters is agreed; the spare is heard all the same.
+    cluster.kill(1);
+    cluster.kill(2);
+    cluster.handle(3, Event::Shutdown { within: SECOND });
+    cluster.run(900 * MS);
+    assert!(!cluster.has_exited(3), "it waits for the spare as long as it may");
+    cluster.run(200 * MS);
+    assert!(cluster.has_exited(3));
+}
--- a/crates/testing/simulation/src/cluster.rs
+++ b/crates/testing/simulation/src/cluster.rs
@@ -202,7 +202,7 @@
             SimEvent::Leave(at) => {
                 if let Some(incarnation) = self.machines[at].process.as_ref().map(|p| p.incarnation) {
                     self.push(self.t + GRACE, SimEvent::Grace(at, incarnation));
-                    self.handle(at, Event::Shutdown);
+                    self.handle(at, Event::Shutdown { within: GRACE });
                 }
             }
             SimEvent::Ask(at, who, ask) => self.asked(at, who, ask),
