--- a/crates/gateway/gateway/src/lib.rs
+++ b/crates/gateway/gateway/src/lib.rs
@@ -1,4 +1,4 @@
-//! The limiter on real sockets, around the decisions of `limeway-quota-policy`; one thread, and nothing decided here.
+//! The limiter on real sockets, round the decisions of `pondgw`; one thread, and nothing decided here.
 //!
 //! Modules depend downwards only: [`service`] starts all; [`clients`] is the front; [`core`] feeds the decision
 //! module and carries out what it wants; [`servers`], [`counter`], [`discovery`] and [`peers`] are the other sides,
@@ -12,7 +12,6 @@
 pub mod core;
 pub mod counter;
 pub mod discovery;
-pub mod ending;
 pub mod history;
 pub use limeway_http1::http;
 pub mod members;
--- a/crates/gateway/gateway/src/service.rs
+++ b/crates/gateway/gateway/src/service.rs
@@ -5,7 +5,6 @@
 use crate::core::{Core, Links};
 use crate::counter::{self, Counter};
 use crate::discovery::Discovery;
-use crate::ending::{keeps_listening, CLOSE_IDLE_AFTER, MAX_FINISH};
 use crate::history::Told;
 use crate::peers::Peers;
 use crate::servers::Pools;
@@ -28,6 +27,13 @@
 const PRUNE_EVERY: Duration = Duration::from_secs(1);
 /// A turn that comes later than this is a standstill of the process, or of the machine.
 const STOOD: Duration = Duration::from_millis(200);
+/// After SIGTERM, idle connections are closed after this time; new ones go on coming till then and a bit on.
+const CLOSE_IDLE: Duration = Duration::from_millis(450);
+/// The listener closes once so much time has passed without a new connection, and at the latest then.
+const LISTEN_ON: (Duration, Duration) = (Duration::from_millis(250), Duration::from_millis(1_200));
+/// Time for what has been taken, in all.
+const MAX_FINISH: Duration = Duration::from_millis(9_000);
+
 fn env(name: &str) -> Option<String> {
     std::env::var(name).ok()
 }
@@ -82,9 +88,9 @@
     core.told.tell(What::Ending { open: core.unanswered() });
     core.draining.set(true);
     let told = Instant::now();
-    sleep(CLOSE_IDLE_AFTER).await;
+    sleep(CLOSE_IDLE).await;
     clients.close_idle(Closing::Used);
-    while keeps_listening(told.elapsed(), clients.quiet_for()) {
+    while told.elapsed() < LISTEN_ON.1 && clients.quiet_for() < LISTEN_ON.0 {
         sleep(Duration::from_millis(10)).await;
     }
     accepting.abort();
