--- a/crates/balancer/src/gateway/quota.rs
+++ b/crates/balancer/src/gateway/quota.rs
@@ -42,8 +42,6 @@
     lease_now: Notify,
     /// How long a counter takes to answer, about.
     counter_latency: Cell<Micros>,
-    /// Requests that had to wait for a unit since they were last counted.
-    waited: Cell<u32>,
 }
 
 impl QuotaClient {
@@ -54,7 +52,6 @@
             rule,
             lease_now: Notify::new(),
             counter_latency: Cell::new(0),
-            waited: Cell::new(0),
         }
     }
 
@@ -127,7 +124,6 @@
             UnitResult::Exhausted(left) => return Err(left),
             UnitResult::Wait => {
                 self.metrics.unit_waits.inc();
-                quota.waited.set(quota.waited.get() + 1);
             }
         }
         let mut wait = UnitWait { quota, tenant, waiter_id: None, resolved: false };
@@ -195,11 +191,6 @@
         self.quota.client.borrow().describe(now())
     }
 
-    /// Requests that had to wait for a unit since the last call.
-    pub fn take_waited_count(&self) -> u32 {
-        self.quota.waited.take()
-    }
-
     /// Leases units, for ever.
     pub async fn lease_quota(self: Rc<Self>) {
         loop {
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -10,7 +10,7 @@
 //! | [`proxy`] | a client's request, from its first byte to its one response |
 //! | [`metrics`] | figures of the process, as text |
 //! | [`transport`] | calls between processes |
-//! | `directory`, `readiness`, `settings_watch`, [`clock`] | where clients go; probes; the settings file; time and random numbers |
+//! | `directory`, `readiness`, [`settings_file`], [`clock`] | where clients go; probes; the settings file; time and random numbers |
 //!
 //! Decisions are made in the packages below; here are sockets, timers and what connects them. It is a library, so that many gateways
 //! can run in one process for runs at a size that one machine could not hold otherwise.
@@ -27,7 +27,7 @@
 pub mod proxy;
 mod readiness;
 pub mod replica;
-mod settings_watch;
+pub mod settings_file;
 pub mod shutdown;
 pub mod state_writer;
 pub mod transport;
--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -2,7 +2,7 @@
 //! that clients reach, one without is a core machine.
 #![forbid(unsafe_code)]
 
-use limeway_balancer::{clock, process};
+use limeway_balancer::{clock, process, settings_file};
 use limeway_settings::{MetricsEndpoint, Settings};
 use log::kv::{Key, Value, VisitSource};
 use std::io::Write;
@@ -65,7 +65,7 @@
 
 fn main() -> ExitCode {
     match LimewayBalancer::from_env_or_exit().subcommand {
-        LimewayBalancerCmd::Check(check) => match process::settings(&check.path) {
+        LimewayBalancerCmd::Check(check) => match settings_file::read(&check.path) {
             Ok(settings) => describe(&settings),
             Err(e) => fail(&e),
         },
@@ -89,7 +89,7 @@
         eprintln!("limeway-balancer: no settings: name a file, or set {}", limeway_settings::VARIABLE);
         return ExitCode::FAILURE;
     };
-    let mut settings = match process::settings(&path) {
+    let mut settings = match settings_file::read(&path) {
         Ok(settings) => settings,
         Err(e) => return fail(&e),
     };
@@ -113,7 +113,7 @@
     }
 }
 
-fn fail(e: &error_stack::Report<process::StartError>) -> ExitCode {
+fn fail<E: std::fmt::Debug>(e: &E) -> ExitCode {
     eprintln!("limeway-balancer: {e:?}");
     ExitCode::FAILURE
 }
--- a/crates/balancer/src/metrics/gateway.rs
+++ b/crates/balancer/src/metrics/gateway.rs
@@ -10,9 +10,6 @@
 use prometheus_client::registry::Registry;
 use std::fmt;
 
-/// Results of attempts, in the order of their counters.
-const ATTEMPT_RESULTS: [&str; 6] = ["not-sent", "not-executed", "moved", "final", "failed", "unknown"];
-
 /// Figures of a gateway: counters that go on, and gauges that are set when they are fetched.
 pub struct GatewayMetrics {
     registry: Registry,
@@ -78,7 +75,7 @@
         let causes = Failure::ALL.iter().map(|failure| failure.name());
         let failures =
             CounterTable::register(&mut registry, "limeway_failures", "Requests by cause", "cause", causes);
-        let results = ATTEMPT_RESULTS.into_iter();
+        let results = AttemptResult::ALL.iter().map(|result| result.name());
         let attempts = CounterTable::register(
             &mut registry,
             "limeway_attempts",
--- a/crates/balancer/src/process.rs
+++ b/crates/balancer/src/process.rs
@@ -7,7 +7,7 @@
 use crate::proxy::{self, ClientConnections};
 use crate::readiness;
 use crate::replica::{InitialState, Replica};
-use crate::settings_watch::watch_settings;
+use crate::settings_file;
 use crate::shutdown::{drain, shut_down_replica};
 use crate::state_writer::StateWriter;
 use crate::transport;
@@ -21,7 +21,7 @@
 use limeway_storage::Recovered;
 use std::fmt;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 
@@ -30,8 +30,6 @@
 /// Why a process cannot start.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StartError {
-    /// The settings file cannot be read or is invalid.
-    Settings,
     /// An address cannot be listened at.
     Listen(SocketAddr),
     /// The disk cannot be used.
@@ -43,7 +41,6 @@
 impl fmt::Display for StartError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            StartError::Settings => f.write_str("the settings cannot be used"),
             StartError::Listen(address) => write!(f, "cannot listen at {address}"),
             StartError::Disk => f.write_str("the disk cannot be used"),
             StartError::Signals => f.write_str("signals cannot be waited for"),
@@ -55,15 +52,6 @@
 
 type StartResult<T> = Result<T, Report<StartError>>;
 
-/// Reads a settings file.
-///
-/// # Errors
-/// It cannot be read, or is invalid.
-pub fn settings(path: &Path) -> StartResult<Settings> {
-    let text = std::fs::read_to_string(path).change_context(StartError::Settings)?;
-    Settings::read(&text).change_context(StartError::Settings)
-}
-
 /// Runs the process that the settings describe, until it is shut down. The file that they are from is watched.
 ///
 /// # Errors
@@ -119,7 +107,7 @@
     serve_metrics(&replica.settings, move || figures.render_metrics());
     log::info!(slot = replica.control_plane().state().slot, is_new; "control-plane replica started");
     let reloaded = replica.clone();
-    tokio::task::spawn_local(watch_settings(path, reload, move |settings| {
+    tokio::task::spawn_local(settings_file::watch(path, reload, move |settings| {
         reloaded.handle(Event::SeedsChanged(transport::nodes(&settings.seeds)));
     }));
     tokio::task::spawn_local(replica.clone().run());
@@ -174,7 +162,7 @@
         tokio::task::spawn_local(readiness::listen(gateway.clone(), bind(address)?));
     }
     let reloaded = gateway.clone();
-    tokio::task::spawn_local(watch_settings(path, reload, move |settings| reloaded.reload(&settings)));
+    tokio::task::spawn_local(settings_file::watch(path, reload, move |settings| reloaded.reload(&settings)));
     gateway.spawn_tasks();
     tokio::task::spawn_local(proxy::log_traffic(gateway.clone(), clients.clone()));
     let figures = (gateway.clone(), clients.clone());
--- a/crates/balancer/src/proxy/connections.rs
+++ b/crates/balancer/src/proxy/connections.rs
@@ -144,6 +144,7 @@
 
 /// Logs from time to time what was answered, for ever.
 pub async fn log_traffic(gateway: Rc<Gateway>, clients: Rc<ClientConnections>) {
+    let mut waits_logged = 0;
     loop {
         sleep(LOG_INTERVAL).await;
         let responses = std::mem::take(&mut *clients.responses.borrow_mut());
@@ -155,7 +156,8 @@
         let (p50, p99) = (quantile_ms(&added, 0.5), quantile_ms(&added, 0.99));
         let timed: u32 = added.iter().sum();
         let slow: u32 = added.iter().skip(SLOW_BUCKET).sum();
-        let waited = gateway.take_waited_count();
+        let waits = gateway.metrics.unit_waits.get();
+        let waited = waits - std::mem::replace(&mut waits_logged, waits);
         log::info!(open, timed, slow, waited, added_p50_ms = p50, added_p99_ms = p99, quota = quota.as_str(); "responses {responses:?}");
     }
 }
--- a/crates/balancer/src/proxy/request_record.rs
+++ b/crates/balancer/src/proxy/request_record.rs
@@ -85,7 +85,7 @@
                 text,
                 "{}:{}:{}ms ",
                 attempt.server,
-                result_name(attempt.result),
+                attempt.result.name(),
                 attempt.took / MILLISECOND
             );
         }
@@ -122,14 +122,3 @@
         );
     }
 }
-
-fn result_name(result: AttemptResult) -> &'static str {
-    match result {
-        AttemptResult::NotSent => "not-sent",
-        AttemptResult::NotExecuted => "not-executed",
-        AttemptResult::Moved => "moved",
-        AttemptResult::Final => "final",
-        AttemptResult::Failed => "failed",
-        AttemptResult::Unknown => "unknown",
-    }
-}
--- a/crates/data/load-balancing/src/attempts.rs
+++ b/crates/data/load-balancing/src/attempts.rs
@@ -43,6 +43,30 @@
     Unknown,
 }
 
+impl AttemptResult {
+    /// All of them, in the order of their declaration.
+    pub const ALL: [AttemptResult; 6] = [
+        AttemptResult::NotSent,
+        AttemptResult::NotExecuted,
+        AttemptResult::Moved,
+        AttemptResult::Final,
+        AttemptResult::Failed,
+        AttemptResult::Unknown,
+    ];
+
+    /// Its name in logs and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            AttemptResult::NotSent => "not-sent",
+            AttemptResult::NotExecuted => "not-executed",
+            AttemptResult::Moved => "moved",
+            AttemptResult::Final => "final",
+            AttemptResult::Failed => "failed",
+            AttemptResult::Unknown => "unknown",
+        }
+    }
+}
+
 impl ResponseHead {
     /// The result of an attempt that had this response.
     pub fn result(self) -> AttemptResult {
