--- a/crates/balancer/tests/soak.rs
+++ b/crates/balancer/tests/soak.rs
@@ -20,6 +20,7 @@
         net,
         length: LENGTH,
         clients: CLIENTS,
+        gateways: None,
     };
     let report = run(&options, seed).expect("it can be run");
     if report.holds() {
--- a/crates/testing/soak/src/client.rs
+++ b/crates/testing/soak/src/client.rs
@@ -1,53 +1,50 @@
 //! Clients: some keep a connection, some open new ones, some leave in the middle. Each try is a request with an id of its own.
 
 use crate::cluster::frontend_address;
+use crate::demand::Demand;
+use crate::layout::Layout;
 use crate::ledger::{End, Ledger, Request, RequestId};
-use crate::plan::{CORE, GATEWAYS};
-use crate::server::{request_body, response_body};
+use crate::payload::{request_body, response_body};
 use limeway_http1::conn::{Conn, Reply};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{sleep, timeout};
 
 /// How long a client waits for an answer, as it states.
 const DEADLINE: Duration = Duration::from_millis(1_500);
-/// How much longer it keeps its connection: the system ends a request in time.
-const PATIENCE: Duration = Duration::from_millis(2_500);
+/// The same for a bulk request.
+const BULK_DEADLINE: Duration = Duration::from_millis(5_000);
+/// One request in so many is a bulk request.
+const BULK_RATIO: u32 = 4;
+/// How much longer than it states it keeps its connection: the system ends a request in time.
+const PATIENCE: Duration = Duration::from_millis(1_000);
+/// One body in so many comes in two parts, this long after each other, in milliseconds.
+const SLOW_BODY: (u32, std::ops::Range<u64>) = (8, 100..1_500);
 /// How long a new connection may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Pause between two requests of a client, in milliseconds.
 const THINK_MS: std::ops::Range<u64> = 20..120;
+/// The same of an eager client, which hardly ever lets its connection rest.
+const EAGER_THINK_MS: std::ops::Range<u64> = 0..5;
+/// One client in so many is eager.
+const EAGER_RATIO: usize = 6;
 /// When a client leaves in the middle of a request, in milliseconds.
 const LEAVE_AFTER_MS: std::ops::Range<u64> = 0..400;
 
-/// What clients ask for at a moment.
-#[derive(Debug, Default)]
-pub struct Demand {
-    /// Routes added by versions that may be in force, oldest first.
-    pub routes: RefCell<Vec<u32>>,
-    /// Keys of the tenant `ample`: in force, or taken away.
-    pub keys: RefCell<Vec<String>>,
-    /// Keys that were taken away lately.
-    pub revoked: RefCell<Vec<String>>,
-    /// The tenant `tight` asks for many times its quota.
-    pub is_hot: Cell<bool>,
-    /// Clients leave in the middle of requests.
-    pub impatient: Cell<bool>,
-    /// No more requests begin.
-    pub stopped: Cell<bool>,
-}
-
 /// A client.
 pub struct Client {
     net: u8,
+    layout: Layout,
     ledger: Rc<Ledger>,
     demand: Rc<Demand>,
     rng: ChaCha8Rng,
     /// It keeps its connections.
     keeps: bool,
+    /// It asks on at once.
+    eager: bool,
     /// It is one of the tenant whose quota is judged.
     tight: bool,
     conn: Option<(usize, Conn)>,
@@ -55,14 +52,23 @@
 
 impl Client {
     /// A client; every second keeps connections, every fourth is of the tenant `tight`.
-    pub fn new(number: usize, net: u8, seed: u64, ledger: Rc<Ledger>, demand: Rc<Demand>) -> Self {
+    pub fn new(
+        number: usize,
+        net: u8,
+        layout: Layout,
+        seed: u64,
+        ledger: Rc<Ledger>,
+        demand: Rc<Demand>,
+    ) -> Self {
         let rng = ChaCha8Rng::seed_from_u64(seed ^ (number as u64) << 32);
         Client {
             net,
+            layout,
             ledger,
             demand,
             rng,
             keeps: number.is_multiple_of(2),
+            eager: number.is_multiple_of(EAGER_RATIO),
             tight: number % 4 == 3,
             conn: None,
         }
@@ -71,7 +77,11 @@
     /// Sends requests until no more are to begin.
     pub async fn run(mut self) {
         while !self.demand.stopped.get() {
-            let think = Duration::from_millis(self.rng.random_range(THINK_MS));
+            let think = Duration::from_millis(self.rng.random_range(if self.eager {
+                EAGER_THINK_MS
+            } else {
+                THINK_MS
+            }));
             sleep(if self.tight && self.demand.is_hot.get() { think / 8 } else { think }).await;
             self.request().await;
         }
@@ -100,7 +110,8 @@
     async fn request(&mut self) {
         let (key, route) = self.draw_target();
         let idempotent = self.rng.random_ratio(3, 5);
-        let gateway = CORE + self.rng.random_range(0..GATEWAYS);
+        let gateway = self.rng.random_range(self.layout.gateway_numbers());
+        let deadline = if self.rng.random_ratio(1, BULK_RATIO) { BULK_DEADLINE } else { DEADLINE };
         let kept = self.conn.take().filter(|(_, conn)| conn.quiet());
         let (gateway, conn, reused) = match kept {
             Some((gateway, conn)) => (gateway, Some(conn), true),
@@ -108,7 +119,8 @@
         };
         let id = self.ledger.next_request();
         let sent = self.ledger.now();
-        let request = Request { idempotent, route, key, gateway, sent, end: None, reused, pipelined: false };
+        let request =
+            Request { idempotent, route, key, gateway, sent, deadline, end: None, reused, pipelined: false };
         let message = message(id, &request);
         self.ledger.seen.borrow_mut().requests.insert(id, request);
         let Some(conn) = conn else { return self.ledger.ended(id, End::NotSent) };
@@ -116,14 +128,14 @@
         if leaves {
             self.leave(id, conn, message).await;
         } else {
-            self.wait(id, gateway, conn, message).await;
+            self.wait(id, gateway, conn, message, deadline + PATIENCE).await;
         }
     }
 
     async fn connect(&self, gateway: usize) -> Option<Conn> {
         let to = frontend_address(self.net, gateway);
         let mut conn = timeout(CONNECT_TIMEOUT, Conn::open(to, &Rc::default())).await.ok()?.ok()?;
-        conn.patient(PATIENCE);
+        conn.patient(BULK_DEADLINE + PATIENCE);
         conn.strict();
         Some(conn)
     }
@@ -149,11 +161,18 @@
         }
     }
 
-    async fn wait(&mut self, id: RequestId, gateway: usize, mut conn: Conn, message: Vec<u8>) {
-        if conn.write(&message, &Cell::new(false)).await.is_err() {
+    async fn wait(
+        &mut self,
+        id: RequestId,
+        gateway: usize,
+        mut conn: Conn,
+        message: Vec<u8>,
+        patience: Duration,
+    ) {
+        if !self.send(id, &mut conn, &message).await {
             return self.ledger.ended(id, End::Closed);
         }
-        match timeout(PATIENCE, conn.read()).await {
+        match timeout(patience, conn.read()).await {
             Ok(Ok(reply)) => {
                 self.ledger.ended(id, response(id, &reply));
                 if self.keeps && reply.keep {
@@ -167,6 +186,26 @@
     }
 }
 
+impl Client {
+    /// Sends a request; some of those with a body in two parts. False if the connection takes no more.
+    async fn send(&mut self, id: RequestId, conn: &mut Conn, message: &[u8]) -> bool {
+        let is_slow = message.starts_with(b"POST ") && self.rng.random_ratio(1, SLOW_BODY.0);
+        let first = if is_slow { message.len() - request_body(id).len() / 2 } else { message.len() };
+        if conn.write(&message[..first], &Cell::new(false)).await.is_err() {
+            return false;
+        }
+        if !is_slow {
+            return true;
+        }
+        sleep(Duration::from_millis(self.rng.random_range(SLOW_BODY.1))).await;
+        let sent = conn.write(&message[first..], &Cell::new(false)).await.is_ok();
+        if let Some(request) = self.ledger.seen.borrow_mut().requests.get_mut(&id) {
+            request.sent = self.ledger.now();
+        }
+        sent
+    }
+}
+
 /// The path of a route.
 fn prefix(idempotent: bool, route: u32) -> String {
     match (route, idempotent) {
@@ -183,7 +222,7 @@
     format!(
         "{method} {path}{id:016x}?q=%0d%0a HTTP/1.1\r\nHost: soak.example\r\nLimeway-Request-Id: {id:016x}\r\n\
          Limeway-Deadline-Ms: {}\r\nAuthorization: Bearer {}\r\nContent-Length: {}\r\n\r\n{body}",
-        DEADLINE.as_millis(),
+        request.deadline.as_millis(),
         request.key,
         body.len()
     )
--- a/crates/testing/soak/src/cluster.rs
+++ b/crates/testing/soak/src/cluster.rs
@@ -1,7 +1,7 @@
 //! The processes of a run: core machines and gateways, each with an address of its own.
 
 use crate::bounds;
-use crate::plan::{CORE, GATEWAYS};
+use crate::layout::{Layout, CORE};
 use limeway_http1::conn::Conn;
 use rustix::process::{kill_process, Pid, Signal};
 use std::cell::{Cell, RefCell};
@@ -25,6 +25,11 @@
 /// How long a process may take to answer.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// A process that shuts down gets SIGTERM once more after this time.
+const SECOND_SIGNAL_DELAY: Duration = Duration::from_millis(700);
+/// A process is killed so long after its grace period.
+const KILL_DELAY: Duration = Duration::from_millis(500);
+
 /// Zones, all of one region but the last.
 pub const ZONES: [(&str, &str); 3] = [("z1", "north"), ("z2", "north"), ("z3", "south")];
 
@@ -33,7 +38,7 @@
     Ipv4Addr::new(127, net, 0, machine as u8 + 1)
 }
 
-/// Where other processes reach a machine.
+/// Where other processes reach a machine whose links are steered: by a port of its own.
 pub fn inner_address(net: u8, machine: usize) -> SocketAddr {
     (machine_ip(net, machine), FIRST_INNER + machine as u16).into()
 }
@@ -68,6 +73,8 @@
 #[derive(Default)]
 struct Machine {
     child: RefCell<Option<Child>>,
+    /// Its present process, until that has ended.
+    pid: Cell<Option<Pid>>,
     /// What its present process counted when it was looked at last.
     counted: RefCell<BTreeMap<String, InvariantCounts>>,
     /// What its earlier processes had counted.
@@ -80,6 +87,7 @@
 pub struct Cluster {
     /// The second byte of all addresses.
     pub net: u8,
+    layout: Layout,
     program: PathBuf,
     folder: PathBuf,
     machines: Vec<Machine>,
@@ -90,10 +98,11 @@
     ///
     /// # Errors
     /// The folder cannot be made.
-    pub fn new(program: &Path, folder: &Path, net: u8) -> io::Result<Rc<Self>> {
+    pub fn new(program: &Path, folder: &Path, net: u8, layout: Layout) -> io::Result<Rc<Self>> {
         std::fs::create_dir_all(folder)?;
-        let machines = (0..CORE + GATEWAYS).map(|_| Machine::default()).collect();
-        Ok(Rc::new(Cluster { net, program: program.to_owned(), folder: folder.to_owned(), machines }))
+        let machines = (0..layout.machines()).map(|_| Machine::default()).collect();
+        let (program, folder) = (program.to_owned(), folder.to_owned());
+        Ok(Rc::new(Cluster { net, layout, program, folder, machines }))
     }
 
     /// All machines.
@@ -103,7 +112,7 @@
 
     /// The gateways.
     pub fn gateways(&self) -> std::ops::Range<usize> {
-        CORE..self.machines.len()
+        self.layout.gateway_numbers()
     }
 
     fn settings(&self, at: usize, first: bool) -> String {
@@ -124,7 +133,7 @@
         let turn = self.machines[at].reloads.get() as usize;
         let seed = |n: usize| control_address(self.net, (n + turn) % CORE).to_string();
         let seeds: Vec<String> = (0..CORE).map(seed).collect();
-        let inner = inner_address(self.net, at).port();
+        let inner = if self.layout.has_links { inner_address(self.net, at).port() } else { FIRST_INNER };
         let millis = |bound: Duration| format!("{}ms", bound.as_millis());
         format!(
             "node-name=m{at}\nip-address={ip}\nzone={zone}\nregion={region}\n{zones}{listens}internal-ports={inner},{inner}\n\
@@ -169,19 +178,15 @@
             .stderr(log)
             .kill_on_drop(true)
             .spawn()?;
+        let id = child.id().and_then(|id| i32::try_from(id).ok());
+        self.machines[at].pid.set(id.and_then(Pid::from_raw));
         *self.machines[at].child.borrow_mut() = Some(child);
         Ok(())
     }
 
-    fn pid(&self, at: usize) -> Option<Pid> {
-        let child = self.machines[at].child.borrow();
-        let id = child.as_ref().and_then(Child::id)?;
-        Pid::from_raw(i32::try_from(id).ok()?)
-    }
-
     /// Sends a signal to a machine's process, by its id.
     pub fn signal(&self, at: usize, signal: Signal) {
-        if let Some(pid) = self.pid(at) {
+        if let Some(pid) = self.machines[at].pid.get() {
             // It may have ended by itself: that shows elsewhere.
             let _ = kill_process(pid, signal);
         }
@@ -219,7 +224,11 @@
         self.signal(at, Signal::TERM);
         let child = self.machines[at].child.borrow_mut().take();
         let Some(mut child) = child else { return true };
-        let ended = timeout(bounds::GRACE + Duration::from_millis(500), child.wait()).await;
+        if timeout(SECOND_SIGNAL_DELAY, child.wait()).await.is_err() {
+            // Platforms repeat themselves: it goes on as it has begun.
+            self.signal(at, Signal::TERM);
+        }
+        let ended = timeout(bounds::GRACE + KILL_DELAY - SECOND_SIGNAL_DELAY, child.wait()).await;
         let in_time = matches!(&ended, Ok(Ok(status)) if status.success());
         if !in_time {
             let _ = child.kill().await;
@@ -255,6 +264,7 @@
 
     fn process_ended(&self, at: usize) {
         let machine = &self.machines[at];
+        machine.pid.set(None);
         let counted = machine.counted.take();
         let mut earlier = machine.earlier.borrow_mut();
         for (name, counts) in counted {
@@ -301,8 +311,12 @@
     /// Ends of gateways in order. What a process counts at its end is told by its log only.
     fn shutdowns(&self) -> InvariantCounts {
         let lines = self.log_lines(|line| line.contains("\"says\":\"shut down\""));
-        let near = lines.iter().filter(|line| !line.contains("\"in_flight\":\"0\"")).count() as u64;
-        InvariantCounts { checked: lines.len() as u64, near, violated: 0 }
+        let without = |what: &str| lines.iter().filter(|line| !line.contains(what)).count() as u64;
+        InvariantCounts {
+            checked: lines.len() as u64,
+            near: without("\"in_flight\":\"0\""),
+            violated: without("\"cut_short\":\"0\""),
+        }
     }
 
     fn log_lines(&self, tells: impl Fn(&str) -> bool) -> Vec<String> {
--- a/crates/testing/soak/src/faults.rs
+++ b/crates/testing/soak/src/faults.rs
@@ -1,10 +1,12 @@
 //! Faults begin and end.
 
-use crate::client::Demand;
 use crate::cluster::Cluster;
+use crate::demand::Demand;
+use crate::fault::Fault;
+use crate::layout::CORE;
 use crate::ledger::{Fired, Ledger};
 use crate::network::Network;
-use crate::plan::{Fault, TimedFault, CORE};
+use crate::plan::TimedFault;
 use crate::server::{Manner, Server};
 use rustix::process::Signal;
 use std::rc::Rc;
@@ -65,6 +67,7 @@
                 self.servers[server].manner.set(Manner::Down);
                 self.network.reset_server(server);
             }
+            Fault::SlowServer(server) => self.servers[server].manner.set(Manner::Slow),
             Fault::GarbleServer(server) => self.servers[server].manner.set(Manner::Garbles),
             Fault::LoseAnswers(server) => self.network.lose_server_answers(server, true),
             Fault::DrainServer(server) => self.servers[server].drain().await,
@@ -87,7 +90,9 @@
             Fault::CutGateway(machine) => self.network.partition(machine, &core(), false),
             Fault::LoseControlAnswers(machine) => self.network.lose_control_answers(machine, false),
             Fault::CrashServer(server) => self.servers[server].start_instance(),
-            Fault::GarbleServer(server) => self.servers[server].manner.set(Manner::Sound),
+            Fault::GarbleServer(server) | Fault::SlowServer(server) => {
+                self.servers[server].manner.set(Manner::Sound);
+            }
             Fault::LoseAnswers(server) => self.network.lose_server_answers(server, false),
             Fault::DrainServer(server) => {
                 self.servers[server].deregister().await;
--- a/crates/testing/soak/src/judge/contact.rs
+++ b/crates/testing/soak/src/judge/contact.rs
@@ -1,8 +1,9 @@
 //! Which machines are in touch when: rules with a time bound hold for these only (`RULES.md`, "In touch").
 
 use crate::bounds::CONTACT;
+use crate::fault::Fault;
+use crate::layout::CORE;
 use crate::ledger::{Fired, Seen};
-use crate::plan::{Fault, CORE};
 use std::time::Duration;
 
 /// Whether anything unplanned happened to anyone in a span, or in the time before it that counts.
--- a/crates/testing/soak/src/judge/mod.rs
+++ b/crates/testing/soak/src/judge/mod.rs
@@ -46,13 +46,14 @@
 
 /// Judges all rules.
 pub fn judge(seen: &Seen) -> Vec<Finding> {
-    vec![
+    let mut findings = requests::lost(seen);
+    findings.extend([
         requests::unasked(seen),
         requests::mixed(seen),
         requests::twice(seen),
         requests::refused(seen),
         requests::gone(seen),
-        requests::lost(seen),
+        requests::lost_on_kept(seen),
         requests::denied(seen),
         requests::given_up_at_once(seen),
         control::revoked(seen),
@@ -65,5 +66,6 @@
         service::power_loss(seen),
         service::own_ends(seen),
         service::recovery(seen),
-    ]
+    ]);
+    findings
 }
--- a/crates/testing/soak/src/judge/requests.rs
+++ b/crates/testing/soak/src/judge/requests.rs
@@ -3,8 +3,9 @@
 use super::contact::{in_touch, is_calm};
 use super::Finding;
 use crate::bounds::{CONFIG_APPLY, GONE, GRACE};
+use crate::fault::Fault;
+use crate::layout::CORE;
 use crate::ledger::{End, Execution, Fired, Request, RequestId, Seen};
-use crate::plan::Fault;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -14,8 +15,14 @@
 const SLACK: Duration = Duration::from_millis(150);
 /// Requests that may reach a server late after their client has closed.
 const MAX_GONE: u64 = 5;
-/// The deadline that clients state, and what they grant beyond it.
-const FINAL_ANSWER: Duration = Duration::from_millis(2_000);
+/// What clients grant beyond the deadline that they state.
+const FINAL_ANSWER_SLACK: Duration = Duration::from_millis(500);
+/// A request that ends in the last part of its time is near to being held past it.
+const NEAR_DEADLINE: Duration = Duration::from_millis(200);
+/// A whole request that is not answered may lose its connection no later than this.
+const LOSS_SLACK: Duration = Duration::from_millis(200);
+/// Requests on kept connections that may be closed without an answer.
+const MAX_LOST_ON_KEPT: usize = 3;
 /// Requests that may end with a status of our own that is not theirs.
 const MAX_DENIED: u64 = 5;
 
@@ -121,18 +128,37 @@
     finding
 }
 
-/// LOST: around planned work a request that was sent whole gets a whole answer.
-pub(super) fn lost(seen: &Seen) -> Finding {
-    let mut finding = Finding::new("LOST around planned work");
+/// The gateway at which planned work was, and until when no request may be lost by it.
+fn planned_span(fired: &Fired) -> Option<(usize, Duration)> {
+    match fired.fault {
+        Fault::Terminate(m) if m >= CORE => Some((m, fired.begun + GRACE + Duration::from_secs(1))),
+        Fault::Reload(m) if m >= CORE => Some((m, fired.begun + CONFIG_APPLY)),
+        _ => None,
+    }
+}
+
+/// Whether a request was lost: closed without an answer once it had been passed on or some time after its last byte, or broken off at its
+/// server and answered with a failure of our own in its place.
+fn is_lost(request: &Request, executions: &[&Execution]) -> bool {
+    let Some((ended, end)) = &request.end else { return false };
+    match end {
+        End::Closed => !executions.is_empty() || *ended > request.sent + LOSS_SLACK + SLACK,
+        End::Response { status: 500 | 502 | 504, is_stamped: false, .. } => {
+            let has_time_left = *ended + SLACK < request.sent + request.deadline;
+            has_time_left && executions.iter().any(|execution| execution.broken_off)
+        }
+        _ => false,
+    }
+}
+
+/// LOST: around planned work a request that was sent whole gets a whole answer. Near: it was under way when the work began, or it was
+/// passed on by a gateway that was shutting down.
+pub(super) fn lost(seen: &Seen) -> Vec<Finding> {
+    let mut under_way = Finding::new("LOST, in flight at a stop");
+    let mut taken = Finding::new("LOST, taken after a stop");
     let executions = executions(seen);
     for fired in &seen.faults {
-        let (gateway, until) = match fired.fault {
-            Fault::Terminate(m) if m >= crate::plan::CORE => {
-                (m, fired.begun + GRACE + Duration::from_secs(1))
-            }
-            Fault::Reload(m) if m >= crate::plan::CORE => (m, fired.begun + CONFIG_APPLY),
-            _ => continue,
-        };
+        let Some((gateway, until)) = planned_span(fired) else { continue };
         let begun = fired.begun;
         let concerns = |request: &&Request| {
             let ended = request.end.as_ref().map_or(request.sent, |(at, _)| *at);
@@ -143,12 +169,43 @@
             if !is_calm(seen, request.sent, *ended) || matches!(end, End::GivenUp | End::NotSent) {
                 continue;
             }
-            let was_sent_on = executions.contains_key(id);
-            let is_lost = *end == End::Closed && was_sent_on;
-            let spans = request.sent <= begun;
-            finding.check(spans, !is_lost, || format!("{:?}, request {id}: {request:?}", fired.fault));
+            let executions = executions.get(id).map_or(&[][..], Vec::as_slice);
+            let holds = !is_lost(request, executions);
+            let detail = || format!("{:?} at {begun:?}, request {id}: {request:?}", fired.fault);
+            if request.sent <= begun {
+                under_way.check(true, holds, detail);
+            } else {
+                let is_shutting_down =
+                    fired.fault == Fault::Terminate(gateway) && request.sent <= fired.ended;
+                taken.check(is_shutting_down && !executions.is_empty(), holds, detail);
+            }
         }
     }
+    vec![under_way, taken]
+}
+
+/// LOST: at any time, a request on a kept connection that was passed on to a sound server gets an answer, but for a few.
+pub(super) fn lost_on_kept(seen: &Seen) -> Finding {
+    let mut finding = Finding::new("LOST on kept connections");
+    let executions = executions(seen);
+    let mut lost = Vec::new();
+    for (id, request) in seen.requests.iter().filter(|(_, request)| request.reused) {
+        let Some((ended, end)) = &request.end else { continue };
+        let is_in_touch = in_touch(seen, request.gateway, request.sent, *ended);
+        if !is_in_touch || !is_calm(seen, request.sent, *ended) || *end == End::GivenUp {
+            continue;
+        }
+        let was_passed_on = executions.contains_key(id);
+        finding.checked += 1;
+        finding.near += u64::from(was_passed_on);
+        if was_passed_on && *end == End::Closed {
+            lost.push(format!("request {id}: {request:?}"));
+        }
+    }
+    if lost.len() > MAX_LOST_ON_KEPT {
+        finding.broken = lost.len() as u64;
+        finding.examples = lost;
+    }
     finding
 }
 
@@ -184,8 +241,10 @@
             continue;
         }
         let took = ended.saturating_sub(request.sent);
-        let near = took > Duration::from_millis(1_300);
-        finding.check(near, took <= FINAL_ANSWER + SLACK, || format!("request {id}, {took:?}: {request:?}"));
+        let near = took + NEAR_DEADLINE > request.deadline;
+        finding.check(near, took <= request.deadline + FINAL_ANSWER_SLACK + SLACK, || {
+            format!("request {id}, {took:?}: {request:?}")
+        });
     }
     finding
 }
--- a/crates/testing/soak/src/ledger.rs
+++ b/crates/testing/soak/src/ledger.rs
@@ -1,6 +1,6 @@
 //! All that was seen, with its time since the start of the run. Written while a run goes on, read by the judge.
 
-use crate::plan::Fault;
+use crate::fault::Fault;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -44,6 +44,8 @@
     pub gateway: usize,
     /// When its last byte was sent.
     pub sent: Duration,
+    /// How long the client waits for an answer, as it states.
+    pub deadline: Duration,
     /// When and how it ended; None if the run ended first.
     pub end: Option<(Duration, End)>,
     /// It came on a connection that had been used.
--- a/crates/testing/soak/src/lib.rs
+++ b/crates/testing/soak/src/lib.rs
@@ -2,10 +2,11 @@
 //!
 //! | module | concern |
 //! | --- | --- |
-//! | [`plan`] | the faults of a run and their times, drawn from a seed; no I/O |
+//! | [`layout`], [`fault`], [`plan`] | the machines, the faults, and their times drawn from a seed; no I/O |
 //! | [`cluster`] | the processes: settings, start, signals, figures |
 //! | [`network`] | links between the processes, before the servers and before the control API, whose faults are steered |
 //! | [`server`], [`client`], [`operator`] | who calls the system, and what they see |
+//! | [`demand`], [`payload`], [`control_caller`] | what clients ask for; bodies; how the control API is called |
 //! | [`faults`] | faults begin and end |
 //! | [`ledger`] | all that was seen, with its time |
 //! | [`judge`] | the rules on a ledger, and how often each was near to being broken; no I/O |
@@ -17,11 +18,16 @@
 
 pub mod client;
 pub mod cluster;
+pub mod control_caller;
+pub mod demand;
+pub mod fault;
 pub mod faults;
 pub mod judge;
+pub mod layout;
 pub mod ledger;
 pub mod network;
 pub mod operator;
+pub mod payload;
 pub mod plan;
 pub mod report;
 pub mod run;
--- a/crates/testing/soak/src/main.rs
+++ b/crates/testing/soak/src/main.rs
@@ -32,6 +32,8 @@
                 optional --seconds seconds: u64
                 /// Clients (24).
                 optional --clients clients: usize
+                /// Large runs: series of stops over so many gateways, without links between processes.
+                optional --gateways gateways: usize
                 /// Runs at one time (1).
                 optional --jobs jobs: u8
                 /// Where files and logs go (target/soak).
@@ -51,6 +53,8 @@
 }
 use flags::{LimewaySoak, LimewaySoakCmd, Run};
 
+/// Default number of clients.
+const CLIENTS: usize = 24;
 /// Default length of the time in which faults begin.
 const SECONDS: u64 = 25;
 
@@ -71,7 +75,8 @@
         folder: flags.folder.clone().unwrap_or_else(|| PathBuf::from("target/soak")),
         net: FIRST_NET + job,
         length: Duration::from_secs(flags.seconds.unwrap_or(SECONDS)),
-        clients: flags.clients.unwrap_or(24),
+        clients: flags.clients.unwrap_or(CLIENTS),
+        gateways: flags.gateways,
     };
     let from = flags.from.unwrap_or(1);
     let (next, end) = (AtomicU64::new(from), from + flags.seeds.unwrap_or(4));
--- a/crates/testing/soak/src/network.rs
+++ b/crates/testing/soak/src/network.rs
@@ -4,7 +4,7 @@
 //! own: whoever listens at the address of machine `y` with the port of machine `x` is on the way from `x` to `y`.
 
 use crate::cluster::{control_address, inner_address, machine_ip};
-use crate::plan::{CORE, GATEWAYS, SERVERS};
+use crate::layout::{Layout, CORE};
 use limeway_fault_injection::{Conditions, Record, Streams};
 use std::collections::BTreeMap;
 use std::io;
@@ -43,9 +43,10 @@
     ///
     /// # Errors
     /// An address cannot be listened at.
-    pub fn start(net: u8, seed: u64) -> io::Result<Self> {
+    pub fn start(layout: Layout, net: u8, seed: u64) -> io::Result<Self> {
         let record = Record::default();
-        let machines = CORE + GATEWAYS;
+        // Without links processes call each other directly.
+        let machines = if layout.has_links { layout.machines() } else { 0 };
         let mut between = BTreeMap::new();
         for from in 0..machines {
             for to in (0..machines).filter(|to| *to != from) {
@@ -63,7 +64,7 @@
             let (at, target) = (control_link_address(net, n), control_address(net, n));
             Streams::start_at(&format!("control {n}"), at, target, seed ^ n as u64, &record)
         };
-        let servers = (0..SERVERS).map(server).collect::<io::Result<_>>()?;
+        let servers = (0..layout.servers).map(server).collect::<io::Result<_>>()?;
         let controls = (0..CORE).map(control).collect::<io::Result<_>>()?;
         Ok(Network { between, servers, controls, record })
     }
--- a/crates/testing/soak/src/operator.rs
+++ b/crates/testing/soak/src/operator.rs
@@ -1,11 +1,9 @@
-//! The operator, and how it and servers call the control API: to any core machine, again unchanged until there is a clear answer.
+//! The operator: changes, races, evacuations and reads.
 
-use crate::client::Demand;
-use crate::cluster::call;
+use crate::control_caller::ControlCaller;
+use crate::demand::Demand;
+use crate::layout::{CORE, SERVICE};
 use crate::ledger::{Acknowledged, ConfigVersion, Ledger, Read};
-use crate::network::control_link_address;
-use crate::plan::CORE;
-use crate::server::SERVICE;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::cell::{Cell, RefCell};
@@ -13,16 +11,10 @@
 use std::time::{Duration, Instant};
 use tokio::time::sleep;
 
-/// How long a caller waits for an answer.
-const CALL_PATIENCE: Duration = Duration::from_secs(1);
-/// First backoff after a call without a clear answer; it doubles.
-const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
-/// Longest backoff.
-const MAX_BACKOFF: Duration = Duration::from_millis(750);
-/// How long a call is sent again.
-const CLEAR_TIMEOUT: Duration = Duration::from_secs(40);
 /// Pause between two orders, in milliseconds.
 const ORDER_INTERVAL_MS: std::ops::Range<u64> = 200..1_400;
+/// Pause between two reads of what was acknowledged.
+const READ_INTERVAL: Duration = Duration::from_millis(100);
 /// One change in so many takes a key away and brings another.
 const CHANGES_PER_KEY: u32 = 2;
 /// Routes beside the first ones that are in force at once.
@@ -32,49 +24,6 @@
 /// How long a zone stays evacuated.
 const EVACUATION_LENGTH: Duration = Duration::from_secs(7);
 
-/// Calls core machines in turn.
-pub struct ControlCaller {
-    net: u8,
-    next: Cell<usize>,
-}
-
-impl ControlCaller {
-    /// Begins with a machine by number.
-    pub fn new(net: u8, first: usize) -> Self {
-        ControlCaller { net, next: Cell::new(first) }
-    }
-
-    /// Calls one machine: the next one, after a call without a clear answer.
-    pub async fn call(&self, name: &str, body: &str) -> Option<(u16, String)> {
-        self.call_machine(self.next.get() % CORE, name, body).await.or_else(|| {
-            self.next.set(self.next.get() + 1);
-            None
-        })
-    }
-
-    async fn call_machine(&self, machine: usize, name: &str, body: &str) -> Option<(u16, String)> {
-        let message = format!(
-            "POST /-/rpc?call={name} HTTP/1.1\r\nHost: c\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{body}",
-            body.len()
-        );
-        let answer = call(control_link_address(self.net, machine), &message, CALL_PATIENCE).await;
-        answer.filter(|(status, _)| *status < 500 && *status != 408 && *status != 429)
-    }
-
-    /// Calls until there is a clear answer: its status.
-    pub async fn until_clear(&self, name: &str, body: &str) -> Option<u16> {
-        let (begun, mut backoff) = (Instant::now(), INITIAL_BACKOFF);
-        while begun.elapsed() < CLEAR_TIMEOUT {
-            if let Some((status, _)) = self.call(name, body).await {
-                return Some(status);
-            }
-            sleep(backoff).await;
-            backoff = (2 * backoff).min(MAX_BACKOFF);
-        }
-        None
-    }
-}
-
 /// What is in force as far as the operator knows.
 #[derive(Debug, Clone, Default)]
 struct Config {
@@ -230,7 +179,7 @@
                 return Some(version(&text));
             }
             machine += 1;
-            sleep(INITIAL_BACKOFF).await;
+            sleep(READ_INTERVAL).await;
         }
         None
     }
@@ -258,7 +207,7 @@
     let route = |name: &str, kind: &str| {
         format!(
             "{{\"resource-kind\":\"routes\",\"metadata\":{{\"name\":\"{name}\"}},\"specification\":{{\"hostname\":\"soak.example\",\
-             \"path-prefix\":\"/{name}/\",\"route-type\":\"{kind}\",\"timeout\":\"1500ms\",\"target-latency\":\"400ms\",\
+             \"path-prefix\":\"/{name}/\",\"route-type\":\"{kind}\",\"timeout\":\"6000ms\",\"target-latency\":\"400ms\",\
              \"target-service\":\"{SERVICE}\",\"max-attempts\":3}}}}"
         )
     };
--- a/crates/testing/soak/src/plan.rs
+++ b/crates/testing/soak/src/plan.rs
@@ -1,130 +1,36 @@
-//! The faults of a run and their times, drawn from a seed. Two or three begin together, of different groups, so that they overlap.
+//! The faults of a run and their times, drawn from a seed. Two or three begin together, of different groups, so that they overlap; in
+//! runs of series, nearly all gateways are stopped one after the other, twice, beside other planned work.
 
-use rand::seq::IndexedRandom;
+use crate::fault::{subjects, Fault, Group};
+use crate::layout::{Layout, CORE};
+use rand::seq::{IndexedRandom, SliceRandom};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Core machines of the small system; their numbers come first.
-pub const CORE: usize = 3;
-/// Gateways of the small system.
-pub const GATEWAYS: usize = 3;
-/// Servers of the small system.
-pub const SERVERS: usize = 6;
-
-/// A fault, or planned work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Fault {
-    /// A process is killed, and started again at the end.
-    Kill(usize),
-    /// A process is stopped (SIGSTOP) until the end.
-    Pause(usize),
-    /// A process gets SIGTERM, and is started again once it has ended.
-    Terminate(usize),
-    /// A process gets SIGHUP, and another settings file.
-    Reload(usize),
-    /// A core machine is killed, loses its disk, and is started again at the end.
-    LoseDisk(usize),
-    /// All core machines are killed, and started again at the end.
-    KillCore,
-    /// Two core machines do not reach each other; the third reaches both.
-    CutPair(usize, usize),
-    /// A core machine reaches no other one; all else reaches it.
-    CutOff(usize),
-    /// A gateway reaches no core machine.
-    CutGateway(usize),
-    /// All connections between processes are reset.
-    ResetLinks,
-    /// Answers of a core machine to servers and operators are lost.
-    LoseControlAnswers(usize),
-    /// A server resets all connections and takes none, and comes back as another instance.
-    CrashServer(usize),
-    /// A server breaks off or spoils its answers.
-    GarbleServer(usize),
-    /// Answers of a server are lost on their way.
-    LoseAnswers(usize),
-    /// A server says that it drains, and leaves; another instance comes.
-    DrainServer(usize),
-    /// A server deregisters without having drained, serves on for a while, and leaves; another instance comes.
-    DeregisterServer(usize),
-    /// A tenant asks for many times its quota.
-    HotTenant,
-    /// Clients close their connections in the middle of requests.
-    ImpatientClients,
-}
-
-/// Faults that do not begin together belong to one group.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Group {
-    /// The control plane.
-    Core,
-    /// Gateways.
-    Gateway,
-    /// Links.
-    Links,
-    /// Servers and clients.
-    Outside,
-}
-
-impl Fault {
-    /// Its name in reports, without its figures.
-    pub fn name(self) -> &'static str {
-        match self {
-            Fault::Kill(machine) if machine < CORE => "kill a core machine",
-            Fault::Kill(_) => "kill a gateway",
-            Fault::Pause(machine) if machine < CORE => "pause a core machine",
-            Fault::Pause(_) => "pause a gateway",
-            Fault::Terminate(machine) if machine < CORE => "terminate a core machine",
-            Fault::Terminate(_) => "terminate a gateway",
-            Fault::Reload(_) => "reload",
-            Fault::LoseDisk(_) => "lose a disk",
-            Fault::KillCore => "kill the core",
-            Fault::CutPair(..) => "cut a pair of core machines",
-            Fault::CutOff(_) => "cut off a core machine",
-            Fault::CutGateway(_) => "cut off a gateway",
-            Fault::ResetLinks => "reset links",
-            Fault::LoseControlAnswers(_) => "lose control answers",
-            Fault::CrashServer(_) => "crash a server",
-            Fault::GarbleServer(_) => "garble answers",
-            Fault::LoseAnswers(_) => "lose answers",
-            Fault::DrainServer(_) => "drain a server",
-            Fault::DeregisterServer(_) => "deregister a server",
-            Fault::HotTenant => "hot tenant",
-            Fault::ImpatientClients => "impatient clients",
-        }
-    }
-
-    /// Whether it is planned work, or what clients do: neither costs other clients anything.
-    pub fn is_planned(self) -> bool {
-        matches!(
-            self,
-            Fault::Terminate(_)
-                | Fault::Reload(_)
-                | Fault::DrainServer(_)
-                | Fault::DeregisterServer(_)
-                | Fault::HotTenant
-                | Fault::ImpatientClients
-        )
-    }
-
-    /// The core machines whose processes do not run, or are not reached by the others, meanwhile.
-    pub fn lost_core(self) -> Vec<usize> {
-        match self {
-            Fault::Kill(m)
-            | Fault::Pause(m)
-            | Fault::Terminate(m)
-            | Fault::LoseDisk(m)
-            | Fault::CutOff(m)
-                if m < CORE =>
-            {
-                vec![m]
-            }
-            Fault::KillCore => (0..CORE).collect(),
-            _ => Vec::new(),
-        }
-    }
-}
+/// When the first faults begin, in milliseconds.
+const FIRST_FAULT_MS: std::ops::Range<u64> = 300..1_500;
+/// Between two groups of faults that begin together, in milliseconds.
+const FAULT_INTERVAL_MS: std::ops::Range<u64> = 1_500..5_000;
+/// No second disk is lost before the first one has been replaced for so long.
+const DISK_LOSS_INTERVAL: Duration = Duration::from_secs(8);
+/// Series of stops that go on at one time.
+const SERIES: usize = 2;
+/// Between two stops of one series, in milliseconds.
+const STOP_INTERVAL_MS: std::ops::Range<u64> = 250..900;
+/// The same in a large run.
+const LARGE_STOP_INTERVAL_MS: std::ops::Range<u64> = 100..400;
+/// One gateway in so many is passed over by a series.
+const SPARED_RATIO: u32 = 10;
+/// Between two reloads beside the stops, in milliseconds.
+const RELOAD_INTERVAL_MS: std::ops::Range<u64> = 100..600;
+/// How long a process that has ended stays down, in milliseconds.
+const DOWN_MS: std::ops::Range<u64> = 100..600;
+/// A process that is terminated may take its whole grace period.
+const TERMINATION_MARGIN: Duration = Duration::from_secs(7);
+/// Between the end of another fault and the next one of the same thing.
+const FAULT_MARGIN: Duration = Duration::from_secs(1);
 
 /// Which faults a plan has.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -133,6 +39,19 @@
     Mixed,
     /// Planned work and misbehaving clients only: machines stay in touch, so that the rules with a time bound hold for them.
     Planned,
+    /// Series of stops that overlap, beside reloads, changes, leaving servers and slow ones.
+    Series,
+}
+
+impl Kind {
+    /// The kind of a small run.
+    pub fn of(seed: u64) -> Self {
+        match seed % 3 {
+            0 => Kind::Planned,
+            1 => Kind::Mixed,
+            _ => Kind::Series,
+        }
+    }
 }
 
 /// A fault and its time, from the start of traffic.
@@ -151,6 +70,8 @@
 pub struct Plan {
     /// Determines everything else.
     pub seed: u64,
+    /// The machines.
+    pub layout: Layout,
     /// How long faults begin.
     pub length: Duration,
     /// The faults, in order of their begin.
@@ -160,12 +81,24 @@
 }
 
 impl Plan {
-    /// Draws a plan of this length: every third one of planned work only.
+    /// Draws a plan of this length, of the kind that the seed stands for.
     pub fn draw(seed: u64, length: Duration) -> Self {
-        let kind = if seed.is_multiple_of(3) { Kind::Planned } else { Kind::Mixed };
+        match Kind::of(seed) {
+            Kind::Series => Self::draw_series(seed, length, Layout::ROLLING, STOP_INTERVAL_MS),
+            kind => Self::draw_groups(seed, length, kind),
+        }
+    }
+
+    /// Draws a plan of series for a large run.
+    pub fn draw_large(seed: u64, length: Duration, gateways: usize) -> Self {
+        Self::draw_series(seed, length, Layout::large(gateways), LARGE_STOP_INTERVAL_MS)
+    }
+
+    fn draw_groups(seed: u64, length: Duration, kind: Kind) -> Self {
+        let layout = Layout::SMALL;
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let mut faults = Vec::new();
-        let mut at = Duration::from_millis(rng.random_range(300..1_500));
+        let mut at = Duration::from_millis(rng.random_range(FIRST_FAULT_MS));
         let mut disk_lost_until = Duration::ZERO;
         while at < length {
             let groups = [Group::Core, Group::Gateway, Group::Links, Group::Outside];
@@ -174,23 +107,76 @@
             for group in together {
                 let begin = at + Duration::from_millis(rng.random_range(0..700));
                 let mut fault = match kind {
-                    Kind::Mixed => draw_fault(group, &mut rng),
-                    Kind::Planned => draw_planned(group, &mut rng),
+                    Kind::Mixed => draw_fault(group, layout, &mut rng),
+                    Kind::Planned | Kind::Series => draw_planned(group, layout, &mut rng),
                 };
                 if matches!(fault, Fault::LoseDisk(_)) && begin < disk_lost_until {
                     fault = Fault::KillCore;
                 }
                 let length = draw_length(fault, &mut rng);
                 if matches!(fault, Fault::LoseDisk(_)) {
-                    disk_lost_until = begin + length + Duration::from_secs(8);
+                    disk_lost_until = begin + length + DISK_LOSS_INTERVAL;
                 }
                 faults.push(TimedFault { at: begin, length, fault });
             }
-            at += Duration::from_millis(rng.random_range(1_500..5_000));
+            at += Duration::from_millis(rng.random_range(FAULT_INTERVAL_MS));
+        }
+        Self::new(seed, layout, length, faults, rng.random_range(0..CORE))
+    }
+
+    /// Series of stops, each over its part of the gateways and then once more, and other planned work beside them.
+    fn draw_series(
+        seed: u64,
+        length: Duration,
+        layout: Layout,
+        stop_interval_ms: std::ops::Range<u64>,
+    ) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut gateways: Vec<usize> = layout.gateway_numbers().collect();
+        gateways.shuffle(&mut rng);
+        let mut faults = Vec::new();
+        for part in gateways.chunks(gateways.len().div_ceil(SERIES)) {
+            let mut at = Duration::from_millis(rng.random_range(FIRST_FAULT_MS));
+            for gateway in part.iter().cycle() {
+                if at >= length {
+                    break;
+                }
+                if !rng.random_ratio(1, SPARED_RATIO) {
+                    let down = Duration::from_millis(rng.random_range(DOWN_MS));
+                    faults.push(TimedFault { at, length: down, fault: Fault::Terminate(*gateway) });
+                }
+                at += Duration::from_millis(rng.random_range(stop_interval_ms.clone()));
+            }
         }
+        let mut at = Duration::ZERO;
+        while at < length {
+            // Also to processes that are shutting down.
+            let gateway = rng.random_range(layout.gateway_numbers());
+            faults.push(TimedFault { at, length: Duration::ZERO, fault: Fault::Reload(gateway) });
+            let server = rng.random_range(0..layout.servers);
+            let beside = match rng.random_range(0..6) {
+                0 => Fault::DrainServer(server),
+                1 => Fault::DeregisterServer(server),
+                2 | 3 => Fault::SlowServer(server),
+                4 => Fault::ImpatientClients,
+                _ => Fault::HotTenant,
+            };
+            faults.push(TimedFault { at, length: draw_length(beside, &mut rng), fault: beside });
+            at += Duration::from_millis(rng.random_range(RELOAD_INTERVAL_MS));
+        }
+        Self::new(seed, layout, length, faults, rng.random_range(0..CORE))
+    }
+
+    fn new(
+        seed: u64,
+        layout: Layout,
+        length: Duration,
+        mut faults: Vec<TimedFault>,
+        closing_wipe: usize,
+    ) -> Self {
         faults.sort_by_key(|timed| timed.at);
         drop_clashes(&mut faults);
-        Plan { seed, length, faults, closing_wipe: rng.random_range(0..CORE) }
+        Plan { seed, layout, length, faults, closing_wipe }
     }
 
     /// When the last fault has ended.
@@ -199,11 +185,11 @@
     }
 }
 
-fn draw_fault(group: Group, rng: &mut ChaCha8Rng) -> Fault {
+fn draw_fault(group: Group, layout: Layout, rng: &mut ChaCha8Rng) -> Fault {
     let core = rng.random_range(0..CORE);
     let other = (core + rng.random_range(1..CORE)) % CORE;
-    let gateway = CORE + rng.random_range(0..GATEWAYS);
-    let server = rng.random_range(0..SERVERS);
+    let gateway = rng.random_range(layout.gateway_numbers());
+    let server = rng.random_range(0..layout.servers);
     match (group, rng.random_range(0..6)) {
         (Group::Core, 0) => Fault::Kill(core),
         (Group::Core, 1) => Fault::Pause(core),
@@ -220,7 +206,9 @@
         (Group::Links, 3) => Fault::ResetLinks,
         (Group::Links, _) => Fault::LoseControlAnswers(core),
         (Group::Outside, 0) => Fault::CrashServer(server),
-        (Group::Outside, 1) => [Fault::GarbleServer(server), Fault::LoseAnswers(server)][core % 2],
+        (Group::Outside, 1) => {
+            [Fault::GarbleServer(server), Fault::LoseAnswers(server), Fault::SlowServer(server)][core]
+        }
         (Group::Outside, 2) => Fault::DrainServer(server),
         (Group::Outside, 3) => Fault::DeregisterServer(server),
         (Group::Outside, 4) => Fault::HotTenant,
@@ -229,16 +217,16 @@
 }
 
 /// Planned work, and what clients do.
-fn draw_planned(group: Group, rng: &mut ChaCha8Rng) -> Fault {
-    let server = rng.random_range(0..SERVERS);
-    let gateway = CORE + rng.random_range(0..GATEWAYS);
+fn draw_planned(group: Group, layout: Layout, rng: &mut ChaCha8Rng) -> Fault {
+    let server = rng.random_range(0..layout.servers);
+    let gateway = rng.random_range(layout.gateway_numbers());
     match (group, rng.random_range(0..2)) {
         (Group::Core, 0) => Fault::DrainServer(server),
         (Group::Core, _) => Fault::DeregisterServer(server),
         (Group::Gateway, 0) => Fault::Terminate(gateway),
         (Group::Gateway, _) => Fault::Reload(gateway),
         (Group::Links, _) => Fault::ImpatientClients,
-        (Group::Outside, 0) => Fault::HotTenant,
+        (Group::Outside, 0) => [Fault::HotTenant, Fault::SlowServer(server)][server % 2],
         (Group::Outside, _) => Fault::ImpatientClients,
     }
 }
@@ -258,37 +246,19 @@
     Duration::from_millis(millis)
 }
 
-/// What a fault is of: the same thing has one fault at a time.
-fn subject(fault: Fault) -> Vec<usize> {
-    const FIRST_SERVER: usize = 100;
-    const FIRST_LINK: usize = 200;
-    match fault {
-        Fault::Kill(m) | Fault::Pause(m) | Fault::Terminate(m) | Fault::Reload(m) | Fault::LoseDisk(m) => {
-            vec![m]
-        }
-        Fault::KillCore => (0..CORE).collect(),
-        Fault::CutPair(..) | Fault::CutOff(_) => vec![FIRST_LINK],
-        Fault::CutGateway(m) => vec![FIRST_LINK + m],
-        Fault::LoseControlAnswers(m) => vec![FIRST_LINK + 50 + m],
-        Fault::CrashServer(s)
-        | Fault::GarbleServer(s)
-        | Fault::LoseAnswers(s)
-        | Fault::DrainServer(s)
-        | Fault::DeregisterServer(s) => vec![FIRST_SERVER + s],
-        Fault::ResetLinks | Fault::HotTenant | Fault::ImpatientClients => Vec::new(),
-    }
-}
-
-/// Drops faults of something that has one already.
+/// Drops faults of something that has one already. A reload reaches a process whatever happens to it.
 fn drop_clashes(faults: &mut Vec<TimedFault>) {
     let mut busy: BTreeMap<usize, Duration> = BTreeMap::new();
-    // A process that is terminated may take its whole grace period.
-    let margin = |fault: Fault| if matches!(fault, Fault::Terminate(_)) { 7 } else { 1 };
     faults.retain(|timed| {
-        let subjects = subject(timed.fault);
+        if matches!(timed.fault, Fault::Reload(_)) {
+            return true;
+        }
+        let subjects = subjects(timed.fault);
         let is_free = subjects.iter().all(|s| busy.get(s).is_none_or(|until| *until <= timed.at));
         if is_free {
-            let until = timed.at + timed.length + Duration::from_secs(margin(timed.fault));
+            let is_stop = matches!(timed.fault, Fault::Terminate(_));
+            let margin = if is_stop { TERMINATION_MARGIN } else { FAULT_MARGIN };
+            let until = timed.at + timed.length + margin;
             busy.extend(subjects.into_iter().map(|s| (s, until)));
         }
         is_free
--- a/crates/testing/soak/src/run.rs
+++ b/crates/testing/soak/src/run.rs
@@ -2,14 +2,16 @@
 //! disk, and everything comes back.
 
 use crate::bounds::RECOVERY;
-use crate::client::{Client, Demand};
+use crate::client::Client;
 use crate::cluster::Cluster;
+use crate::demand::Demand;
 use crate::faults::Stage;
 use crate::judge::{is_served_since, judge};
+use crate::layout::Layout;
 use crate::ledger::Ledger;
 use crate::network::Network;
 use crate::operator::Operator;
-use crate::plan::{Plan, SERVERS};
+use crate::plan::Plan;
 use crate::report::Report;
 use crate::server::Server;
 use std::fmt;
@@ -47,6 +49,8 @@
     pub length: Duration,
     /// Clients.
     pub clients: usize,
+    /// A large run with so many gateways, in place of a small one.
+    pub gateways: Option<usize>,
 }
 
 /// Why a run could not be made.
@@ -90,15 +94,19 @@
 }
 
 async fn play(options: &Options, folder: &Path, seed: u64) -> Result<Report, RunError> {
-    let plan = Plan::draw(seed, options.length);
-    let cluster = Cluster::new(&options.program, folder, options.net)?;
+    let plan = match options.gateways {
+        Some(gateways) => Plan::draw_large(seed, options.length, gateways),
+        None => Plan::draw(seed, options.length),
+    };
+    let layout = plan.layout;
+    let cluster = Cluster::new(&options.program, folder, options.net, layout)?;
     let (ledger, demand) = (Ledger::new(), Rc::new(Demand::default()));
-    let network = Network::start(options.net, seed)?;
+    let network = Network::start(layout, options.net, seed)?;
     for at in cluster.all() {
         cluster.start(at, true)?;
     }
     let mut servers = Vec::new();
-    for at in 0..SERVERS {
+    for at in 0..layout.servers {
         servers.push(Server::start(at, options.net, seed, ledger.clone()).await?);
     }
     let operator = Operator::new(options.net, seed, ledger.clone(), demand.clone());
@@ -110,7 +118,7 @@
     }
     let stage = Rc::new(Stage { cluster: cluster.clone(), network, servers, demand: demand.clone(), ledger });
     let watching = tokio::task::spawn_local(watch(stage.clone()));
-    let mut callers = start_clients(options, seed, &stage);
+    let mut callers = start_clients(options, layout, seed, &stage);
     callers.push(tokio::task::spawn_local(operator.clone().run()));
     perform(&stage, &plan).await;
     sleep(SETTLING_TIME).await;
@@ -123,8 +131,8 @@
     finish(&stage, seed).await
 }
 
-fn start_clients(options: &Options, seed: u64, stage: &Stage) -> Vec<JoinHandle<()>> {
-    let client = |n| Client::new(n, options.net, seed, stage.ledger.clone(), stage.demand.clone());
+fn start_clients(options: &Options, layout: Layout, seed: u64, stage: &Stage) -> Vec<JoinHandle<()>> {
+    let client = |n| Client::new(n, options.net, layout, seed, stage.ledger.clone(), stage.demand.clone());
     (0..options.clients).map(|n| tokio::task::spawn_local(client(n).run())).collect()
 }
 
--- a/crates/testing/soak/src/server.rs
+++ b/crates/testing/soak/src/server.rs
@@ -1,9 +1,11 @@
 //! Stand-in servers: they work on requests, report themselves, and misbehave when they are told to.
 
 use crate::cluster::zone_of;
+use crate::control_caller::ControlCaller;
+use crate::layout::SERVICE;
 use crate::ledger::{Acknowledged, Execution, Ledger, RequestId};
 use crate::network::{server_address, server_link_address};
-use crate::operator::ControlCaller;
+use crate::payload::{request_body, response_body};
 use limeway_http1::http;
 use limeway_http1::inbound::{Bounds, Inbound, Message};
 use rand::{Rng, SeedableRng};
@@ -15,36 +17,34 @@
 use tokio::net::TcpListener;
 use tokio::time::sleep;
 
-/// The service of all servers.
-pub const SERVICE: &str = "orders";
 /// Requests that a server works on at once.
-const SLOTS: usize = 6;
+const SLOTS: usize = 12;
 /// Requests beyond those that it takes in.
 const QUEUE: usize = 6;
 /// Shortest and longest work on a request.
 const WORK_MS: std::ops::Range<u64> = 5..60;
 /// One request in so many takes this long.
 const LONG_WORK: (u32, Duration) = (12, Duration::from_millis(1_200));
+/// Work of at least so long is long.
+const LONG: Duration = Duration::from_secs(1);
+/// A request with at least so much time left may be a bulk request.
+const BULK_DEADLINE: Duration = Duration::from_millis(2_500);
+/// One bulk request in so many takes a time from this range, in milliseconds: a good part of a grace period.
+const BULK_WORK: (u32, std::ops::Range<u64>) = (4, 1_500..4_500);
+/// A slow server takes so many times as long.
+const SLOW_FACTOR: u32 = 8;
 /// Pause between two heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// What a request may be.
 const BOUNDS: Bounds =
     Bounds { body: 1 << 20, read_timeout: Duration::from_secs(5), idle: Duration::from_secs(10) };
-/// The body that a server gives to a request.
-pub fn response_body(instance: &str, request: RequestId) -> String {
-    format!("{instance} did {request:016x}\r\n\r\nHTTP/1.1 200 OK\r\n\r\n")
-}
-
-/// The body that a client sends with a request that may run once.
-pub fn request_body(request: RequestId) -> String {
-    format!("{request:016x}\r\n\r\nPOST /post/smuggled HTTP/1.1\r\nLimeway-Request-Id: 1\r\n\r\n")
-}
-
 /// How a server treats requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Manner {
     /// As it should.
     Sound,
+    /// It takes several times as long.
+    Slow,
     /// Some of its answers are cut short, belong to another request, or have bytes too many.
     Garbles,
     /// It takes no connections.
@@ -203,7 +203,8 @@
             return Some(out);
         }
         let number = u64::from_str_radix(&id, 16).unwrap_or(0);
-        let work = draw_work(&mut self.rng.borrow_mut());
+        let left = String::from_utf8_lossy(value("limeway-deadline-ms")).parse().unwrap_or(0);
+        let work = self.draw_work(Duration::from_millis(left));
         let execution = self.begin(number, &instance, message, work);
         self.working.set(self.working.get() + 1);
         let finished = tokio::select! {
@@ -223,6 +224,22 @@
         Some(out)
     }
 
+    /// How long the work on a request with so much time left takes.
+    fn draw_work(&self, left: Duration) -> Duration {
+        let mut rng = self.rng.borrow_mut();
+        if left >= BULK_DEADLINE && rng.random_ratio(1, BULK_WORK.0) {
+            return Duration::from_millis(rng.random_range(BULK_WORK.1));
+        }
+        if rng.random_ratio(1, LONG_WORK.0) {
+            return LONG_WORK.1;
+        }
+        let work = Duration::from_millis(rng.random_range(WORK_MS));
+        match self.manner.get() {
+            Manner::Slow => work * SLOW_FACTOR,
+            _ => work,
+        }
+    }
+
     fn begin(&self, number: RequestId, instance: &str, message: &Message, work: Duration) -> usize {
         let begun = self.ledger.now();
         let mut seen = self.ledger.seen.borrow_mut();
@@ -234,7 +251,7 @@
             begun,
             ended: None,
             broken_off: false,
-            is_long: work == LONG_WORK.1,
+            is_long: work >= LONG,
             is_unchanged,
         });
         seen.executions.len() - 1
@@ -248,14 +265,6 @@
     }
 }
 
-fn draw_work(rng: &mut ChaCha8Rng) -> Duration {
-    if rng.random_ratio(1, LONG_WORK.0) {
-        LONG_WORK.1
-    } else {
-        Duration::from_millis(rng.random_range(WORK_MS))
-    }
-}
-
 /// Whether a request is as its client sent it.
 fn is_unchanged(number: RequestId, message: &Message) -> bool {
     let (method, target) = message.line();
