--- /dev/null
+++ b/crates/testing/soak/tests/plan.rs
@@ -0,0 +1,55 @@
+//! Plans of series stop nearly all gateways, more than once, and side by side.
+
+use limeway_soak::fault::Fault;
+use limeway_soak::layout::Layout;
+use limeway_soak::plan::{Kind, Plan};
+use rstest::rstest;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+const LENGTH: Duration = Duration::from_secs(25);
+/// The least that a shutdown takes where connections are accepted for 0.55 of 6 s.
+const SHUTDOWN: Duration = Duration::from_millis(3_300);
+
+fn stops(plan: &Plan) -> BTreeMap<usize, Vec<Duration>> {
+    let mut stops: BTreeMap<usize, Vec<Duration>> = BTreeMap::new();
+    for timed in &plan.faults {
+        if let Fault::Terminate(machine) = timed.fault {
+            stops.entry(machine).or_default().push(timed.at);
+        }
+    }
+    stops
+}
+
+#[rstest]
+fn series_stop_each_gateway_again_and_overlap(#[values(2, 5, 8, 11)] seed: u64) {
+    assert_eq!(Kind::of(seed), Kind::Series);
+    let plan = Plan::draw(seed, LENGTH);
+    let stops = stops(&plan);
+    assert!(stops.len() + 1 >= Layout::ROLLING.gateways, "{stops:?}");
+    assert!(stops.values().filter(|times| times.len() > 1).count() * 2 > stops.len(), "{stops:?}");
+    let all: Vec<Duration> = stops.into_values().flatten().collect();
+    let beside = |at: Duration| all.iter().filter(|other| **other <= at && at < **other + SHUTDOWN).count();
+    assert!(all.iter().any(|at| beside(*at) > 2), "{all:?}");
+}
+
+#[test]
+fn reloads_reach_processes_that_shut_down() {
+    let plan = Plan::draw(2, LENGTH);
+    let stops = stops(&plan);
+    let during = |machine: usize, at: Duration| {
+        stops.get(&machine).is_some_and(|times| times.iter().any(|stop| *stop < at && at < *stop + SHUTDOWN))
+    };
+    let reloads = plan.faults.iter().filter(|timed| match timed.fault {
+        Fault::Reload(machine) => during(machine, timed.at),
+        _ => false,
+    });
+    assert!(reloads.count() > 0);
+}
+
+#[test]
+fn a_seed_draws_the_same_plan_again() {
+    assert_eq!(Plan::draw(5, LENGTH), Plan::draw(5, LENGTH));
+    assert_ne!(Plan::draw(5, LENGTH).faults, Plan::draw(8, LENGTH).faults);
+    assert_eq!(Plan::draw_large(5, LENGTH, 100), Plan::draw_large(5, LENGTH, 100));
+}
