Circles opened in load-balancing and routing-config; one look at a tenant's present window

Outcome, and the compiled items, have modules of their own, so that selector and server_state, routing and compile no longer use each other; Escrow::take and take_waiting share in_present_window. No change of behaviour meant; tests of the four packages, clippy: passed.

--- a/crates/control/routing-config/src/compile.rs
+++ b/crates/control/routing-config/src/compile.rs
@@ -1,6 +1,6 @@
 //! Items, parsed from their specifications.
 
-use crate::routing::{Limits, Route, Service, Tenant};
+use crate::compiled::{Limits, Route, Service, Tenant};
 use crate::specification::{finite_number, Specification};
 use crate::{InvalidConfig, ItemRef};
 use miniserde::json::{Array, Object, Value};
--- a/crates/control/routing-config/src/lib.rs
+++ b/crates/control/routing-config/src/lib.rs
@@ -12,6 +12,7 @@
 mod admission;
 mod changed_items;
 mod compile;
+mod compiled;
 pub mod config_update;
 pub mod document;
 pub mod evacuation;
--- a/crates/data/load-balancing/src/lib.rs
+++ b/crates/data/load-balancing/src/lib.rs
@@ -13,10 +13,12 @@
 #![forbid(unsafe_code)]
 
 pub mod attempts;
+mod outcome;
 mod retry_budget;
 mod selector;
 mod server_state;
 
 pub use limeway_types::{Micros, Timestamp};
+pub use outcome::Outcome;
 pub use retry_budget::RetryBudget;
-pub use selector::{slow_start_share, Candidate, Locality, Outcome, Selector};
+pub use selector::{slow_start_share, Candidate, Locality, Selector};
--- /dev/null
+++ b/crates/data/load-balancing/src/outcome.rs
@@ -0,0 +1,20 @@
+//! What an attempt teaches about its server.
+
+use limeway_types::Micros;
+
+/// How an attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// With a response, after so long.
+    Answered(Micros),
+    /// The server said that it is full.
+    Full,
+    /// It took no connection, broke off, or its response was malformed.
+    Broken,
+    /// It had not responded when it was given up, after so long.
+    TimedOut(Micros),
+    /// It is another server by now, or is draining.
+    Moved,
+    /// The client went away.
+    Cancelled,
+}
--- a/crates/data/load-balancing/src/selector.rs
+++ b/crates/data/load-balancing/src/selector.rs
@@ -1,5 +1,6 @@
 //! The choice of a server among candidates.
 
+use crate::outcome::Outcome;
 use crate::server_state::ServerState;
 use limeway_types::{Micros, Timestamp, SECOND};
 use std::collections::HashMap;
@@ -46,23 +47,6 @@
     pub max_outstanding: u32,
 }
 
-/// How an attempt ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Outcome {
-    /// With a response, after so long.
-    Answered(Micros),
-    /// The server said that it is full.
-    Full,
-    /// It took no connection, broke off, or its response was malformed.
-    Broken,
-    /// It had not responded when it was given up, after so long.
-    TimedOut(Micros),
-    /// It is another server by now, or is draining.
-    Moved,
-    /// The client went away.
-    Cancelled,
-}
-
 /// How good a choice a candidate is; less is better.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Preference {
--- a/crates/data/load-balancing/src/server_state.rs
+++ b/crates/data/load-balancing/src/server_state.rs
@@ -1,6 +1,6 @@
 //! What a gateway knows of one server from its own requests.
 
-use crate::selector::Outcome;
+use crate::outcome::Outcome;
 use limeway_types::{Micros, Timestamp, SECOND};
 
 /// Weight of a new latency in the running mean.
--- a/crates/data/quota/src/escrow.rs
+++ b/crates/data/quota/src/escrow.rs
@@ -226,6 +226,20 @@
         Escrow { window_length: window_length.max(1), clocks: HashMap::new(), tenants: HashMap::new() }
     }
 
+    /// What is held of a tenant in the window of now, and the clock of its counter if that is known: without one no window is.
+    fn in_present_window(
+        &mut self,
+        now: Timestamp,
+        tenant: &str,
+    ) -> Option<(&mut TenantEscrow, Option<WindowClock>)> {
+        let escrow = self.tenants.get_mut(tenant)?;
+        let clock = self.clocks.get(&escrow.counter).copied();
+        if let Some(clock) = clock {
+            escrow.roll(clock.window(now));
+        }
+        Some((escrow, clock))
+    }
+
     /// Takes a unit for a request of a tenant whose counter `holder` holds.
     pub fn take(
         &mut self,
@@ -241,14 +255,10 @@
             }
             self.tenants.insert(tenant.to_owned(), TenantEscrow { shard, ..TenantEscrow::default() });
         }
-        let (clocks, window_length) = (&self.clocks, self.window_length);
-        let Some(escrow) = self.tenants.get_mut(tenant) else {
+        let window_length = self.window_length;
+        let Some((escrow, clock)) = self.in_present_window(now, tenant) else {
             return UnitResult::Exhausted(window_length);
         };
-        let clock = clocks.get(&escrow.counter);
-        if let Some(clock) = clock {
-            escrow.roll(clock.window(now));
-        }
         escrow.demand = escrow.demand.saturating_add(1);
         if clock.is_some() && escrow.spend(now, budget) {
             return UnitResult::Granted;
@@ -300,17 +310,13 @@
         budget: WindowBudget,
         late: bool,
     ) -> UnitResult {
-        let (clocks, window_length) = (&self.clocks, self.window_length);
-        let Some(escrow) = self.tenants.get_mut(tenant) else {
+        let window_length = self.window_length;
+        let Some((escrow, clock)) = self.in_present_window(now, tenant) else {
             return UnitResult::Exhausted(window_length);
         };
-        let clock = clocks.get(&escrow.counter);
-        if let Some(clock) = clock {
-            escrow.roll(clock.window(now));
-            if escrow.spend(now, budget) {
-                escrow.waiting = escrow.waiting.saturating_sub(1);
-                return UnitResult::Granted;
-            }
+        if clock.is_some() && escrow.spend(now, budget) {
+            escrow.waiting = escrow.waiting.saturating_sub(1);
+            return UnitResult::Granted;
         }
         let is_exhausted = clock.is_some() && escrow.exhausted == Some(escrow.window);
         if !is_exhausted && !late {
