--- a/crates/balancer/src/gateway/mod.rs
+++ b/crates/balancer/src/gateway/mod.rs
@@ -140,7 +140,7 @@
 
     /// For how long it has been shutting down.
     pub fn draining_for(&self) -> Micros {
-        self.drain_schedule.get().map_or(0, |schedule| now().saturating_sub(schedule.begun))
+        self.drain_schedule.get().map_or(0, |schedule| now().saturating_sub(schedule.started_at))
     }
 
     /// Whether a request that may last until `deadline` can be answered before the process exits.
--- a/crates/balancer/src/proxy/connections.rs
+++ b/crates/balancer/src/proxy/connections.rs
@@ -32,10 +32,10 @@
     draining: Cell<bool>,
     close_idle: Notify,
     /// The time for requests in flight is over.
-    is_cut_off: Cell<bool>,
-    cut_off: Notify,
-    /// Requests that were ended then though their deadline had left them time.
-    cut_short: Cell<usize>,
+    aborts_requests: Cell<bool>,
+    requests_aborted: Notify,
+    /// Requests that were aborted though their deadline was within that time.
+    aborted_early: Cell<usize>,
     /// Responses since the last log line: local ones by status, and those of servers.
     responses: RefCell<BTreeMap<u16, u32>>,
     /// Time that was spent here on requests that a server answered at the first attempt, in buckets.
@@ -51,9 +51,9 @@
             busy: Rc::default(),
             draining: Cell::new(false),
             close_idle: Notify::new(),
-            is_cut_off: Cell::new(false),
-            cut_off: Notify::new(),
-            cut_short: Cell::new(0),
+            aborts_requests: Cell::new(false),
+            requests_aborted: Notify::new(),
+            aborted_early: Cell::new(0),
             responses: RefCell::default(),
             added_time: RefCell::new(vec![0; BUCKETS]),
             max_open: max_open.max(MIN_CONNECTIONS),
@@ -107,27 +107,27 @@
     }
 
     /// Has what is still in flight answered at once: the process is about to exit.
-    pub fn cut_off(&self) {
-        self.is_cut_off.set(true);
-        self.cut_off.notify_waiters();
+    pub fn abort_requests(&self) {
+        self.aborts_requests.set(true);
+        self.requests_aborted.notify_waiters();
     }
 
     /// Ready once what is in flight is to be answered at once.
-    pub(super) async fn cut_off_notified(&self) {
-        let notified = self.cut_off.notified();
-        if !self.is_cut_off.get() {
+    pub(super) async fn requests_aborted(&self) {
+        let notified = self.requests_aborted.notified();
+        if !self.aborts_requests.get() {
             notified.await;
         }
     }
 
-    /// Counts a request that was ended though it was to be answered before the process exits.
-    pub(super) fn count_cut_short(&self) {
-        self.cut_short.set(self.cut_short.get() + 1);
+    /// Counts a request that was aborted before its deadline, though that was within the time for requests in flight.
+    pub(super) fn count_aborted_early(&self) {
+        self.aborted_early.set(self.aborted_early.get() + 1);
     }
 
-    /// Number of requests that were ended though they were to be answered before the process exits.
-    pub fn cut_short_count(&self) -> usize {
-        self.cut_short.get()
+    /// Number of requests that were aborted before their deadlines, though these were within the time for requests in flight.
+    pub fn aborted_early_count(&self) -> usize {
+        self.aborted_early.get()
     }
 
     /// Counts a response: a local one with its status, or a server's.
--- a/crates/balancer/src/proxy/mod.rs
+++ b/crates/balancer/src/proxy/mod.rs
@@ -101,7 +101,7 @@
             Ok(message) => return Ok(message),
             Err(stop) => stop,
         },
-        () = clients.cut_off_notified() => {
+        () = clients.requests_aborted() => {
             return Err(NoRequest::Refused(LocalResponse::shutting_down()));
         }
     };
@@ -138,7 +138,7 @@
             response = &mut handling => Some(response),
             // Nobody waits for the response any more: the server may drop the request, too.
             () = inbound.gone() => None,
-            () = clients.cut_off_notified() => Some(Err(cut_off(gateway, clients, &record))),
+            () = clients.requests_aborted() => Some(Err(abort(gateway, clients, &record))),
         }
     };
     let Some(response) = response else {
@@ -165,9 +165,9 @@
 }
 
 /// The final response to a request that lasts longer than the process may.
-fn cut_off(gateway: &Gateway, clients: &ClientConnections, record: &RequestRecord) -> LocalResponse {
+fn abort(gateway: &Gateway, clients: &ClientConnections, record: &RequestRecord) -> LocalResponse {
     if gateway.admits_until(record.deadline.get()) {
-        clients.count_cut_short();
+        clients.count_aborted_early();
     }
     if record.may_have_executed() {
         LocalResponse::new(504, Failure::ShuttingDown)
--- a/crates/balancer/src/shutdown.rs
+++ b/crates/balancer/src/shutdown.rs
@@ -22,7 +22,7 @@
 /// Time for each of the last steps of a shutdown: to write final responses, and to exit before the platform kills the process.
 const STEP: Micros = 200 * MILLISECOND;
 /// A short grace period is divided into so many steps.
-const MIN_STEPS: Micros = 20;
+const MIN_STEPS_IN_GRACE: Micros = 20;
 /// Interval at which requests in flight are looked at.
 const CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
@@ -30,31 +30,36 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct DrainSchedule {
     /// When it got SIGTERM.
-    pub begun: Timestamp,
+    pub started_at: Timestamp,
     /// No new connections from then on.
-    pub accepting_until: Timestamp,
+    pub listener_closes_at: Timestamp,
     /// The latest deadline of a request that is still taken.
-    pub last_deadline: Timestamp,
-    /// What is in flight gets a final response.
-    pub cut_off: Timestamp,
+    pub latest_deadline: Timestamp,
+    /// Requests still in flight are aborted: they get a final response.
+    pub requests_abort_at: Timestamp,
     /// The process exits.
-    pub exit: Timestamp,
+    pub exits_at: Timestamp,
 }
 
 impl DrainSchedule {
     /// The schedule of a shutdown that begins now, with a grace period in microseconds.
-    pub fn new(begun: Timestamp, grace: Micros) -> Self {
-        let step = STEP.min(grace / MIN_STEPS);
-        let exit = begun + grace - step;
-        let cut_off = exit - step;
-        let last_deadline = cut_off - step / 2;
+    pub fn new(started_at: Timestamp, grace: Micros) -> Self {
+        let step = STEP.min(grace / MIN_STEPS_IN_GRACE);
+        let exits_at = started_at + grace - step;
+        let requests_abort_at = exits_at - step;
         let accepting = (grace as f64 * ACCEPTING_GRACE_FRACTION) as Micros;
-        DrainSchedule { begun, accepting_until: begun + accepting, last_deadline, cut_off, exit }
+        DrainSchedule {
+            started_at,
+            listener_closes_at: started_at + accepting,
+            latest_deadline: requests_abort_at - step / 2,
+            requests_abort_at,
+            exits_at,
+        }
     }
 
     /// Whether a request that may last until `deadline` can be answered before the process exits.
     pub fn admits(&self, deadline: Timestamp) -> bool {
-        deadline <= self.last_deadline
+        deadline <= self.latest_deadline
     }
 }
 
@@ -70,19 +75,19 @@
     log::info!(in_flight, grace_ms = grace / MILLISECOND; "shutting down");
     gateway.drain(schedule);
     clients.start_draining();
-    sleep_until(schedule.accepting_until).await;
+    sleep_until(schedule.listener_closes_at).await;
     if let Some(accepting) = accepting {
         accepting.abort();
     }
     clients.close_idle();
-    wait_while(|| clients.busy_count() > 0, schedule.cut_off).await;
+    wait_while(|| clients.busy_count() > 0, schedule.requests_abort_at).await;
     let left = clients.busy_count();
-    clients.cut_off();
-    wait_while(|| clients.busy_count() > 0, schedule.exit).await;
-    let cut_short = clients.cut_short_count();
-    log::info!(in_flight, left, cut_short; "shut down");
-    check(Invariant::CleanShutdown, in_flight > 0, cut_short == 0, || {
-        format!("{cut_short} requests were cut short of their deadlines")
+    clients.abort_requests();
+    wait_while(|| clients.busy_count() > 0, schedule.exits_at).await;
+    let aborted_early = clients.aborted_early_count();
+    log::info!(in_flight, left, aborted_early; "shut down");
+    check(Invariant::CleanShutdown, in_flight > 0, aborted_early == 0, || {
+        format!("{aborted_early} requests were aborted before their deadlines")
     });
 }
 
@@ -94,10 +99,10 @@
 /// was acknowledged is on disk.
 pub async fn shut_down_replica(replica: &Rc<Replica>) {
     let schedule = DrainSchedule::new(now(), replica.settings.bounds.grace_period);
-    replica.handle(Event::Shutdown { within: schedule.cut_off - schedule.begun });
+    replica.handle(Event::Shutdown { within: schedule.requests_abort_at - schedule.started_at });
     replica.exited.notified().await;
     replica.release_callers();
-    let exit = schedule.exit.min(now() + STEP);
+    let exit = schedule.exits_at.min(now() + STEP);
     wait_while(|| replica.unanswered_count() > 0, exit).await;
 }
 
--- a/crates/balancer/tests/drain_schedule.rs
+++ b/crates/balancer/tests/drain_schedule.rs
@@ -17,23 +17,26 @@
     let schedule = DrainSchedule::new(BEGUN, grace);
     let steps = [
         BEGUN,
-        schedule.accepting_until,
-        schedule.last_deadline,
-        schedule.cut_off,
-        schedule.exit,
+        schedule.listener_closes_at,
+        schedule.latest_deadline,
+        schedule.requests_abort_at,
+        schedule.exits_at,
         BEGUN + grace,
     ];
     assert!(steps.is_sorted(), "{schedule:?}");
     if grace > 0 {
-        assert!(schedule.last_deadline < schedule.cut_off && schedule.exit < BEGUN + grace, "{schedule:?}");
+        assert!(
+            schedule.latest_deadline < schedule.requests_abort_at && schedule.exits_at < BEGUN + grace,
+            "{schedule:?}"
+        );
     }
 }
 
 #[test]
-fn a_request_is_taken_if_it_ends_before_responses_are_cut_off() {
+fn a_request_is_taken_if_it_ends_before_requests_are_aborted() {
     let schedule = DrainSchedule::new(BEGUN, 6 * SECOND);
-    assert!(schedule.admits(schedule.last_deadline));
-    assert!(!schedule.admits(schedule.last_deadline + 1));
+    assert!(schedule.admits(schedule.latest_deadline));
+    assert!(!schedule.admits(schedule.latest_deadline + 1));
     // A tariff pull of the incident: 5 s, sent 3.26 s after SIGTERM.
     assert!(!schedule.admits(BEGUN + 3_260 * MILLISECOND + 5 * SECOND));
     assert!(schedule.admits(BEGUN + 300 * MILLISECOND + 5 * SECOND));
--- a/crates/testing/soak/src/cluster.rs
+++ b/crates/testing/soak/src/cluster.rs
@@ -315,7 +315,7 @@
         InvariantCounts {
             checked: lines.len() as u64,
             near: without("\"in_flight\":\"0\""),
-            violated: without("\"cut_short\":\"0\""),
+            violated: without("\"aborted_early\":\"0\""),
         }
     }
 
--- a/crates/testing/soak/src/judge/mod.rs
+++ b/crates/testing/soak/src/judge/mod.rs
@@ -53,7 +53,7 @@
         requests::twice(seen),
         requests::refused(seen),
         requests::gone(seen),
-        requests::lost_on_kept(seen),
+        requests::lost_on_reused_connections(seen),
         requests::denied(seen),
         requests::given_up_at_once(seen),
         control::revoked(seen),
--- a/crates/testing/soak/src/judge/requests.rs
+++ b/crates/testing/soak/src/judge/requests.rs
@@ -22,7 +22,7 @@
 /// A whole request that is not answered may lose its connection no later than this.
 const LOSS_SLACK: Duration = Duration::from_millis(200);
 /// Requests on kept connections that may be closed without an answer.
-const MAX_LOST_ON_KEPT: usize = 3;
+const MAX_LOST_ON_REUSED: usize = 3;
 /// Requests that may end with a status of our own that is not theirs.
 const MAX_DENIED: u64 = 5;
 
@@ -185,7 +185,7 @@
 }
 
 /// LOST: at any time, a request on a kept connection that was passed on to a sound server gets an answer, but for a few.
-pub(super) fn lost_on_kept(seen: &Seen) -> Finding {
+pub(super) fn lost_on_reused_connections(seen: &Seen) -> Finding {
     let mut finding = Finding::new("LOST on kept connections");
     let executions = executions(seen);
     let mut lost = Vec::new();
@@ -202,7 +202,7 @@
             lost.push(format!("request {id}: {request:?}"));
         }
     }
-    if lost.len() > MAX_LOST_ON_KEPT {
+    if lost.len() > MAX_LOST_ON_REUSED {
         finding.broken = lost.len() as u64;
         finding.examples = lost;
     }
