Gateway: a request that no server may take gets 503, not 429, when it gets no unit

Callers saw 429 (too much asked) from a service whose only zone is evacuated, whenever no unit of the quota was at hand, such as in the second after a restart of the core. The unit is asked for before a server is looked for, and its refusal was the answer. Now the refusal looks whether any endpoint of the service may take the request; if none may, the answer is 503 with the usual advice.

--- a/crates/balancer/src/gateway/endpoints.rs
+++ b/crates/balancer/src/gateway/endpoints.rs
@@ -51,6 +51,15 @@
     pub max_connections: u32,
 }
 
+impl Endpoint {
+    /// Whether it is in the regions that all of these lists allow, each of which may be empty for all.
+    fn is_in(&self, allowed_regions: [&[String]; 2]) -> bool {
+        let allows =
+            |regions: &&[String]| regions.is_empty() || regions.iter().any(|region| **region == *self.region);
+        allowed_regions.iter().all(allows)
+    }
+}
+
 /// The endpoints by service: an immutable snapshot.
 pub type EndpointTable = HashMap<Rc<str>, Vec<Endpoint>>;
 
@@ -100,12 +109,6 @@
     /// The endpoints of a service that a request may go to: in the regions that both lists allow, each of which may be empty for all.
     pub fn candidates(&self, service: &str, allowed_regions: [&[String]; 2]) -> Vec<Candidate> {
         let (now, table) = (now(), self.table());
-        let is_allowed = |endpoint: &&Endpoint| {
-            let allows = |regions: &&[String]| {
-                regions.is_empty() || regions.iter().any(|region| **region == *endpoint.region)
-            };
-            allowed_regions.iter().all(allows)
-        };
         let candidate = |endpoint: &Endpoint| Candidate {
             id: endpoint.id.clone(),
             capacity_slots: endpoint.capacity_slots,
@@ -115,7 +118,13 @@
             max_outstanding: endpoint.max_connections,
         };
         let endpoints = table.get(service).map_or(&[][..], Vec::as_slice);
-        endpoints.iter().filter(is_allowed).map(candidate).collect()
+        endpoints.iter().filter(|endpoint| endpoint.is_in(allowed_regions)).map(candidate).collect()
+    }
+
+    /// Whether a request may go to any endpoint of a service.
+    pub fn has_candidates(&self, service: &str, allowed_regions: [&[String]; 2]) -> bool {
+        let table = self.table.borrow();
+        table.get(service).is_some_and(|endpoints| endpoints.iter().any(|one| one.is_in(allowed_regions)))
     }
 
     /// Where to connect to an endpoint.
--- a/crates/balancer/src/proxy/attempts.rs
+++ b/crates/balancer/src/proxy/attempts.rs
@@ -58,7 +58,7 @@
     if let Some(tenant) = &tenant {
         let unit = take_unit_within(gateway, tenant, time_left).await;
         record.unit_wait.set(now() - started);
-        unit.map_err(|wait| LocalResponse::retry_after(429, Failure::QuotaExhausted, wait as f64 / 1e6))?;
+        unit.map_err(|wait| unit_refused(gateway, &service, allowed_regions, wait))?;
     }
     let context = AttemptContext { gateway, service: &service, request: &upstream, deadline, record };
     let mut attempts = Attempts { context, allowed_regions, tried: Vec::new() };
@@ -76,6 +76,20 @@
     taken.unwrap_or(Err(UNANSWERED_UNIT_RETRY))
 }
 
+/// The response to a request that got no unit. One that no server could take is not the tenant's excess.
+fn unit_refused(
+    gateway: &Gateway,
+    service: &str,
+    allowed_regions: [&[String]; 2],
+    wait: Micros,
+) -> LocalResponse {
+    if gateway.endpoints.has_candidates(service, allowed_regions) {
+        LocalResponse::retry_after(429, Failure::QuotaExhausted, wait as f64 / 1e6)
+    } else {
+        LocalResponse::unavailable(Failure::NoServer)
+    }
+}
+
 /// The attempts of one request.
 struct Attempts<'a> {
     context: AttemptContext<'a>,
--- a/crates/balancer/tests/evacuations.rs
+++ b/crates/balancer/tests/evacuations.rs
@@ -94,3 +94,22 @@
         status(system, "/y/2") == Some(200)
     });
 }
+
+/// Requests at one time, of a tenant whose quota allows few.
+const CONCURRENT_REQUESTS: usize = 40;
+
+/// Guards against a 429 to a tenant that did not ask for too much: no server could have taken its request.
+#[test]
+fn a_request_that_no_server_may_take_is_not_refused_for_its_quota() {
+    let system = System::start(92, 1, GRACE);
+    let little = config(1, 0, "/x/", r#""k1""#)
+        .replace(r#""rate-per-s":200,"burst-size":200"#, r#""rate-per-s":1,"burst-size":1"#);
+    assert_eq!(system.order("config.replace", &little).0, 200);
+    system.until("the configuration at the gateway", |system| status(system, "/z/1") == Some(404));
+    let statuses: Vec<Option<u16>> = std::thread::scope(|scope| {
+        let send = || scope.spawn(|| status(&system, "/x/1"));
+        let requests: Vec<_> = (0..CONCURRENT_REQUESTS).map(|_| send()).collect();
+        requests.into_iter().map(|request| request.join().expect("an answer")).collect()
+    });
+    assert_eq!(statuses, vec![Some(503); CONCURRENT_REQUESTS]);
+}
