--- a/crates/balancer/src/control_api/mod.rs
+++ b/crates/balancer/src/control_api/mod.rs
@@ -84,30 +84,31 @@
         let close = !message.head.keep_alive;
         let headers = b"Content-Type: application/json\r\n";
         http::write_answer(&mut out, response.status, headers, close, response.body.as_bytes());
-        if !inbound.write(&out).await {
-            return;
-        }
+        let is_written = inbound.write(&out).await;
         drop(unanswered);
         if let Some(call_id) = evacuation {
-            confirm_delivery(&replica, &mut inbound, received, call_id).await;
+            let is_delivered = is_written && is_taken_in_time(&inbound, received).await;
+            replica.handle(if is_delivered {
+                Event::ResponseDelivered(call_id)
+            } else {
+                Event::ResponseLost(call_id)
+            });
         }
-        if close {
+        if close || !is_written {
             return;
         }
     }
 }
 
-/// Watches whether the response to an evacuation call reaches its caller: one that closes its connection later than it waits for a
-/// response may have given up and retry.
-async fn confirm_delivery(replica: &Rc<Replica>, inbound: &mut Inbound, received: Timestamp, call_id: u64) {
+/// Whether the response to a call reaches its caller: one that closes its connection later than it waits for a response may have given
+/// up and retry.
+async fn is_taken_in_time(inbound: &Inbound, received: Timestamp) -> bool {
     let in_time = || now() < received + CALLER_PATIENCE;
     if !in_time() {
-        return;
+        return false;
     }
     let taken = tokio::time::timeout(Duration::from_micros(CALLER_PATIENCE), inbound.taken()).await;
-    if taken == Ok(true) && in_time() {
-        replica.handle(Event::ResponseDelivered(call_id));
-    }
+    taken == Ok(true) && in_time()
 }
 
 /// Answers a call. With the response comes the id of an evacuation call that is done.
--- a/crates/balancer/src/process.rs
+++ b/crates/balancer/src/process.rs
@@ -13,7 +13,7 @@
 use crate::state_writer::StateWriter;
 use crate::transport;
 use error_stack::{Report, ResultExt};
-use limeway_consensus::{Acceptor, NodeId};
+use limeway_consensus::NodeId;
 use limeway_control_plane::Event;
 use limeway_distribution::decode;
 use limeway_distribution::transfer::decompress;
@@ -127,16 +127,16 @@
 /// Opens the disk, if the machine has one, and restores the state from it.
 async fn open_disk(settings: &Settings) -> StartResult<(InitialState, StateWriter)> {
     let Some(directory) = &settings.data_directory else {
-        let initial = InitialState { acceptor: Acceptor::default(), state: State::default(), is_new: true };
-        return Ok((initial, StateWriter::none()));
+        return Ok((InitialState::without_disk(), StateWriter::none()));
     };
     // All disks of the initial start have one incarnation; later ones differ.
     let fresh = if settings.initial_start { 0 } else { clock::random() | 1 };
     let opened = StateWriter::open(directory.clone(), NodeId::from(settings.ip), fresh).await;
     let (writer, recovered) = opened.change_context(StartError::Disk)?;
     let (acceptor, is_new) = (recovered.acceptor.clone(), recovered.is_new);
+    let answered_calls = recovered.answered_calls.clone();
     let state = restore(recovered).ok_or(StartError::Disk)?;
-    Ok((InitialState { acceptor, state, is_new }, writer))
+    Ok((InitialState { acceptor, state, answered_calls, is_new }, writer))
 }
 
 /// The state that a snapshot and the operations since make; nothing if they are malformed.
--- a/crates/balancer/src/replica.rs
+++ b/crates/balancer/src/replica.rs
@@ -46,10 +46,24 @@
     pub acceptor: Acceptor,
     /// The agreed state.
     pub state: State,
+    /// Evacuation calls that an earlier process has answered, or was about to.
+    pub answered_calls: Vec<u64>,
     /// The disk was empty.
     pub is_new: bool,
 }
 
+impl InitialState {
+    /// That of a machine that has no disk.
+    pub fn without_disk() -> Self {
+        InitialState {
+            acceptor: Acceptor::default(),
+            state: State::default(),
+            answered_calls: Vec::new(),
+            is_new: true,
+        }
+    }
+}
+
 /// A replica of the control plane.
 pub struct Replica {
     /// Its settings.
@@ -88,6 +102,7 @@
             initial_start: initial.is_new && settings.initial_start,
             acceptor: initial.acceptor,
             state: initial.state,
+            answered_calls: initial.answered_calls,
         };
         let mut actions = Vec::new();
         let control_plane = ControlPlane::new(now(), options, &mut actions);
--- a/crates/balancer/tests/state_writer.rs
+++ b/crates/balancer/tests/state_writer.rs
@@ -62,7 +62,12 @@
 fn slot(slot: u64, whole: bool) -> LogRecord {
     let votes = Acceptor { disk: 42, applied: slot, ..Acceptor::default() };
     let snapshot = whole.then(|| (slot - 1, vec![slot as u8; 300]));
-    LogRecord { acceptor: votes, operations: vec![(slot, vec![slot as u8; 30])], snapshot }
+    LogRecord {
+        acceptor: votes,
+        operations: vec![(slot, vec![slot as u8; 30])],
+        snapshot,
+        answered_calls: None,
+    }
 }
 
 async fn soon(answer: impl Future<Output = bool>) -> bool {
--- a/crates/control/consensus/src/record.rs
+++ b/crates/control/consensus/src/record.rs
@@ -12,4 +12,6 @@
     /// The encoded state that the slots up to this one have made. It goes before `operations`, and replaces the last snapshot and
     /// all operations up to its slot. It is never older than the last.
     pub snapshot: Option<(Slot, Vec<u8>)>,
+    /// Ids of the operators' calls that are answered, or about to be; they replace the last ones. None if they have not changed.
+    pub answered_calls: Option<Vec<u64>>,
 }
--- a/crates/control/control-plane/src/api.rs
+++ b/crates/control/control-plane/src/api.rs
@@ -40,6 +40,8 @@
     pub acceptor: Acceptor,
     /// The agreed state, from disk.
     pub state: State,
+    /// Evacuation calls that an earlier process has answered, or was about to, from disk.
+    pub answered_calls: Vec<u64>,
 }
 
 /// What happens to a replica.
@@ -55,6 +57,8 @@
     WriteCompleted(WriteId, bool),
     /// The response [`ApiResponse::EvacuationDone`] with this call id has reached its caller.
     ResponseDelivered(u64),
+    /// That response did not reach its caller in time, who retries.
+    ResponseLost(u64),
     /// Time has passed.
     Tick,
     /// The settings file names these machines now.
@@ -91,8 +95,8 @@
 pub enum ApiResponse {
     /// Done; an update of the configuration is on disk at a majority.
     Done,
-    /// An evacuation call with this id is done. Once this response has surely reached the caller, [`Event::ResponseDelivered`]
-    /// says so.
+    /// An evacuation call with this id is done. [`Event::ResponseDelivered`] says once this response has surely reached the caller,
+    /// and [`Event::ResponseLost`] that it did not in time.
     EvacuationDone(u64),
     /// The newest configuration.
     Document(String),
--- a/crates/control/control-plane/src/control_plane/mod.rs
+++ b/crates/control/control-plane/src/control_plane/mod.rs
@@ -1,6 +1,8 @@
 //! The replica: its parts, and the dispatch of events to them.
 
 mod agreement;
+mod answered_calls;
+mod evacuations;
 mod instances;
 mod peers;
 mod persistence;
@@ -18,6 +20,7 @@
 use crate::api::{Action, ApiRequest, CallerId, Event, Frontend, RequestId, StartOptions};
 use crate::messages::{Call, PeerStatus, Reply};
 use agreement::Agreement;
+use answered_calls::AnsweredCalls;
 use instances::ReportReplication;
 use limeway_consensus::{Acceptor, Slot, Voter};
 use limeway_distribution::transfer::StateRequest;
@@ -74,6 +77,7 @@
     quorum: Quorum,
     agreement: Agreement,
     proposals: Proposals,
+    answered_calls: AnsweredCalls,
     voter_changes: VoterChanges,
     long_polls: LongPolls,
     persistence: Persistence,
@@ -126,6 +130,7 @@
             quorum: Quorum::default(),
             agreement: Agreement::default(),
             proposals: Proposals::default(),
+            answered_calls: AnsweredCalls::recovered(&options.answered_calls),
             voter_changes: VoterChanges::new(cache.state.voters.clone()),
             long_polls: LongPolls::default(),
             persistence: Persistence::new(cache.state.slot),
@@ -158,6 +163,7 @@
             Event::ApiCall(caller, request) => self.handle_api_call(caller, request),
             Event::WriteCompleted(write, done) => self.write_completed(write, done),
             Event::ResponseDelivered(call_id) => self.response_delivered(call_id),
+            Event::ResponseLost(call_id) => self.release_call(call_id),
             Event::Tick => {}
             Event::SeedsChanged(seeds) => self.options.seeds = seeds,
             Event::Shutdown { within } => self.shut_down(within),
--- a/crates/control/control-plane/src/control_plane/persistence.rs
+++ b/crates/control/control-plane/src/control_plane/persistence.rs
@@ -31,6 +31,8 @@
     OwnVote(u64, AcceptorReply),
     /// A chosen value is on disk here.
     Committed(CallerId),
+    /// An evacuation call is answered.
+    AnswerNoted(u64),
 }
 
 #[derive(Debug)]
@@ -133,7 +135,8 @@
         let id = self.persistence.last_write;
         let write = PendingWrite { id, started: self.now, slot: state.slot, after };
         self.persistence.pending.push_back(write);
-        let record = LogRecord { acceptor: self.acceptor.clone(), operations, snapshot };
+        let answered_calls = self.answered_calls.take_unwritten(snapshot.is_some());
+        let record = LogRecord { acceptor: self.acceptor.clone(), operations, snapshot, answered_calls };
         self.actions.push(Action::Write(id, record));
     }
 
@@ -165,6 +168,7 @@
                     self.reply_counted(ballot);
                 }
                 AfterWrite::Committed(caller) => self.actions.push(Action::Reply(caller, Reply::Done)),
+                AfterWrite::AnswerNoted(call_id) => self.answer_noted(call_id),
             }
         }
     }
@@ -186,6 +190,7 @@
                 }
                 AfterWrite::OwnVote(ballot, _) => self.reply_counted(ballot),
                 AfterWrite::Committed(caller) => self.actions.push(Action::Reply(caller, Reply::Declined)),
+                AfterWrite::AnswerNoted(call_id) => self.release_call(call_id),
             }
         }
     }
--- a/crates/control/control-plane/src/control_plane/proposals.rs
+++ b/crates/control/control-plane/src/control_plane/proposals.rs
@@ -3,46 +3,43 @@
 //! What a response promises: *done* means that a majority has the update on disk; *version conflict* and *invalid* that it is not in
 //! force and never will be by this call, judged by a state that a majority confirmed after the call came; *indeterminate* nothing.
 
+use super::evacuations::EvacuationCall;
 use super::ControlPlane;
 use crate::api::{Action, ApiResponse, CallerId};
 use limeway_consensus::Slot;
 use limeway_distribution::encode;
 use limeway_invariants::{check, Invariant};
-use limeway_routing_config::evacuation::{CallStep, EvacuationCalls};
+use limeway_routing_config::evacuation::EvacuationCalls;
 use limeway_routing_config::{ConfigUpdate, Operation, Rejection, RoutingSnapshot, State};
 use limeway_types::{Micros, Timestamp};
 use serde_bytes::ByteBuf;
 use std::collections::VecDeque;
 
 /// How long a request is worked on: its caller tries another replica after a second without an answer.
-const REQUEST_TIMEOUT: Micros = 900_000;
+pub(super) const REQUEST_TIMEOUT: Micros = 900_000;
 /// The same without quorum contact: the caller is told at once, after one round.
 const NO_QUORUM_TIMEOUT: Micros = 330_000;
-/// An evacuation call that has waited for the answer to a like one is proposed no later than this before its time is over: two round
-/// trips on the longest links, and some writes.
-const LATE_PROPOSAL_MARGIN: Micros = 300_000;
 /// Upper bound on the requests under way.
 const MAX_REQUESTS: usize = 64;
-/// Upper bound on the evacuation calls whose responses were delivered, and that are still to be closed.
-const MAX_DELIVERED_CALLS: usize = 64;
 
 #[derive(Debug)]
 enum Request {
     UpdateConfig(Box<ConfigUpdate>),
-    Evacuate { zone: String, starts: bool, call_id: u64 },
+    Evacuate(EvacuationCall),
     ReadConfig,
 }
 
+/// A request that is not answered yet.
 #[derive(Debug)]
-struct PendingRequest {
+pub(super) struct PendingRequest {
     caller: CallerId,
     request: Request,
-    received: Timestamp,
-    deadline: Timestamp,
+    pub received: Timestamp,
+    pub deadline: Timestamp,
     /// A like evacuation call is being answered until then.
-    retry_at: Timestamp,
+    pub retry_at: Timestamp,
     /// What the state of this slot makes of the request.
-    admitted: Option<(Slot, Result<Operation, Rejection>)>,
+    pub admitted: Option<(Slot, Result<Operation, Rejection>)>,
 }
 
 impl PendingRequest {
@@ -60,7 +57,7 @@
 }
 
 /// What is to be done for a request now.
-enum RequestStep {
+pub(super) enum RequestStep {
     Respond(ApiResponse),
     Propose,
     Wait,
@@ -71,9 +68,7 @@
 pub(crate) struct Proposals {
     pending: VecDeque<PendingRequest>,
     /// Evacuation calls whose responses are not known to be delivered.
-    evacuation_calls: EvacuationCalls,
-    /// Ids of those whose responses are.
-    delivered_calls: VecDeque<u64>,
+    pub evacuation_calls: EvacuationCalls,
 }
 
 impl Proposals {
@@ -85,6 +80,14 @@
         self.pending.len()
     }
 
+    /// Ids of the evacuation calls that are not answered yet.
+    pub(crate) fn pending_evacuation_calls(&self) -> impl Iterator<Item = u64> + '_ {
+        self.pending.iter().filter_map(|pending| match &pending.request {
+            Request::Evacuate(call) => Some(call.call_id),
+            _ => None,
+        })
+    }
+
     pub(crate) fn next_tick(&self, now: Timestamp) -> Option<Timestamp> {
         let next = |request: &PendingRequest| {
             let retry_at = if request.retry_at > now { request.retry_at } else { Timestamp::MAX };
@@ -107,7 +110,7 @@
     pub(crate) fn enqueue_evacuation(&mut self, caller: CallerId, zone: String, starts: bool) {
         // Never 0, which stands for a call that carries no id.
         let call_id = self.random() | 1;
-        self.enqueue(caller, Request::Evacuate { zone, starts, call_id });
+        self.enqueue(caller, Request::Evacuate(EvacuationCall { zone, starts, call_id }));
     }
 
     pub(crate) fn enqueue_read(&mut self, caller: CallerId) {
@@ -131,6 +134,7 @@
 
     /// Answers what can be answered, and begins the next proposal.
     pub(crate) fn run_proposals(&mut self) {
+        self.release_undelivered_calls();
         loop {
             self.propose_internal();
             let slot = self.cache.state.slot;
@@ -177,6 +181,9 @@
                     continue;
                 }
                 _ if self.now >= request.deadline => {
+                    if let Request::Evacuate(call) = &request.request {
+                        self.release_call(call.call_id);
+                    }
                     self.actions.push(Action::Respond(request.caller, ApiResponse::Indeterminate));
                     continue;
                 }
@@ -224,25 +231,9 @@
             // A replica that is behind must answer neither of these by an old state.
             _ if !confirmed => RequestStep::Wait,
             Request::ReadConfig => RequestStep::Respond(ApiResponse::Document(self.cache.state.document())),
-            Request::Evacuate { zone, starts, call_id } => {
-                let (now, state) = (self.now, &self.cache.state);
-                match self.proposals.evacuation_calls.next_step(now, state, zone, *starts, *call_id) {
-                    CallStep::Done => RequestStep::Respond(ApiResponse::EvacuationDone(*call_id)),
-                    CallStep::Wait(until) => {
-                        pending.retry_at = until;
-                        RequestStep::Wait
-                    }
-                    // Proposed so late, its answer would hardly come in time, and its caller's retry would wait for that answer.
-                    CallStep::Propose(_)
-                        if pending.retry_at > 0 && now + LATE_PROPOSAL_MARGIN > pending.deadline =>
-                    {
-                        RequestStep::Wait
-                    }
-                    CallStep::Propose(operation) => {
-                        pending.admitted = Some((state.slot, Ok(operation)));
-                        RequestStep::Propose
-                    }
-                }
+            Request::Evacuate(call) => {
+                let call = call.clone();
+                self.next_evacuation_step(&call, pending)
             }
         }
     }
@@ -268,22 +259,4 @@
             _ => RequestStep::Wait,
         }
     }
-
-    /// The response to an evacuation call has reached its caller, who does not retry.
-    pub(crate) fn response_delivered(&mut self, call_id: u64) {
-        if self.proposals.delivered_calls.len() < MAX_DELIVERED_CALLS {
-            self.proposals.delivered_calls.push_back(call_id);
-            self.voter_changes.review = true;
-        }
-    }
-
-    /// An evacuation call that is to be closed.
-    fn next_call_to_close(&mut self) -> Option<Operation> {
-        let state = &self.cache.state;
-        self.proposals.evacuation_calls.observe(self.now, state);
-        self.proposals.delivered_calls.retain(|id| state.applies(&Operation::CloseCall(*id)));
-        let expired = self.proposals.evacuation_calls.expired(self.now, self.options.ack_timeout);
-        let expired = expired.filter(|_| self.is_coordinator());
-        self.proposals.delivered_calls.front().copied().or(expired).map(Operation::CloseCall)
-    }
 }
--- a/crates/control/control-plane/src/control_plane/quorum.rs
+++ b/crates/control/control-plane/src/control_plane/quorum.rs
@@ -155,6 +155,7 @@
         let members = self.direct_members.pass_on(now);
         let number = self.open_round(&others, &lease_requests);
         let status = self.status(now);
+        let answered_calls = self.reported_calls();
         let wants_relayed = self.misses_voter();
         let relays_registry = wants_relayed && now >= self.quorum.relay_requested + RELAY_INTERVAL;
         if relays_registry {
@@ -169,6 +170,7 @@
                 lease_requests: lease_requests.clone(),
                 wants_registry: relays_registry || self.unanswered.contains(&node),
                 wants_relayed,
+                answered_calls: answered_calls.clone(),
             };
             let purpose = SentRequest::Heartbeat(number, node);
             self.send(node, Call::Heartbeat(Box::new(heartbeat)), HEARTBEAT_TIMEOUT, purpose);
@@ -240,6 +242,7 @@
     pub(crate) fn handle_heartbeat(&mut self, heartbeat: Heartbeat) -> HeartbeatReply {
         let sender = heartbeat.status;
         self.observe_peer(sender);
+        self.answered_calls.observe_peer(self.now, sender.node, heartbeat.answered_calls);
         self.observe_servers(&heartbeat.reports, false);
         let mut members_changed = false;
         for member in &heartbeat.members {
@@ -263,6 +266,7 @@
                 Vec::new()
             },
             relayed: if heartbeat.wants_relayed { self.relayed_view() } else { None },
+            answered_calls: self.reported_calls(),
         }
     }
 
@@ -276,6 +280,7 @@
         };
         self.unanswered.remove(&node);
         self.observe_peer(reply.status);
+        self.answered_calls.observe_peer(self.now, node, reply.answered_calls.clone());
         let holder = Holder { node, incarnation: reply.status.incarnation };
         self.lease_voter.observe_holder(self.now, holder, &reply.held);
         let possible_holders = self.possible_holders();
--- a/crates/control/control-plane/src/messages.rs
+++ b/crates/control/control-plane/src/messages.rs
@@ -123,6 +123,9 @@
     /// It does not reach some voter, and wants what the others hear from that one.
     #[serde(rename = "r", default, skip_serializing_if = "is_false")]
     pub wants_relayed: bool,
+    /// Evacuation calls that it has answered, or works on.
+    #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
+    pub answered_calls: Vec<u64>,
 }
 
 /// Whether a flag that was added later can be left out.
@@ -164,4 +167,7 @@
     /// What it hears from others, if the sender wants it.
     #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
     pub relayed: Option<Box<RelayedView>>,
+    /// Evacuation calls that it has answered, or works on.
+    #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
+    pub answered_calls: Vec<u64>,
 }
--- a/crates/control/control-plane/tests/encoding.rs
+++ b/crates/control/control-plane/tests/encoding.rs
@@ -124,15 +124,33 @@
         ("op-doors", Operation::SetGateways { add: vec![20, 21], remove: vec![22] }),
         (
             "op-evacuate",
-            Operation::Evacuate { zone: "north-a".into(), starts: true, call_id: 17, retry_of: 0 },
+            Operation::Evacuate {
+                zone: "north-a".into(),
+                starts: true,
+                call_id: 17,
+                retry_of: 0,
+                taken_by: None,
+            },
         ),
         (
             "op-evacuate-again",
-            Operation::Evacuate { zone: "north-a".into(), starts: true, call_id: 19, retry_of: 17 },
+            Operation::Evacuate {
+                zone: "north-a".into(),
+                starts: true,
+                call_id: 19,
+                retry_of: 17,
+                taken_by: None,
+            },
         ),
         (
             "op-evacuate-other",
-            Operation::Evacuate { zone: "south-b".into(), starts: true, call_id: 23, retry_of: 0 },
+            Operation::Evacuate {
+                zone: "south-b".into(),
+                starts: true,
+                call_id: 23,
+                retry_of: 0,
+                taken_by: None,
+            },
         ),
         ("op-answered", Operation::CloseCall(19)),
     ]
@@ -141,6 +159,7 @@
 #[rstest]
 fn calls_keep_their_encoding() {
     let ping = Heartbeat {
+        answered_calls: Vec::new(),
         wants_relayed: false,
         status: standing(),
         reports: vec![report(Phase::Ready)],
@@ -173,6 +192,7 @@
 fn replies_keep_their_encoding() {
     let accepted = Some((ballot(2), ByteBuf::from(vec![9, 8])));
     let pong = HeartbeatReply {
+        answered_calls: Vec::new(),
         relayed: None,
         status: standing(),
         has_accepted: true,
--- a/crates/control/control-plane/tests/replica/cluster.rs
+++ b/crates/control/control-plane/tests/replica/cluster.rs
@@ -37,6 +37,7 @@
         initial_start: true,
         acceptor: Acceptor::default(),
         state: State::default(),
+        answered_calls: Vec::new(),
     }
 }
 
--- /dev/null
+++ b/crates/control/control-plane/tests/replica/evacuations.rs
@@ -0,0 +1,159 @@
+//! Evacuation calls across the end of the machine that took them: one that was answered stays, and one that was not counts once.
+
+use crate::cluster::{options, Cluster, MS, SECOND};
+use crate::snapshots::restore;
+use limeway_consensus::Acceptor;
+use limeway_control_plane::{ApiRequest, ApiResponse, Event, LogRecord, StartOptions};
+use rstest::rstest;
+
+const ZONE: &str = "north";
+const NODES: [u32; 3] = [1, 2, 3];
+
+fn start() -> ApiRequest {
+    ApiRequest::Evacuate { zone: ZONE.into(), starts: true }
+}
+
+fn running() -> Cluster {
+    let mut cluster = Cluster::start(3);
+    cluster.run(SECOND);
+    cluster
+}
+
+fn count(cluster: &Cluster, node: u32) -> u32 {
+    cluster.replica(node).state().evacuated.get(ZONE).copied().unwrap_or(0)
+}
+
+/// What a process finds on a disk that took these records.
+fn restarted(node: u32, records: &[LogRecord]) -> StartOptions {
+    let answered = records.iter().rev().find_map(|record| record.answered_calls.clone());
+    StartOptions {
+        incarnation: 2_000 + u64::from(node),
+        initial_start: false,
+        acceptor: records.last().map(|record| record.acceptor.clone()).unwrap_or_default(),
+        state: restore(records),
+        answered_calls: answered.unwrap_or_default(),
+        ..options(node, &NODES)
+    }
+}
+
+/// What a process finds on a new disk in place of one that was lost.
+fn without_disk(node: u32) -> StartOptions {
+    let acceptor = Acceptor { disk: 77, ..Acceptor::default() };
+    StartOptions { incarnation: 3_000, initial_start: false, acceptor, ..options(node, &NODES) }
+}
+
+/// Ends all processes at one moment, and starts them again; one machine's disk may be lost.
+fn restart_all(cluster: &mut Cluster, lost_disk: Option<u32>) {
+    let starts = NODES.map(|node| match lost_disk {
+        Some(lost) if lost == node => without_disk(node),
+        _ => restarted(node, cluster.records(node)),
+    });
+    NODES.iter().for_each(|node| cluster.kill(*node));
+    starts.into_iter().for_each(|start| cluster.add(start));
+}
+
+/// Calls these machines in turn until there is a clear answer, as an operator does.
+fn until_done(cluster: &mut Cluster, nodes: &[u32]) -> u64 {
+    for node in nodes.iter().cycle().take(40) {
+        if let ApiResponse::EvacuationDone(call_id) = cluster.ask(*node, start()) {
+            return call_id;
+        }
+        cluster.run(100 * MS);
+    }
+    panic!("no clear answer");
+}
+
+/// All machines, from this one on.
+fn from(first: u32) -> [u32; 3] {
+    [0, 1, 2].map(|at| (first - 1 + at) % 3 + 1)
+}
+
+/// Guards against an acknowledged evacuation that is taken for one that is sent again, as the answer to it is forgotten (LOST).
+#[rstest]
+#[case::at_the_same_machine(1, None)]
+#[case::at_another(2, None)]
+#[case::its_disk_is_lost(2, Some(1))]
+#[case::at_the_machine_that_lost_its_disk(1, Some(1))]
+#[case::another_disk_is_lost(3, Some(2))]
+fn after_a_kill_of_all_an_answered_call_is_not_sent_again(#[case] next: u32, #[case] lost_disk: Option<u32>) {
+    let mut cluster = running();
+    assert!(matches!(cluster.ask(1, start()), ApiResponse::EvacuationDone(_)));
+    restart_all(&mut cluster, lost_disk);
+    until_done(&mut cluster, &from(next));
+    cluster.run(SECOND);
+    assert_eq!(count(&cluster, 3), 2, "two operators, two evacuations");
+}
+
+/// Its caller has no answer and calls again: that must count once.
+#[rstest]
+#[case::at_the_same_machine(1)]
+#[case::at_another(2)]
+fn a_call_that_was_not_answered_before_a_kill_counts_once(#[case] next: u32) {
+    let mut cluster = running();
+    // The others agree, and the note of the answer does not get to disk.
+    cluster.set_disk_hangs(1, true);
+    let call = cluster.call_api(1, start());
+    cluster.run(500 * MS);
+    assert_eq!((cluster.response(call), count(&cluster, 1)), (None, 1), "in force, and not answered");
+    restart_all(&mut cluster, None);
+    until_done(&mut cluster, &from(next));
+    cluster.run(SECOND);
+    assert_eq!(count(&cluster, 3), 1);
+}
+
+/// No answer goes out before a kill of its machine would leave the note of it.
+#[rstest]
+fn an_answer_waits_for_its_note_on_disk() {
+    let mut cluster = running();
+    assert!(matches!(cluster.ask(1, start()), ApiResponse::EvacuationDone(_)));
+    let state = cluster.replica(1).state();
+    let open = state.open_calls().first().expect("open").call_id;
+    let noted = cluster.records(1).iter().rev().find_map(|record| record.answered_calls.clone());
+    assert_eq!(noted, Some(vec![open]));
+}
+
+/// The machine that took the call is gone. Others wait for it: it may be back at once, and they cannot know.
+#[rstest]
+fn a_like_call_waits_for_a_machine_that_may_have_answered_and_no_longer_than_half_of_the_ack_timeout() {
+    let mut cluster = running();
+    let first = cluster.now;
+    assert!(matches!(cluster.ask(1, start()), ApiResponse::EvacuationDone(_)));
+    cluster.kill(1);
+    assert_eq!(cluster.ask(2, start()), ApiResponse::Indeterminate);
+    until_done(&mut cluster, &[2, 3]);
+    let waited = cluster.now - first;
+    assert!((3 * SECOND..5 * SECOND).contains(&waited), "{waited} us");
+}
+
+/// An answer that did not reach its caller leaves nothing for the retry to wait for.
+#[rstest]
+fn a_retry_after_a_lost_answer_counts_once_and_at_once() {
+    let mut cluster = running();
+    let call_id = until_done(&mut cluster, &[1]);
+    cluster.handle(1, Event::ResponseLost(call_id));
+    cluster.run(500 * MS);
+    let sent = cluster.now;
+    assert!(matches!(cluster.ask(2, start()), ApiResponse::EvacuationDone(_)));
+    assert!(cluster.now - sent < 300 * MS);
+    assert_eq!(count(&cluster, 2), 1);
+    restart_all(&mut cluster, None);
+    cluster.run(SECOND);
+    assert_eq!(count(&cluster, 1), 1);
+}
+
+/// A like call that takes the place of a slow one is not answered beside it: that would count one for two.
+#[rstest]
+fn no_fewer_evacuations_are_in_force_than_calls_were_answered() {
+    let mut cluster = running();
+    // Cut off right after the others have accepted: they complete the value, and this machine learns of it late.
+    let first = cluster.call_api(1, start());
+    cluster.set_cut(1, true);
+    cluster.run(700 * MS);
+    cluster.set_cut(1, false);
+    let second = cluster.ask(2, start());
+    cluster.run(SECOND);
+    let first_done = matches!(cluster.response(first), Some(ApiResponse::EvacuationDone(_)));
+    let second_done = matches!(second, ApiResponse::EvacuationDone(_));
+    let done = u32::from(first_done) + u32::from(second_done);
+    assert!(count(&cluster, 2) >= done, "{done} done, {} in force", count(&cluster, 2));
+}
--- a/crates/control/control-plane/tests/replica/main.rs
+++ b/crates/control/control-plane/tests/replica/main.rs
@@ -1,6 +1,7 @@
 //! A few replicas, played event by event: quorum contact, proposals, voters, role leases, snapshots.
 
 mod cluster;
+mod evacuations;
 mod instances;
 mod proposals;
 mod quorum;
--- a/crates/control/distribution/tests/freshness.rs
+++ b/crates/control/distribution/tests/freshness.rs
@@ -33,6 +33,7 @@
         starts: true,
         call_id: 0,
         retry_of: 0,
+        taken_by: None,
     }));
     upstream.set_members(vec![(7, "z".to_owned()).into()]);
     upstream.holders[0] = (2, 22).into();
--- a/crates/control/distribution/tests/responses.rs
+++ b/crates/control/distribution/tests/responses.rs
@@ -23,6 +23,7 @@
             starts: step % 3 > 0,
             call_id: 0,
             retry_of: 0,
+            taken_by: None,
         }));
         core.registry
             .observe(now, &report(step % 40, step, if step % 11 == 0 { Phase::Gone } else { Phase::Ready }));
--- a/crates/control/distribution/tests/transfers.rs
+++ b/crates/control/distribution/tests/transfers.rs
@@ -18,6 +18,7 @@
                 starts: n % 2 == 0,
                 call_id: 0,
                 retry_of: 0,
+                taken_by: None,
             }));
         }
         cache
@@ -59,6 +60,7 @@
             starts: true,
             call_id: 0,
             retry_of: 0,
+            taken_by: None,
         }));
     }
     let mut limiter = StateCache::relay(9);
--- a/crates/control/routing-config/src/evacuation.rs
+++ b/crates/control/routing-config/src/evacuation.rs
@@ -43,6 +43,11 @@
         }
     }
 
+    /// When this replica has first seen an open call.
+    pub fn first_seen(&self, call_id: u64) -> Option<Timestamp> {
+        self.first_seen.get(&call_id).copied()
+    }
+
     /// What to do with the call that was given this id, which is not 0, on a state that is confirmed as of the call's arrival.
     pub fn next_step(
         &mut self,
--- a/crates/control/routing-config/src/state.rs
+++ b/crates/control/routing-config/src/state.rs
@@ -43,6 +43,9 @@
     /// The id of the call.
     #[serde(rename = "m")]
     pub call_id: u64,
+    /// The machine that answers it, with the disk on which it notes that; none if it has no disk.
+    #[serde(rename = "by", default, skip_serializing_if = "Option::is_none")]
+    pub taken_by: Option<Voter>,
 }
 
 /// The agreed state. Fields keep the names that state files and messages have.
@@ -107,18 +110,29 @@
         &self.open_calls
     }
 
-    /// The operation that an evacuation call asks for; none if it has been applied, or there is nothing to end.
+    /// The open call with this id.
+    pub fn open_call(&self, call_id: u64) -> Option<&OpenCall> {
+        self.open_calls.iter().find(|call| call.call_id == call_id)
+    }
+
+    /// The oldest open call for this zone of the same kind: the next one is its retry.
+    pub fn like_open_call(&self, zone: &str, starts: bool) -> Option<&OpenCall> {
+        self.open_calls.iter().find(|call| call.zone == zone && call.starts == starts)
+    }
+
+    /// The operation that an evacuation call asks for, whoever takes it; none if it has been applied, or there is nothing to end.
     pub fn evacuation(&self, zone: &str, starts: bool, call_id: u64) -> Option<Operation> {
-        let open = self.open_calls.iter().find(|call| call.zone == zone && call.starts == starts);
+        let open = self.like_open_call(zone, starts);
         let nothing_to_end = !starts && open.is_none() && !self.evacuated.contains_key(zone);
         let retry_of = open.map_or(0, |call| call.call_id);
-        let operation = Operation::Evacuate { zone: zone.to_owned(), starts, call_id, retry_of };
+        let operation =
+            Operation::Evacuate { zone: zone.to_owned(), starts, call_id, retry_of, taken_by: None };
         (!nothing_to_end && !self.knows_call(call_id)).then_some(operation)
     }
 
-    fn knows_call(&self, call_id: u64) -> bool {
-        let is_open = || self.open_calls.iter().any(|call| call.call_id == call_id);
-        call_id != 0 && (self.closed_calls.contains(&call_id) || is_open())
+    /// Whether the call with this id was applied: it is open, or was closed not long ago.
+    pub fn knows_call(&self, call_id: u64) -> bool {
+        call_id != 0 && (self.closed_calls.contains(&call_id) || self.open_call(call_id).is_some())
     }
 
     /// Whether an operation that was made for an earlier state has the same meaning on this one.
@@ -127,10 +141,11 @@
             Operation::UpdateConfig { version, base_version, .. } => {
                 *base_version == self.version && *version > self.version
             }
-            Operation::Evacuate { zone, starts, call_id, .. } => {
-                self.evacuation(zone, *starts, *call_id).as_ref() == Some(operation)
+            Operation::Evacuate { zone, starts, call_id, retry_of, .. } => {
+                let now = self.evacuation(zone, *starts, *call_id);
+                matches!(now, Some(Operation::Evacuate { retry_of: open, .. }) if open == *retry_of)
             }
-            Operation::CloseCall(call_id) => self.open_calls.iter().any(|call| call.call_id == *call_id),
+            Operation::CloseCall(call_id) => self.open_call(*call_id).is_some(),
             Operation::SetVoters { .. } | Operation::SetGateways { .. } => true,
         }
     }
@@ -156,8 +171,10 @@
                 let room = MAX_GATEWAYS.saturating_sub(self.gateways.len());
                 self.gateways.extend(add.iter().take(room));
             }
-            Operation::Evacuate { zone, starts, call_id, retry_of } => {
-                self.apply_evacuation(zone, *starts, *call_id, *retry_of);
+            Operation::Evacuate { zone, starts, call_id, retry_of, taken_by } => {
+                let (zone, starts, call_id) = (zone.clone(), *starts, *call_id);
+                let call = OpenCall { zone, starts, call_id, taken_by: *taken_by };
+                self.apply_evacuation(call, *retry_of);
             }
             Operation::CloseCall(call_id) => self.close_call(*call_id),
         }
@@ -183,18 +200,20 @@
         }
     }
 
-    fn apply_evacuation(&mut self, zone: &str, starts: bool, call_id: u64, retry_of: u64) {
-        if self.knows_call(call_id) {
+    fn apply_evacuation(&mut self, call: OpenCall, retry_of: u64) {
+        if self.knows_call(call.call_id) {
             return;
         }
-        let retried =
-            |call: &OpenCall| call.call_id == retry_of && call.zone == zone && call.starts == starts;
+        let retried = |open: &OpenCall| {
+            open.call_id == retry_of && open.zone == call.zone && open.starts == call.starts
+        };
         if retry_of != 0 && self.open_calls.iter().any(retried) {
-            return self.replace_call(retry_of, call_id);
+            return self.replace_call(retry_of, call);
         }
-        let changed = if starts { self.start_evacuation(zone) } else { self.end_evacuation(zone) };
-        if changed && call_id != 0 {
-            self.open_call(OpenCall { zone: zone.to_owned(), starts, call_id });
+        let changed =
+            if call.starts { self.start_evacuation(&call.zone) } else { self.end_evacuation(&call.zone) };
+        if changed && call.call_id != 0 {
+            self.remember_open(call);
         }
     }
 
@@ -227,7 +246,7 @@
         true
     }
 
-    fn open_call(&mut self, call: OpenCall) {
+    fn remember_open(&mut self, call: OpenCall) {
         self.open_calls.push(call);
         if self.open_calls.len() > MAX_OPEN_CALLS {
             let oldest = self.open_calls[0].call_id;
@@ -242,12 +261,12 @@
     }
 
     /// A retry takes the place of an open call.
-    fn replace_call(&mut self, call_id: u64, retry: u64) {
-        if retry == 0 {
+    fn replace_call(&mut self, call_id: u64, retry: OpenCall) {
+        if retry.call_id == 0 {
             return self.close_call(call_id);
         }
         let Some(call) = self.open_calls.iter_mut().find(|call| call.call_id == call_id) else { return };
-        call.call_id = retry;
+        *call = retry;
         self.remember_closed(call_id);
     }
 
--- a/crates/control/routing-config/tests/evacuations.rs
+++ b/crates/control/routing-config/tests/evacuations.rs
@@ -138,6 +138,7 @@
             starts: true,
             call_id: mark,
             retry_of: 0,
+            taken_by: None,
         });
     }
     assert_eq!((state.open_calls().len(), state.open_calls()[0].call_id), (64, 137));
--- a/crates/control/routing-config/tests/orders.rs
+++ b/crates/control/routing-config/tests/orders.rs
@@ -119,9 +119,21 @@
     let mut state = state();
     state.apply(&Operation::SetGateways { add: vec![1, 2], remove: vec![] });
     state.apply(&Operation::SetGateways { add: vec![3], remove: vec![1] });
-    state.apply(&Operation::Evacuate { zone: "z".into(), starts: true, call_id: 0, retry_of: 0 });
+    state.apply(&Operation::Evacuate {
+        zone: "z".into(),
+        starts: true,
+        call_id: 0,
+        retry_of: 0,
+        taken_by: None,
+    });
     assert_eq!((state.gateways.len(), state.evacuated.len(), state.slot), (2, 1, 4));
-    state.apply(&Operation::Evacuate { zone: "z".into(), starts: false, call_id: 0, retry_of: 0 });
+    state.apply(&Operation::Evacuate {
+        zone: "z".into(),
+        starts: false,
+        call_id: 0,
+        retry_of: 0,
+        taken_by: None,
+    });
     assert!(state.evacuated.is_empty());
 }
 
@@ -131,7 +143,13 @@
 fn an_evacuation_lasts_until_the_last_of_them_is_taken_back() {
     let mut state = state();
     let step = |state: &mut State, begun| {
-        state.apply(&Operation::Evacuate { zone: "z".into(), starts: begun, call_id: 0, retry_of: 0 });
+        state.apply(&Operation::Evacuate {
+            zone: "z".into(),
+            starts: begun,
+            call_id: 0,
+            retry_of: 0,
+            taken_by: None,
+        });
         state.evacuated.contains_key("z")
     };
     assert!(step(&mut state, true) && step(&mut state, true));
--- a/crates/control/storage/examples/record_cost.rs
+++ b/crates/control/storage/examples/record_cost.rs
@@ -119,8 +119,11 @@
     let begun = Instant::now();
     for slot in 1..=SLOTS {
         let votes = Acceptor { applied: slot, ..Acceptor::default() };
-        let mut record =
-            LogRecord { acceptor: votes, operations: vec![(slot, vec![slot as u8; OP])], snapshot: None };
+        let mut record = LogRecord {
+            acceptor: votes,
+            operations: vec![(slot, vec![slot as u8; OP])],
+            ..LogRecord::default()
+        };
         if store.snapshot_due() {
             record.operations.clear();
             record.snapshot = Some((slot, vec![slot as u8; size]));
--- a/crates/control/storage/src/format.rs
+++ b/crates/control/storage/src/format.rs
@@ -14,7 +14,8 @@
 /// Bytes of a value in one row, so that a page of the file has 64 KiB at most.
 const MAX_ROW_BYTES: usize = 64 * 1024 - 128;
 
-/// Rows by name: `identity`, `votes`, `snapshot` (its head). Format 1 had `state` here as well.
+/// Rows by name: `identity`, `votes`, `snapshot` (its head), `answered` (calls; none in files of earlier builds). Format 1 had `state`
+/// here as well.
 const ROWS: TableDefinition<'static, &'static str, &'static [u8]> = TableDefinition::new("state");
 /// Chunks of the snapshot, by number.
 const SNAPSHOT: TableDefinition<'static, u32, &'static [u8]> = TableDefinition::new("snapshot");
@@ -99,6 +100,8 @@
             }
             found.snapshot = row("snapshot")?.map(|head| snapshot(read, &decode(&head)?)).transpose()?;
             found.operations = operations(read)?;
+            found.answered_calls =
+                row("answered")?.map(|calls| decode(&calls)).transpose()?.unwrap_or_default();
             Ok(Contents { format: FORMAT, generation: identity.generation, found })
         }
         FORMAT_V1 => read_v1(row, acceptor, found),
@@ -198,6 +201,11 @@
     put_rows(write, &[("votes", Some(encode(acceptor)?))])
 }
 
+/// Writes the ids of the calls that are answered.
+pub(crate) fn put_answered_calls(write: &WriteTransaction, calls: &Vec<u64>) -> StorageResult<()> {
+    put_rows(write, &[("answered", Some(encode(calls)?))])
+}
+
 /// Writes the operations of a record.
 pub(crate) fn put_operations(write: &WriteTransaction, record: &LogRecord) -> StorageResult<()> {
     let mut table = write.open_table(OPERATIONS).change_context(StorageError::Write)?;
--- a/crates/control/storage/src/lib.rs
+++ b/crates/control/storage/src/lib.rs
@@ -71,6 +71,8 @@
     pub snapshot: Option<(Slot, Vec<u8>)>,
     /// The operations since (or since slot 0), without a gap.
     pub operations: Vec<(Slot, Vec<u8>)>,
+    /// Ids of operators' calls that were answered, or were about to be.
+    pub answered_calls: Vec<u64>,
     /// Nothing was there, or nothing that had a vote: a new machine, or one that lost its disk.
     pub is_new: bool,
 }
--- a/crates/control/storage/src/state_store.rs
+++ b/crates/control/storage/src/state_store.rs
@@ -143,6 +143,9 @@
 fn put(write: &WriteTransaction, records: &[&LogRecord]) -> StorageResult<()> {
     let Some(last) = records.last() else { return Ok(()) };
     format::put_acceptor(write, &last.acceptor)?;
+    if let Some(calls) = records.iter().rev().find_map(|record| record.answered_calls.as_ref()) {
+        format::put_answered_calls(write, calls)?;
+    }
     for record in records {
         format::put_operations(write, record)?;
     }
--- a/crates/control/storage/tests/disk.rs
+++ b/crates/control/storage/tests/disk.rs
@@ -37,7 +37,7 @@
     );
     let votes = Acceptor { disk: life, applied: acceptor.applied, slot_state: acceptor.slot_state };
     let record =
-        LogRecord { acceptor: votes.clone(), operations: Vec::new(), snapshot: Some((4, vec![9; 100])) };
+        LogRecord { acceptor: votes.clone(), snapshot: Some((4, vec![9; 100])), ..LogRecord::default() };
     store.write(&record).expect("kept");
     votes
 }
@@ -55,6 +55,24 @@
     assert_eq!((found.acceptor.slot_state, found.snapshot), (kept.slot_state, Some((4, vec![9; 100]))));
 }
 
+/// They are what tells a new call from a retry after a kill.
+#[rstest]
+fn answered_calls_outlive_the_process_until_a_record_replaces_them() {
+    let folder = Folder::new("answered");
+    let (mut store, found) = open(&folder, 7, 42);
+    assert_eq!(found.answered_calls, []);
+    let votes = voted(&mut store, 42);
+    let answered =
+        |calls| LogRecord { acceptor: votes.clone(), answered_calls: calls, ..LogRecord::default() };
+    assert_eq!(store.write_all(&[answered(Some(vec![3, 5])), answered(None)]), [Ok(()), Ok(())]);
+    drop(store);
+    let (mut store, found) = open(&folder, 7, 43);
+    assert_eq!(found.answered_calls, [3, 5]);
+    store.write(&answered(Some(Vec::new()))).expect("kept");
+    drop(store);
+    assert_eq!(open(&folder, 7, 44).1.answered_calls, []);
+}
+
 /// A machine that was killed before it had voted is empty still.
 #[rstest]
 fn a_file_without_votes_counts_as_empty() {
--- a/crates/control/storage/tests/log/rules.rs
+++ b/crates/control/storage/tests/log/rules.rs
@@ -22,12 +22,12 @@
     LogRecord {
         acceptor: votes(to),
         operations: (from..=to).map(|s| (s, op(s, size))).collect(),
-        snapshot: None,
+        ..LogRecord::default()
     }
 }
 
 fn snapshot(slot: u64, size: usize) -> LogRecord {
-    LogRecord { acceptor: votes(slot), operations: Vec::new(), snapshot: Some((slot, state(slot, size))) }
+    LogRecord { acceptor: votes(slot), snapshot: Some((slot, state(slot, size))), ..LogRecord::default() }
 }
 
 /// A file with a snapshot of slot 10 and operations up to 15.
--- a/crates/testing/simulation/src/cluster.rs
+++ b/crates/testing/simulation/src/cluster.rs
@@ -264,6 +264,7 @@
             initial_start: first,
             acceptor: machine.disk.acceptor.clone(),
             state,
+            answered_calls: machine.disk.answered_calls.clone(),
         };
         let mut out = Vec::new();
         let replica = ControlPlane::new(self.t + machine.offset, start, &mut out);
--- a/crates/testing/simulation/src/disabled_guard.rs
+++ b/crates/testing/simulation/src/disabled_guard.rs
@@ -64,6 +64,7 @@
             let (me, pending) = (self.forged_status(to), false);
             let (held, given, servers) = (Vec::new(), Vec::new(), Vec::new());
             return Some(Reply::Heartbeat(HeartbeatReply {
+                answered_calls: Vec::new(),
                 relayed: None,
                 status: me,
                 has_accepted: pending,
--- a/crates/testing/simulation/src/disk.rs
+++ b/crates/testing/simulation/src/disk.rs
@@ -14,6 +14,8 @@
     pub acceptor: Acceptor,
     /// The agreed state.
     pub state: State,
+    /// Evacuation calls that are answered.
+    pub answered_calls: Vec<u64>,
     queue: VecDeque<(WriteId, LogRecord)>,
     failed: bool,
     /// Whether it refuses writes.
@@ -30,6 +32,7 @@
         Disk {
             acceptor: Acceptor { disk: incarnation, ..Acceptor::default() },
             state: State::default(),
+            answered_calls: Vec::new(),
             queue: VecDeque::new(),
             failed: false,
             full: false,
@@ -84,6 +87,7 @@
             return Err(format!("acceptor of slot {acceptor} beside a state of slot {state}"));
         }
         self.acceptor = record.acceptor;
+        self.answered_calls = record.answered_calls.unwrap_or(std::mem::take(&mut self.answered_calls));
         Ok(())
     }
 
