--- a/crates/balancer/src/control_api/mod.rs
+++ b/crates/balancer/src/control_api/mod.rs
@@ -85,6 +85,10 @@
         let headers = b"Content-Type: application/json\r\n";
         http::write_answer(&mut out, response.status, headers, close, response.body.as_bytes());
         let is_written = inbound.write(&out).await;
+        if close {
+            // A caller may read until the end before it closes in its turn.
+            inbound.finish_writing().await;
+        }
         drop(unanswered);
         if let Some(call_id) = evacuation {
             let is_delivered = is_written && is_taken_in_time(&inbound, received).await;
--- a/crates/balancer/tests/evacuations.rs
+++ b/crates/balancer/tests/evacuations.rs
@@ -52,6 +52,11 @@
     head.first()?.get(9..12)?.parse().ok()
 }
 
+/// As [`order`], by an operator who reads until the server closes.
+fn order_until_close(system: &System, call: &str) -> u16 {
+    system.order(call, "").0
+}
+
 /// All core machines end at one moment, and start again with their disks.
 fn restart_core(system: &System) {
     CORE.for_each(|at| system.kill(at));
@@ -60,9 +65,14 @@
 
 /// Guards against an acknowledged evacuation that is ended by another one's end (LOST, EVAC).
 #[rstest]
-#[case::in_calm(90, |_: &System| {})]
-#[case::across_a_kill_of_the_core(91, restart_core)]
-fn an_evacuation_lasts_until_it_is_taken_back_itself(#[case] net: u8, #[case] meanwhile: fn(&System)) {
+#[case::in_calm(90, order, |_: &System| {})]
+#[case::across_a_kill_of_the_core(91, order, restart_core)]
+#[case::of_operators_who_read_until_the_close(93, order_until_close, |_: &System| {})]
+fn an_evacuation_lasts_until_it_is_taken_back_itself(
+    #[case] net: u8,
+    #[case] order: fn(&System, &str) -> u16,
+    #[case] meanwhile: fn(&System),
+) {
     let system = System::start(net, 1, GRACE);
     let server = Ipv4Addr::new(127, net, 0, 99);
     let stand_in = StandIn::start(server, OK, &Gate::new(true));
--- a/crates/data/http1/src/inbound.rs
+++ b/crates/data/http1/src/inbound.rs
@@ -175,6 +175,12 @@
         written
     }
 
+    /// Says that no further answer follows: the other side may read until the end. What it sends is still read.
+    pub async fn finish_writing(&mut self) {
+        // A connection that is broken already needs no end.
+        let _ = self.stream.shutdown().await;
+    }
+
     /// Fails once nothing has been taken for [`WRITE_STALL_TIMEOUT`].
     async fn write_steadily(&mut self, mut answer: &[u8]) -> io::Result<()> {
         while !answer.is_empty() {
@@ -189,7 +195,7 @@
     /// Ends the connection after an answer that the other side may not have read yet. What it still sends is read, and dropped, until it
     /// closes, or for as long as `limit`.
     pub async fn linger(mut self, limit: Duration) {
-        let _ = self.stream.shutdown().await;
+        self.finish_writing().await;
         let mut rest = [0; 1024];
         let _ =
             timeout(limit, async { while matches!(self.stream.read(&mut rest).await, Ok(n) if n > 0) {} })
