--- a/crates/balancer/src/metrics/replica.rs
+++ b/crates/balancer/src/metrics/replica.rs
@@ -4,12 +4,17 @@
 use crate::clock::now;
 use crate::replica::Replica;
 use limeway_control_plane::ApiResponse;
+use limeway_types::{Micros, SECOND};
 use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
 /// Responses to servers and operators, in the order of their counters.
 const RESPONSES: [&str; 5] = ["done", "document", "version-conflict", "invalid", "indeterminate"];
 
+/// Upper bounds of the classes of write durations, in seconds.
+const WRITE_SECONDS: [f64; 9] = [0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 5.0];
+
 /// Figures of a replica: counters that go on, and gauges that are set when they are fetched.
 pub(crate) struct ReplicaMetrics {
     registry: Registry,
@@ -22,6 +27,7 @@
     held_shards: Gauge,
     pending: Gauge,
     servers: Gauge,
+    write_seconds: Histogram,
     invariants: InvariantMetrics,
 }
 
@@ -44,6 +50,9 @@
         let responses = RESPONSES.into_iter();
         let help = "Responses to servers and operators";
         let responses = CounterTable::register(&mut registry, "limeway_api", help, "response", responses);
+        let write_seconds = Histogram::new(WRITE_SECONDS);
+        let help = "Time until a record is on disk, in seconds";
+        registry.register("limeway_state_write_seconds", help, write_seconds.clone());
         let invariants = InvariantMetrics::register(&mut registry);
         ReplicaMetrics {
             registry,
@@ -56,12 +65,18 @@
             held_shards,
             pending,
             servers,
+            write_seconds,
             invariants,
         }
     }
 }
 
 impl ReplicaMetrics {
+    /// A record is on disk, or has failed, after this time.
+    pub(crate) fn observe_write(&self, took: Micros) {
+        self.write_seconds.observe(took as f64 / SECOND as f64);
+    }
+
     /// A server or an operator is answered.
     pub(crate) fn count_response(&self, response: &ApiResponse) {
         self.responses.increment(match response {
--- a/crates/balancer/src/replica.rs
+++ b/crates/balancer/src/replica.rs
@@ -37,6 +37,7 @@
 /// A write under way, and whether it is on disk in the end.
 struct PendingWrite {
     id: WriteId,
+    started: Timestamp,
     result: Pin<Box<dyn Future<Output = bool>>>,
 }
 
@@ -165,7 +166,7 @@
                 }
                 Action::Write(id, record) => {
                     let result = Box::pin(self.writer.write(record));
-                    if let Err(e) = self.writes.try_send(PendingWrite { id, result }) {
+                    if let Err(e) = self.writes.try_send(PendingWrite { id, started: now(), result }) {
                         log::error!("too many writes under way: {e}");
                     }
                 }
@@ -248,8 +249,9 @@
 
     /// Waits for writes in their order: the result of a record is known before that of one that builds on it.
     async fn complete_writes(self: Rc<Self>, mut pending: mpsc::Receiver<PendingWrite>) {
-        while let Some(PendingWrite { id, result }) = pending.recv().await {
+        while let Some(PendingWrite { id, started, result }) = pending.recv().await {
             let done = result.await;
+            self.metrics.observe_write(now().saturating_sub(started));
             self.handle(Event::WriteCompleted(id, done));
         }
     }
--- a/crates/balancer/tests/sight.rs
+++ b/crates/balancer/tests/sight.rs
@@ -68,6 +68,8 @@
     }
     let replica = figures(&system, REPLICA);
     assert!(replica.contains("limeway_has_quorum 1") && replica.contains("limeway_is_voter 1"), "{replica}");
+    assert!(!replica.contains("limeway_state_write_seconds_count 0"), "{replica}");
+    assert!(replica.contains("limeway_state_write_seconds_bucket{le=\"0.2\"}"), "{replica}");
     system.kill(1);
     system.kill(2);
     system.until("the loss of the majority", |system| {
--- a/crates/control/control-plane/src/control_plane/persistence.rs
+++ b/crates/control/control-plane/src/control_plane/persistence.rs
@@ -9,7 +9,7 @@
 use limeway_consensus::{AcceptorReply, LogRecord, Slot};
 use limeway_distribution::encode;
 use limeway_invariants::{check, Invariant};
-use limeway_types::{Micros, Timestamp, SECOND};
+use limeway_types::{Micros, Timestamp, MILLISECOND, SECOND};
 use serde_bytes::ByteBuf;
 use std::collections::VecDeque;
 
@@ -17,6 +17,8 @@
 const MAX_WRITES: usize = 64;
 /// A disk whose write takes longer is unhealthy.
 const WRITE_TIMEOUT: Micros = SECOND;
+/// A write that takes longer is reported: proposers wait no longer than this beyond a round trip.
+const SLOW_WRITE: Micros = 200_000;
 /// Operations after which a snapshot is written.
 const SNAPSHOT_AFTER_OPERATIONS: usize = 256;
 /// Bytes of operations after which a snapshot is written.
@@ -43,6 +45,18 @@
     after: Vec<AfterWrite>,
 }
 
+impl PendingWrite {
+    fn report_if_slow(&self, now: Timestamp) {
+        let took = now.saturating_sub(self.started);
+        if took >= SLOW_WRITE {
+            let is_vote =
+                |after: &&AfterWrite| matches!(after, AfterWrite::Reply(..) | AfterWrite::OwnVote(..));
+            let votes = self.after.iter().filter(is_vote).count();
+            log::warn!(took_ms = took / MILLISECOND, votes; "slow write to the state file held back what follows it");
+        }
+    }
+}
+
 /// The state of this replica's disk.
 #[derive(Debug)]
 pub(crate) struct Persistence {
@@ -57,6 +71,8 @@
     durable_slot: Slot,
     failed: bool,
     needs_snapshot: bool,
+    /// As last reported.
+    reported_healthy: bool,
 }
 
 impl Persistence {
@@ -71,6 +87,7 @@
             failed: false,
             // The log that was found may have any length.
             needs_snapshot: true,
+            reported_healthy: true,
         }
     }
 
@@ -79,6 +96,20 @@
         !self.failed && self.pending.front().is_none_or(|write| now < write.started + WRITE_TIMEOUT)
     }
 
+    /// Logs that the disk takes no writes any more, or takes them again.
+    pub(crate) fn report_health(&mut self, now: Timestamp) {
+        let is_healthy = self.is_healthy(now);
+        if is_healthy == std::mem::replace(&mut self.reported_healthy, is_healthy) {
+            return;
+        }
+        if is_healthy {
+            log::warn!("the disk takes writes again: this replica votes");
+        } else {
+            let waits_ms = self.pending.front().map_or(0, |write| (now - write.started) / MILLISECOND);
+            log::warn!(waits_ms, failed = self.failed; "the disk takes no writes: this replica does not vote");
+        }
+    }
+
     /// The last slot that is on disk.
     pub(crate) fn durable_slot(&self) -> Slot {
         self.durable_slot
@@ -144,6 +175,7 @@
     pub(crate) fn write_completed(&mut self, id: WriteId, done: bool) {
         while self.persistence.pending.front().is_some_and(|write| write.id <= id) {
             let Some(write) = self.persistence.pending.pop_front() else { return };
+            write.report_if_slow(self.now);
             self.persistence.failed = !done;
             if done {
                 self.persistence.durable_slot = self.persistence.durable_slot.max(write.slot);
--- a/crates/control/control-plane/src/control_plane/quorum.rs
+++ b/crates/control/control-plane/src/control_plane/quorum.rs
@@ -125,6 +125,7 @@
 
     /// Drops whatever has expired, before each regular round.
     fn expire(&mut self) {
+        self.persistence.report_health(self.now);
         if self.persistence.should_retry() {
             // Once the disk takes writes again, this replica votes again.
             self.persist(Vec::new());
