A process that starts while its settings file is being written waits for it

Callers saw a gateway gone until its next restart. Cause: a file that is written in place is empty for a moment, and a process that starts right then read it once and gave up. Change: a file that cannot be used is read again each 20 ms for a second; one that stays as it is ends the process as before. The test has the first read find an empty file: it fails 3 of 3 without the change (both cases), and passes with it. A core machine also logs how long its disk took to open, at warn from one second on: that part of a start was not to be seen.

--- a/crates/balancer/src/process.rs
+++ b/crates/balancer/src/process.rs
@@ -1,6 +1,6 @@
 //! Start and signals of a process.
 
-use crate::clock;
+use crate::clock::{self, now};
 use crate::control_api;
 use crate::gateway::Gateway;
 use crate::metrics;
@@ -20,6 +20,7 @@
 use limeway_routing_config::{Operation, State};
 use limeway_settings::Settings;
 use limeway_storage::Recovered;
+use limeway_types::{Micros, MILLISECOND, SECOND};
 use std::fmt;
 use std::net::SocketAddr;
 use tokio::net::TcpListener;
@@ -28,6 +29,9 @@
 /// File descriptors that are not for clients.
 const RESERVED_FILE_DESCRIPTORS: usize = 700;
 
+/// A disk that takes longer to open is reported.
+const SLOW_DISK_OPEN: Micros = SECOND;
+
 /// Why a process cannot start.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StartError {
@@ -94,6 +98,7 @@
     terminate: &mut Signal,
     reload: Signal,
 ) -> StartResult<()> {
+    let opening = now();
     let opened = tokio::select! {
         opened = open_disk(&settings) => opened?,
         _ = terminate.recv() => {
@@ -103,6 +108,7 @@
         }
     };
     let (initial, writer) = opened;
+    report_disk_opened(now().saturating_sub(opening));
     let (inner, is_new) = (inner_address(&settings), initial.is_new);
     let api_addresses = [settings.control, settings.directory];
     let replica = Replica::new(settings, initial, writer);
@@ -124,6 +130,12 @@
     Ok(())
 }
 
+/// A disk that takes long to open holds back this replica's vote.
+fn report_disk_opened(took: Micros) {
+    let level = if took >= SLOW_DISK_OPEN { log::Level::Warn } else { log::Level::Info };
+    log::log!(level, took_ms = took / MILLISECOND; "disk opened");
+}
+
 /// Opens the disk, if the machine has one, and restores the state from it.
 async fn open_disk(settings: &Settings) -> StartResult<(InitialState, StateWriter)> {
     let Some(directory) = &settings.data_directory else {
--- a/crates/balancer/src/settings_file.rs
+++ b/crates/balancer/src/settings_file.rs
@@ -7,12 +7,17 @@
 use std::fmt;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::signal::unix::Signal;
 
 /// The file may change without a signal: its content is looked at this often.
 const CHECK_INTERVAL: Duration = Duration::from_secs(5);
 
+/// How long a file that cannot be used is read again at the start.
+const OPEN_TIMEOUT: Duration = Duration::from_secs(1);
+/// Pause before it is read again.
+const OPEN_RETRY_DELAY: Duration = Duration::from_millis(20);
+
 /// Why a settings file cannot be used.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SettingsFileError {
@@ -53,14 +58,25 @@
 }
 
 impl SettingsFile {
-    /// Reads a settings file. Changes to it are told from what was read here.
+    /// Reads a settings file. Changes to it are told from what was read here. One that cannot be used may be being written at this
+    /// moment: it is read again for as long as [`OPEN_TIMEOUT`].
     ///
     /// # Errors
     /// It cannot be read, or is invalid.
     pub fn open(path: PathBuf) -> Result<(Self, Settings), Report<SettingsFileError>> {
-        let content = std::fs::read_to_string(&path).change_context(SettingsFileError::Unreadable)?;
+        let started = Instant::now();
+        loop {
+            match Self::open_once(&path) {
+                Err(_) if started.elapsed() < OPEN_TIMEOUT => std::thread::sleep(OPEN_RETRY_DELAY),
+                opened => return opened,
+            }
+        }
+    }
+
+    fn open_once(path: &Path) -> Result<(Self, Settings), Report<SettingsFileError>> {
+        let content = std::fs::read_to_string(path).change_context(SettingsFileError::Unreadable)?;
         let settings = parse(&content)?;
-        Ok((SettingsFile { path, content: Some(content) }, settings))
+        Ok((SettingsFile { path: path.to_owned(), content: Some(content) }, settings))
     }
 
     /// Reads the file again. None if it says what it said, unless that `must_be_told` all the same.
--- a/crates/balancer/tests/startup.rs
+++ b/crates/balancer/tests/startup.rs
@@ -80,6 +80,19 @@
     });
 }
 
+/// Guards against a process that ends as its settings file is being written while it starts.
+#[rstest]
+#[case::gateway(78, GATEWAY)]
+#[case::core_machine(79, CORE_MACHINE)]
+fn a_process_waits_for_a_settings_file_that_is_being_written(#[case] net: u8, #[case] at: usize) {
+    let system = System::start(net, 1, GRACE);
+    restart_with_settings_that_change(&system, at, "", || {});
+    system.until("a handler", |system| phase(system, at, Signal::HUP) == StartupPhase::Handled);
+    system.signal(at, Signal::TERM);
+    system.until("its end", |system| system.ended(at).is_some());
+    assert!(system.ended(at).expect("ended").success(), "{}", system.log());
+}
+
 #[test]
 fn a_sigterm_while_settings_are_read_is_obeyed_in_order() {
     let system = System::start(72, 0, GRACE);
