A log that nobody reads holds nothing up: lines wait in a queue for a thread

Cause: env_logger writes on the event loop; a pipe that is full, or a disk that hangs, blocks it. The limiter in service logs on its event loop as before: open.

--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -3,7 +3,9 @@
 #![forbid(unsafe_code)]
 
 use limeway_balancer::{
-    clock, process,
+    clock,
+    log_queue::{FlushGuard, LogQueue},
+    process,
     settings_file::{self, SettingsFile},
     signals::{BlockedSignals, ProcessSignals},
 };
@@ -51,8 +53,9 @@
     }
 }
 
-/// Logs as JSON lines on standard error.
-fn log_to_stderr(level: &str) {
+/// Logs as JSON lines on standard error, until the value that is returned is dropped.
+fn log_to_stderr(level: &str) -> std::io::Result<FlushGuard> {
+    let (queue, guard) = LogQueue::start(std::io::stderr())?;
     let env = env_logger::Env::default().default_filter_or(level);
     env_logger::Builder::from_env(env)
         .format(|out, record| {
@@ -64,7 +67,9 @@
             line.extend_from_slice(b"}\n");
             out.write_all(&line)
         })
+        .target(env_logger::Target::Pipe(Box::new(queue)))
         .init();
+    Ok(guard)
 }
 
 fn main() -> ExitCode {
@@ -112,7 +117,10 @@
         Ok(signals) => signals,
         Err(e) => return fail(&e),
     };
-    log_to_stderr(flags.log.as_deref().unwrap_or("warn"));
+    let _flush_at_exit = match log_to_stderr(flags.log.as_deref().unwrap_or("warn")) {
+        Ok(guard) => guard,
+        Err(e) => return fail(&e),
+    };
     let named = || std::env::var_os(limeway_settings::VARIABLE).map(PathBuf::from);
     let Some(path) = flags.settings.or_else(named) else {
         eprintln!("limeway-balancer: no settings: name a file, or set {}", limeway_settings::VARIABLE);
