Soak: reports how often and how long it stood still itself

What it sees of clients meanwhile carries a wrong time: LOST on 9011 beside eight writers with fsync (closed 447 ms after the request by the soak's clock) could not be told from a fault. No check is changed.

--- a/crates/testing/soak/src/ledger.rs
+++ b/crates/testing/soak/src/ledger.rs
@@ -1,6 +1,7 @@
 //! All that was seen, with its time since the start of the run. Written while a run goes on, read by the judge.
 
 use crate::fault::Fault;
+use crate::stalls::Stall;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -149,6 +150,8 @@
     pub acknowledged: Vec<(Duration, Acknowledged)>,
     /// Reads.
     pub reads: Vec<Read>,
+    /// Standstills of the soak itself.
+    pub stalls: Vec<Stall>,
     /// Looks at the readiness of gateways.
     pub probes: Vec<ReadinessProbe>,
     /// Faults.
--- a/crates/testing/soak/src/lib.rs
+++ b/crates/testing/soak/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod report;
 pub mod run;
 pub mod server;
+pub mod stalls;
 pub mod startup_trial;
 
 use std::time::Duration;
--- a/crates/testing/soak/src/report.rs
+++ b/crates/testing/soak/src/report.rs
@@ -4,6 +4,7 @@
 use crate::judge::Finding;
 use crate::ledger::{End, Seen};
 use crate::process_status::StartupPhase;
+use crate::stalls::Stall;
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::time::Duration;
@@ -27,6 +28,8 @@
     pub ends: BTreeMap<String, u64>,
     /// How far processes had come when they were sent a signal, by its name.
     pub signal_phases: BTreeMap<(&'static str, StartupPhase), u64>,
+    /// Standstills of the soak itself.
+    pub stalls: Vec<Stall>,
 }
 
 impl Report {
@@ -44,6 +47,7 @@
             invariants,
             log_violations,
             overlap: max_overlap(seen),
+            stalls: seen.stalls.clone(),
             ..Report::default()
         };
         for fired in &seen.faults {
@@ -95,6 +99,7 @@
         for (end, count) in &other.ends {
             *self.ends.entry(end.clone()).or_default() += count;
         }
+        self.stalls.extend(&other.stalls);
         for (signal, count) in &other.signal_phases {
             *self.signal_phases.entry(*signal).or_default() += count;
         }
@@ -111,6 +116,9 @@
         for ((signal, phase), count) in &self.signal_phases {
             let _ = writeln!(text, "{:<30} {count:>6}", format!("  {signal}, {phase}"));
         }
+        let longest = self.stalls.iter().max_by_key(|stall| stall.length);
+        let longest = longest.map_or(String::new(), |stall| format!(", the longest {stall}"));
+        let _ = writeln!(text, "the soak itself stood still {} times{longest}", self.stalls.len());
         let _ = writeln!(text, "requests {:?}", self.ends);
         let _ = writeln!(text, "{:<30} {:>9} {:>9} {:>7}", "rule", "checked", "near", "broken");
         for finding in &self.findings {
--- a/crates/testing/soak/src/run.rs
+++ b/crates/testing/soak/src/run.rs
@@ -14,6 +14,7 @@
 use crate::plan::Plan;
 use crate::report::Report;
 use crate::server::Server;
+use crate::stalls;
 use std::fmt;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -138,6 +139,7 @@
     }
     let stage = Rc::new(Stage { cluster: cluster.clone(), network, servers, demand: demand.clone(), ledger });
     let watching = tokio::task::spawn_local(watch(stage.clone()));
+    let watching_stalls = tokio::task::spawn_local(stalls::watch(stage.ledger.clone()));
     let mut callers = start_clients(options, layout, seed, &stage);
     callers.push(tokio::task::spawn_local(operator.clone().run()));
     perform(&stage, &plan).await;
@@ -148,6 +150,7 @@
         let _ = caller.await;
     }
     watching.abort();
+    watching_stalls.abort();
     finish(&stage, seed).await
 }
 
