--- a/crates/testing/soak/src/cluster.rs
+++ b/crates/testing/soak/src/cluster.rs
@@ -4,6 +4,7 @@
 use crate::bounds;
 use crate::invariant_counts::{parse_counts, InvariantCounts};
 use crate::layout::Layout;
+use crate::process_age::ProcessAge;
 use crate::process_settings::ProcessSettings;
 use crate::process_status::{ProcessStatus, StartupPhase};
 use limeway_http1::conn::Conn;
@@ -15,7 +16,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{ExitStatus, Stdio};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::process::{Child, Command};
 use tokio::time::{sleep, timeout};
 
@@ -38,6 +39,8 @@
     child: RefCell<Option<Child>>,
     /// Its present process, until that has ended.
     pid: Cell<Option<Pid>>,
+    /// When that was started.
+    started: Cell<Option<Instant>>,
     /// What its present process counted when it was looked at last.
     counted: RefCell<BTreeMap<String, InvariantCounts>>,
     /// What its earlier processes had counted.
@@ -69,6 +72,8 @@
     machines: Vec<Machine>,
     /// How far processes had come when a signal of this name was sent to them.
     phases: RefCell<BTreeMap<(&'static str, StartupPhase), u64>>,
+    /// How old processes were when a signal of this name was sent to them.
+    ages: RefCell<BTreeMap<(&'static str, ProcessAge), u64>>,
     /// Processes that had ended by themselves when they were to be killed.
     ended_before_kill: RefCell<Vec<String>>,
 }
@@ -89,6 +94,7 @@
             folder,
             machines,
             phases: RefCell::default(),
+            ages: RefCell::default(),
             ended_before_kill: RefCell::default(),
         }))
     }
@@ -142,6 +148,7 @@
             .spawn()?;
         let id = child.id().and_then(|id| i32::try_from(id).ok());
         self.machines[at].pid.set(id.and_then(Pid::from_raw));
+        self.machines[at].started.set(Some(Instant::now()));
         *self.machines[at].child.borrow_mut() = Some(child);
         Ok(())
     }
@@ -207,6 +214,8 @@
         self.signal(at, signal);
         if let Some(status) = status {
             *self.phases.borrow_mut().entry((name, status.phase(signal))).or_default() += 1;
+            let age = self.machines[at].started.get().map_or(Duration::MAX, |started| started.elapsed());
+            *self.ages.borrow_mut().entry((name, ProcessAge::from(age))).or_default() += 1;
         }
     }
 
@@ -215,6 +224,11 @@
         self.phases.borrow().clone()
     }
 
+    /// How old processes were when they were sent a signal, by its name.
+    pub fn signal_ages(&self) -> BTreeMap<(&'static str, ProcessAge), u64> {
+        self.ages.borrow().clone()
+    }
+
     /// Sends a process SIGTERM, and waits for its end.
     pub async fn terminate(&self, at: usize) -> Termination {
         self.refresh_counts(at).await;
--- a/crates/testing/soak/src/lib.rs
+++ b/crates/testing/soak/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod operator;
 pub mod payload;
 pub mod plan;
+pub mod process_age;
 pub mod process_settings;
 pub mod process_status;
 pub mod report;
--- a/crates/testing/soak/src/report.rs
+++ b/crates/testing/soak/src/report.rs
@@ -3,6 +3,7 @@
 use crate::invariant_counts::InvariantCounts;
 use crate::judge::Finding;
 use crate::ledger::{End, Seen};
+use crate::process_age::ProcessAge;
 use crate::process_status::StartupPhase;
 use crate::stalls::Stall;
 use std::collections::BTreeMap;
@@ -28,6 +29,8 @@
     pub ends: BTreeMap<String, u64>,
     /// How far processes had come when they were sent a signal, by its name.
     pub signal_phases: BTreeMap<(&'static str, StartupPhase), u64>,
+    /// How old processes were when they were sent a signal, by its name.
+    pub signal_ages: BTreeMap<(&'static str, ProcessAge), u64>,
     /// Standstills of the soak itself.
     pub stalls: Vec<Stall>,
 }
@@ -99,6 +102,9 @@
         for (end, count) in &other.ends {
             *self.ends.entry(end.clone()).or_default() += count;
         }
+        for (signal, count) in &other.signal_ages {
+            *self.signal_ages.entry(*signal).or_default() += count;
+        }
         self.stalls.extend(&other.stalls);
         for (signal, count) in &other.signal_phases {
             *self.signal_phases.entry(*signal).or_default() += count;
@@ -116,6 +122,9 @@
         for ((signal, phase), count) in &self.signal_phases {
             let _ = writeln!(text, "{:<30} {count:>6}", format!("  {signal}, {phase}"));
         }
+        for ((signal, age), count) in &self.signal_ages {
+            let _ = writeln!(text, "{:<30} {count:>6}", format!("  {signal}, process {age}"));
+        }
         let longest = self.stalls.iter().max_by_key(|stall| stall.length);
         let longest = longest.map_or(String::new(), |stall| format!(", the longest {stall}"));
         let _ = writeln!(text, "the soak itself stood still {} times{longest}", self.stalls.len());
--- a/crates/testing/soak/src/run.rs
+++ b/crates/testing/soak/src/run.rs
@@ -265,5 +265,6 @@
     let (invariants, logs) = (stage.cluster.invariant_counts(), stage.cluster.violations_in_logs());
     let mut report = Report::new(seed, &seen, judge(&seen), invariants, logs);
     report.signal_phases = stage.cluster.signal_phases();
+    report.signal_ages = stage.cluster.signal_ages();
     Ok(report)
 }
