--- a/crates/balancer/build.rs
+++ b/crates/balancer/build.rs
@@ -1,13 +1,14 @@
-//! Links the libraries of the C compiler and of mathematics into the program; only the system's C library is loaded at its start.
+//! Links the library of the C compiler into the program, as `gcc -static-libgcc` does for C.
 //!
 //! A signal ends a process whose program is still being loaded, so loading is kept short: each library that is loaded takes time.
 
 use std::path::PathBuf;
 use std::{env, fs, io};
 
-/// Linker scripts that stand in for a shared library: its file name, and what is linked in its place.
-const STATIC_LIBRARIES: [(&str, &str); 2] =
-    [("libgcc_s.so", "INPUT(-lgcc_eh)\n"), ("libm.so", "INPUT(libm.a)\n")];
+/// File name of the shared library that the standard library asks for.
+const SHARED_LIBRARY: &str = "libgcc_s.so";
+/// Linker script in its place: the archive with the same functions.
+const STATIC_LIBRARY_SCRIPT: &str = "INPUT(-lgcc_eh)\n";
 
 fn main() -> io::Result<()> {
     println!("cargo:rerun-if-changed=build.rs");
@@ -16,9 +17,7 @@
     let Some(folder) = env::var_os("OUT_DIR").map(PathBuf::from).filter(|_| is_glibc) else {
         return Ok(());
     };
-    for (name, script) in STATIC_LIBRARIES {
-        fs::write(folder.join(name), script)?;
-    }
+    fs::write(folder.join(SHARED_LIBRARY), STATIC_LIBRARY_SCRIPT)?;
     println!("cargo:rustc-link-arg-bins=-L{}", folder.display());
     Ok(())
 }
