Limiter in service: a configuration file that is being written at the start is waited for

A file that is missing or no JSON is read again each 20 ms for a second; one with a fault of content ends it at once, as before.

--- a/crates/gateway/gateway/src/config.rs
+++ b/crates/gateway/gateway/src/config.rs
@@ -13,12 +13,24 @@
 pub struct ConfigError {
     key: String,
     reason: String,
+    /// The file is not there, or is no JSON: it may be being written.
+    may_be_incomplete: bool,
 }
 
 impl ConfigError {
     fn new(key: &str, reason: impl fmt::Display) -> Self {
         // One plain line, whatever the library's message holds.
-        ConfigError { key: key.to_owned(), reason: reason.to_string().replace('\n', " ") }
+        let reason = reason.to_string().replace('\n', " ");
+        ConfigError { key: key.to_owned(), reason, may_be_incomplete: false }
+    }
+
+    fn of_file(reason: impl fmt::Display) -> Self {
+        ConfigError { may_be_incomplete: true, ..ConfigError::new("ROUTER_CONFIG", reason) }
+    }
+
+    /// Whether the file may be being written at this moment.
+    pub fn may_be_incomplete(&self) -> bool {
+        self.may_be_incomplete
     }
 }
 
@@ -133,7 +145,7 @@
     pub fn load(env: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
         let path = env("ROUTER_CONFIG").ok_or_else(|| ConfigError::new("ROUTER_CONFIG", "is not set"))?;
         let text = std::fs::read_to_string(&path)
-            .map_err(|e| ConfigError::new("ROUTER_CONFIG", format!("cannot read {path}: {e}")))?;
+            .map_err(|e| ConfigError::of_file(format!("cannot read {path}: {e}")))?;
         let operator = match env(OPERATOR) {
             Some(path) => operator(&path)?,
             None => Operator::default(),
@@ -147,7 +159,7 @@
         operator: Operator,
         env: impl Fn(&str) -> Option<String>,
     ) -> Result<Self, ConfigError> {
-        let file: File = serde_json::from_str(text).map_err(|e| ConfigError::new("ROUTER_CONFIG", e))?;
+        let file: File = serde_json::from_str(text).map_err(ConfigError::of_file)?;
         let named = |variable: &str, key: &str, value: &Option<String>| match env(variable) {
             Some(text) => address(variable, Some(&text)),
             None => address(key, value.as_deref()),
--- a/crates/gateway/gateway/src/service.rs
+++ b/crates/gateway/gateway/src/service.rs
@@ -28,6 +28,10 @@
 const PRUNE_EVERY: Duration = Duration::from_secs(1);
 /// A turn that comes later than this is a standstill of the process, or of the machine.
 const STOOD: Duration = Duration::from_millis(200);
+/// How long a configuration file that may be incomplete is read again at the start.
+const CONFIG_TIMEOUT: Duration = Duration::from_secs(1);
+/// Pause before it is read again.
+const CONFIG_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// After SIGTERM, idle connections are closed after this time; new ones go on coming till then and a bit on.
 const CLOSE_IDLE: Duration = Duration::from_millis(450);
 /// The listener closes once so much time has passed without a new connection, and at the latest then.
@@ -43,6 +47,19 @@
     signal(kind).map_err(|e| format!("signals: {e}"))
 }
 
+/// Reads the configuration. A file that may be being written at this moment is read again for as long as [`CONFIG_TIMEOUT`].
+async fn load_config() -> Result<Config, String> {
+    let started = Instant::now();
+    loop {
+        match Config::load(env) {
+            Err(e) if e.may_be_incomplete() && started.elapsed() < CONFIG_TIMEOUT => {
+                sleep(CONFIG_RETRY_DELAY).await;
+            }
+            loaded => return loaded.map_err(|e| e.to_string()),
+        }
+    }
+}
+
 /// Serves until it is told to end. The signals that are blocked are let through once they have handlers.
 ///
 /// # Errors
@@ -52,7 +69,7 @@
     let mut interrupt = listen_for(SignalKind::interrupt())?;
     let mut hangup = listen_for(SignalKind::hangup())?;
     blocked.thread_unblock().map_err(|e| format!("signals: {e}"))?;
-    let config = Config::load(env).map_err(|e| e.to_string())?;
+    let config = load_config().await?;
     let listener = clients::listen(config.listen).map_err(|e| format!("listen: {}: {e}", config.listen))?;
     let settings = &config.setup.settings;
     let peers = match &config.peers {
--- a/crates/gateway/gateway/tests/common/mod.rs
+++ b/crates/gateway/gateway/tests/common/mod.rs
@@ -219,6 +219,14 @@
 
     /// Starts the limiter and waits until it is ready.
     pub(crate) fn start(&self) -> Limiter {
+        self.start_by(|config| {
+            let path = place(config);
+            (command().env("ROUTER_CONFIG", &path).spawn().expect("the limiter starts"), path)
+        })
+    }
+
+    /// Has the limiter started by `spawn`, which gets its configuration, and waits until it is ready.
+    pub(crate) fn start_by(&self, spawn: impl FnOnce(&str) -> (Child, PathBuf)) -> Limiter {
         let (own, other) = (udp(), udp());
         let peers = [own.local_addr().expect("an address"), other.local_addr().expect("an address")];
         drop(own);
@@ -227,9 +235,9 @@
         let stood = stand_in.then(|| discovery(list(1, true, &entries)));
         let at = self.discovery.or(stood.as_ref().map(|s| s.0.address)).expect("discovery");
         let config = self.json(listen, at, &peers);
-        let path = place(&config);
+        let (child, path) = spawn(&config);
         let limiter = Limiter {
-            child: command().env("ROUTER_CONFIG", &path).spawn().expect("the limiter starts"),
+            child,
             config,
             path,
             address: listen,
--- a/crates/gateway/gateway/tests/service.rs
+++ b/crates/gateway/gateway/tests/service.rs
@@ -4,6 +4,9 @@
 
 use common::*;
 use nix::sys::signal::{SigSet, Signal};
+use nix::sys::stat::Mode;
+use nix::unistd::mkfifo;
+use std::fs::File;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream, UdpSocket};
 use std::sync::mpsc::channel;
@@ -352,6 +355,26 @@
     assert!(limiter.wait().success());
 }
 
+/// Guards against a limiter that ends as its configuration file is being written while it starts.
+#[test]
+fn a_configuration_file_that_is_being_written_at_the_start_is_waited_for() {
+    let (one, counter) = (server(ok), counter());
+    let mut limiter = Setup::new(&[&one], &counter).start_by(|config| {
+        let path = place("");
+        std::fs::remove_file(&path).expect("removed");
+        mkfifo(&path, Mode::S_IRWXU).expect("a pipe");
+        let child = command().env("ROUTER_CONFIG", &path).spawn().expect("the limiter starts");
+        // Opened once the process reads: it finds nothing, and the whole file the next time.
+        let empty = File::options().write(true).open(&path).expect("opened");
+        std::fs::rename(place(config), &path).expect("the configuration is placed");
+        drop(empty);
+        (child, path)
+    });
+    assert_eq!(limiter.client().ask(&request("look", "1", "team", 9000)).status(), 200);
+    limiter.terminate();
+    assert!(limiter.wait().success());
+}
+
 /// Guards against taking a total that cannot be read for a counter that is lost: what was added is known after a
 /// call that adds nothing. The connection that brought it is not used again.
 #[test]
