Both programs: log lines go through a bounded queue, a package of its own

The limiter in service wrote its log on its event loop as well: a standard error that is full stood it still.

--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -10,7 +10,7 @@
 //! | [`gateway`] | a gateway: what it knows, follows, leases and relays |
 //! | [`proxy`] | a client's request, from its first byte to its one response |
 //! | [`upstream`] | connections to servers, and one attempt at one server |
-//! | [`metrics`], [`log_queue`] | figures of the process, as text; its log lines |
+//! | [`metrics`] | figures of the process, as text |
 //! | [`transport`] | calls between processes |
 //! | `directory`, `readiness`, [`settings_file`], [`clock`] | where clients go; probes; the settings file; time and random numbers |
 //!
@@ -24,7 +24,6 @@
 mod directory;
 pub mod drain_schedule;
 pub mod gateway;
-pub mod log_queue;
 pub mod metrics;
 pub use limeway_control_plane::messages;
 pub mod process;
--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -3,12 +3,11 @@
 #![forbid(unsafe_code)]
 
 use limeway_balancer::{
-    clock,
-    log_queue::{FlushGuard, LogQueue},
-    process,
+    clock, process,
     settings_file::{self, SettingsFile},
     signals::{BlockedSignals, ProcessSignals},
 };
+use limeway_log_queue::{FlushGuard, LogQueue};
 use limeway_settings::{MetricsEndpoint, Settings};
 use log::kv::{Key, Value, VisitSource};
 use std::io::Write;
--- a/crates/balancer/src/log_queue.rs
+++ b/crates/data/log-queue/src/lib.rs
@@ -1,4 +1,6 @@
-//! Log lines on their way to standard error. Whoever reads that may be slow, or a disk that hangs: nothing that is served waits for it.
+//! Log lines on their way to an output that may block, such as standard error: whoever reads that may be slow, or a disk that hangs.
+//! Nothing that is served waits for it.
+#![forbid(unsafe_code)]
 
 use std::io::{self, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -78,7 +80,8 @@
         };
         let count = dropped.swap(0, Ordering::Relaxed);
         if count > 0 {
-            let _ = writeln!(output, "{{\"level\":\"WARN\",\"says\":\"{count} log lines were dropped\"}}");
+            let line = format!("{{\"level\":\"WARN\",\"says\":\"{count} log lines were dropped\"}}\n");
+            let _ = output.write_all(line.as_bytes());
         }
     }
 }
--- a/crates/gateway/gateway/src/main.rs
+++ b/crates/gateway/gateway/src/main.rs
@@ -1,6 +1,7 @@
 //! limeway: a quota limiter on real sockets. Exit code 1 and one line on standard error where it cannot start.
 #![forbid(unsafe_code)]
 
+use limeway_log_queue::{FlushGuard, LogQueue};
 use nix::sys::signal::{SigSet, Signal};
 use std::fmt::Display;
 use std::process::ExitCode;
@@ -12,7 +13,10 @@
     if let Err(e) = blocked.thread_block() {
         return fail(format!("signals: {e}"));
     }
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("warn")).init();
+    let _flush_at_exit = match log_to_stderr() {
+        Ok(guard) => guard,
+        Err(e) => return fail(format!("log: {e}")),
+    };
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(e) => return fail(format!("runtime: {e}")),
@@ -23,6 +27,14 @@
     }
 }
 
+/// Logs on standard error, until the value that is returned is dropped.
+fn log_to_stderr() -> std::io::Result<FlushGuard> {
+    let (queue, guard) = LogQueue::start(std::io::stderr())?;
+    let env = env_logger::Env::default().default_filter_or("warn");
+    env_logger::Builder::from_env(env).target(env_logger::Target::Pipe(Box::new(queue))).init();
+    Ok(guard)
+}
+
 fn fail(reason: impl Display) -> ExitCode {
     eprintln!("limeway: {reason}");
     ExitCode::FAILURE
