--- a/crates/control/control-plane/src/control_plane/answered_calls.rs
+++ b/crates/control/control-plane/src/control_plane/answered_calls.rs
@@ -20,10 +20,10 @@
 /// How far the answer to a call has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum AnswerPhase {
-    /// The note of it is being written to disk.
-    Noting,
+    /// It is being recorded on disk.
+    Recording,
     /// It may be sent.
-    Noted,
+    Recorded,
     /// It has been sent.
     Sent,
     /// It has arrived, or may have: the call is to be closed.
@@ -45,8 +45,8 @@
     Answered,
     /// It was not answered in time, and is not any more.
     Unanswered,
-    /// The disk with the note of it is gone.
-    NoteLost,
+    /// The disk with the record of it is gone.
+    RecordLost,
     /// The machine that knows has not been heard since.
     Unknown,
 }
@@ -68,7 +68,7 @@
 }
 
 impl AnsweredCalls {
-    /// Those that an earlier process has noted: their answers may have arrived.
+    /// Those that an earlier process has recorded: their answers may have arrived.
     pub(crate) fn recovered(call_ids: &[u64]) -> Self {
         let mut answered = AnsweredCalls::default();
         call_ids.iter().for_each(|call_id| answered.add_delivered(*call_id));
@@ -164,8 +164,8 @@
 }
 
 impl ControlPlane {
-    /// This machine as one that notes its answers; none without a disk that counts.
-    pub(super) fn as_note_keeper(&self) -> Option<Voter> {
+    /// This machine as one that records its answers; none without a disk that counts.
+    pub(super) fn as_recorder(&self) -> Option<Voter> {
         self.options.loss_counted.then(|| self.as_voter())
     }
 
@@ -176,34 +176,34 @@
 
     /// What is known of the answer to an open call, as of this time or later.
     pub(super) fn answer_status(&self, call: &OpenCall, since: Timestamp) -> AnswerStatus {
-        let Some(keeper) = call.taken_by else { return AnswerStatus::Unanswered };
-        if keeper.node == self.options.node {
+        let Some(recorder) = call.taken_by else { return AnswerStatus::Unanswered };
+        if recorder.node == self.options.node {
             let is_answered = self.answered_calls.phase(call.call_id).is_some();
             return match is_answered {
                 true => AnswerStatus::Answered,
-                false if keeper != self.as_voter() => AnswerStatus::NoteLost,
+                false if recorder != self.as_voter() => AnswerStatus::RecordLost,
                 false => AnswerStatus::Unanswered,
             };
         }
-        let reported = self.answered_calls.reported(keeper.node, call.call_id, since);
-        let peer = self.peers.get(&keeper.node);
-        let is_lost = peer.is_some_and(|peer| peer.last_seen >= since && peer.as_voter() != keeper);
+        let reported = self.answered_calls.reported(recorder.node, call.call_id, since);
+        let peer = self.peers.get(&recorder.node);
+        let is_lost = peer.is_some_and(|peer| peer.last_seen >= since && peer.as_voter() != recorder);
         if is_lost {
-            return AnswerStatus::NoteLost;
+            return AnswerStatus::RecordLost;
         }
         reported
     }
 
     /// Writes to disk that a call is answered.
-    pub(super) fn note_answer(&mut self, call_id: u64, retried_from: Timestamp) {
-        if self.answered_calls.add(call_id, AnswerPhase::Noting, retried_from) {
-            self.persist(vec![AfterWrite::AnswerNoted(call_id)]);
+    pub(super) fn record_answer(&mut self, call_id: u64, retried_from: Timestamp) {
+        if self.answered_calls.add(call_id, AnswerPhase::Recording, retried_from) {
+            self.persist(vec![AfterWrite::AnswerRecorded(call_id)]);
         }
     }
 
-    /// The note of an answer is on disk: it may be sent.
-    pub(super) fn answer_noted(&mut self, call_id: u64) {
-        self.answered_calls.set_phase(call_id, AnswerPhase::Noted);
+    /// The record of an answer is on disk: it may be sent.
+    pub(super) fn answer_recorded(&mut self, call_id: u64) {
+        self.answered_calls.set_phase(call_id, AnswerPhase::Recorded);
     }
 
     /// The response to an evacuation call has reached its caller, who does not retry.
@@ -216,7 +216,7 @@
 
     /// A call is not answered, or not in time: its caller retries. That goes to disk at once, or the retry might count as new.
     pub(super) fn release_call(&mut self, call_id: u64) {
-        if self.answered_calls.remove(call_id) && self.as_note_keeper().is_some() {
+        if self.answered_calls.remove(call_id) && self.as_recorder().is_some() {
             self.persist(Vec::new());
         }
     }
--- a/crates/control/control-plane/src/control_plane/evacuations.rs
+++ b/crates/control/control-plane/src/control_plane/evacuations.rs
@@ -56,7 +56,7 @@
             }
             CallStep::Propose(mut operation) => {
                 if let Operation::Evacuate { taken_by, .. } = &mut operation {
-                    *taken_by = self.as_note_keeper();
+                    *taken_by = self.as_recorder();
                 }
                 pending.admitted = Some((state.slot, Ok(operation)));
                 RequestStep::Propose
@@ -64,18 +64,18 @@
         }
     }
 
-    /// Answers a call that is in force, once the note of that is on disk.
+    /// Answers a call that is in force, once the record of that is on disk.
     fn next_answer_step(&mut self, call_id: u64, received: Timestamp) -> RequestStep {
         let retried_from = received + REQUEST_TIMEOUT;
         match self.answered_calls.phase(call_id) {
-            Some(AnswerPhase::Noting) => RequestStep::Wait,
+            Some(AnswerPhase::Recording) => RequestStep::Wait,
             Some(_) => self.send_answer(call_id),
-            None if self.as_note_keeper().is_none() => {
-                self.answered_calls.add(call_id, AnswerPhase::Noted, retried_from);
+            None if self.as_recorder().is_none() => {
+                self.answered_calls.add(call_id, AnswerPhase::Recorded, retried_from);
                 self.send_answer(call_id)
             }
             None => {
-                self.note_answer(call_id, retried_from);
+                self.record_answer(call_id, retried_from);
                 RequestStep::Wait
             }
         }
@@ -92,16 +92,16 @@
         let open: OpenCall = self.cache.state.like_open_call(&call.zone, call.starts)?.clone();
         let first_seen = self.proposals.evacuation_calls.first_seen(open.call_id)?;
         // A machine that was killed is back by then, or the retry of a call that it never answered would come too late.
-        let keeper_timeout = first_seen + self.options.ack_timeout / 2;
+        let recorder_timeout = first_seen + self.options.ack_timeout / 2;
         match self.answer_status(&open, received.max(first_seen)) {
             AnswerStatus::Unanswered => None,
-            AnswerStatus::Unknown => (self.now < keeper_timeout).then_some(keeper_timeout),
-            AnswerStatus::Answered => Some(keeper_timeout),
-            AnswerStatus::NoteLost => {
+            AnswerStatus::Unknown => (self.now < recorder_timeout).then_some(recorder_timeout),
+            AnswerStatus::Answered => Some(recorder_timeout),
+            AnswerStatus::RecordLost => {
                 // What was acknowledged must not be lost with a disk.
                 self.answered_calls.add_delivered(open.call_id);
                 self.voter_changes.review = true;
-                Some(keeper_timeout)
+                Some(recorder_timeout)
             }
         }
     }
--- a/crates/control/control-plane/src/control_plane/persistence.rs
+++ b/crates/control/control-plane/src/control_plane/persistence.rs
@@ -34,7 +34,7 @@
     /// A chosen value is on disk here.
     Committed(CallerId),
     /// An evacuation call is answered.
-    AnswerNoted(u64),
+    AnswerRecorded(u64),
 }
 
 #[derive(Debug)]
@@ -200,7 +200,7 @@
                     self.reply_counted(ballot);
                 }
                 AfterWrite::Committed(caller) => self.actions.push(Action::Reply(caller, Reply::Done)),
-                AfterWrite::AnswerNoted(call_id) => self.answer_noted(call_id),
+                AfterWrite::AnswerRecorded(call_id) => self.answer_recorded(call_id),
             }
         }
     }
@@ -222,7 +222,7 @@
                 }
                 AfterWrite::OwnVote(ballot, _) => self.reply_counted(ballot),
                 AfterWrite::Committed(caller) => self.actions.push(Action::Reply(caller, Reply::Declined)),
-                AfterWrite::AnswerNoted(call_id) => self.release_call(call_id),
+                AfterWrite::AnswerRecorded(call_id) => self.release_call(call_id),
             }
         }
     }
--- a/crates/control/control-plane/tests/replica/evacuations.rs
+++ b/crates/control/control-plane/tests/replica/evacuations.rs
@@ -90,7 +90,7 @@
 #[case::at_another(2)]
 fn a_call_that_was_not_answered_before_a_kill_counts_once(#[case] next: u32) {
     let mut cluster = running();
-    // The others agree, and the note of the answer does not get to disk.
+    // The others agree, and the record of the answer does not get to disk.
     cluster.set_disk_hangs(1, true);
     let call = cluster.call_api(1, start());
     cluster.run(500 * MS);
@@ -101,15 +101,15 @@
     assert_eq!(count(&cluster, 3), 1);
 }
 
-/// No answer goes out before a kill of its machine would leave the note of it.
+/// No answer goes out before a kill of its machine would leave the record of it.
 #[rstest]
-fn an_answer_waits_for_its_note_on_disk() {
+fn an_answer_waits_for_its_record_on_disk() {
     let mut cluster = running();
     assert!(matches!(cluster.ask(1, start()), ApiResponse::EvacuationDone(_)));
     let state = cluster.replica(1).state();
     let open = state.open_calls().first().expect("open").call_id;
-    let noted = cluster.records(1).iter().rev().find_map(|record| record.answered_calls.clone());
-    assert_eq!(noted, Some(vec![open]));
+    let recorded = cluster.records(1).iter().rev().find_map(|record| record.answered_calls.clone());
+    assert_eq!(recorded, Some(vec![open]));
 }
 
 /// The machine that took the call is gone. Others wait for it: it may be back at once, and they cannot know.
--- a/crates/control/routing-config/src/operation.rs
+++ b/crates/control/routing-config/src/operation.rs
@@ -60,7 +60,7 @@
         /// The open call that this one is taken to be a retry of; 0 for a new one.
         #[serde(rename = "again", default)]
         retry_of: u64,
-        /// The machine that answers the call, with the disk on which it notes that; none if it has no disk.
+        /// The machine that answers the call, with the disk on which it records that; none if it has no disk.
         #[serde(rename = "by", default, skip_serializing_if = "Option::is_none")]
         taken_by: Option<Voter>,
     },
--- a/crates/control/routing-config/src/state.rs
+++ b/crates/control/routing-config/src/state.rs
@@ -43,7 +43,7 @@
     /// The id of the call.
     #[serde(rename = "m")]
     pub call_id: u64,
-    /// The machine that answers it, with the disk on which it notes that; none if it has no disk.
+    /// The machine that answers it, with the disk on which it records that; none if it has no disk.
     #[serde(rename = "by", default, skip_serializing_if = "Option::is_none")]
     pub taken_by: Option<Voter>,
 }
--- a/crates/gateway/call-pacing/tests/fleet.rs
+++ b/crates/gateway/call-pacing/tests/fleet.rs
@@ -103,7 +103,7 @@
 /// share of the calls sent that was lost.
 fn judge(spans: &[Span], wants: f64, bears: f64) -> (f64, f64) {
     let sum = |f: fn(&Span) -> u64| spans.iter().map(f).sum::<u64>() as f64;
-    let due = wants.min(bears).min(MOST) * spans.len() as f64;
+    let due = wants.min(bears).min(MAX_PACE) * spans.len() as f64;
     (sum(|s| s.answered) / due, sum(|s| s.lost) / sum(|s| s.sent).max(1.0))
 }
 
@@ -157,11 +157,11 @@
     for n in 1..=400u64 {
         pacer.answered(n * 100_000, true, 39_000 + n % 7 * 500, LIMIT);
     }
-    assert!(pacer.pace() > 0.99 * MOST / 300.0, "{}", pacer.pace());
+    assert!(pacer.pace() > 0.99 * MAX_PACE / 300.0, "{}", pacer.pace());
     // The same time as a line on top of two milliseconds.
     pacer.answered(50_000_000, true, 2_000, LIMIT);
     for n in 1..=40u64 {
         pacer.answered(50_000_000 + n * 100_000, true, 39_000, LIMIT);
     }
-    assert!(pacer.pace() < 0.2 * MOST / 300.0, "{}", pacer.pace());
+    assert!(pacer.pace() < 0.2 * MAX_PACE / 300.0, "{}", pacer.pace());
 }
--- a/crates/gateway/quota-policy/src/interface.rs
+++ b/crates/gateway/quota-policy/src/interface.rs
@@ -72,9 +72,9 @@
     }
 
     /// The hard ceiling.
-    pub fn ceiling(&self) -> limeway_rate_limit::Ceiling {
+    pub fn ceiling(&self) -> limeway_rate_limit::RateLimit {
         let (rate, burst, tolerance) = (self.ceiling_rate, self.ceiling_burst, self.ceiling_slack);
-        limeway_rate_limit::Ceiling { rate, burst, tolerance }
+        limeway_rate_limit::RateLimit { rate, burst, tolerance }
     }
 }
 
--- a/crates/gateway/quota-policy/src/rules.rs
+++ b/crates/gateway/quota-policy/src/rules.rs
@@ -15,7 +15,7 @@
 use escrow::note;
 use limeway_call_pacing::{Bucket, Pacer};
 use limeway_counter_recovery::{standing::Doors, word, Answer, Count, Guards, Recovery, State, Verdict};
-use limeway_lease_sizing::Door;
+use limeway_lease_sizing::TenantWindow;
 use limeway_slow_start::Start;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
--- a/crates/gateway/quota-policy/src/rules/attempts.rs
+++ b/crates/gateway/quota-policy/src/rules/attempts.rs
@@ -49,7 +49,7 @@
     pub(super) fn stale(&mut self, id: RequestId) -> bool {
         let Some(request) = self.requests.get_mut(&id) else { return true };
         let Some(customer) = self.customers.get_mut(&request.customer) else { return true };
-        let most = self.set.plans[customer.plan].ceiling().wait_most();
+        let most = self.set.plans[customer.plan].ceiling().max_wait();
         if !request.attempts.is_empty() || self.now.saturating_sub(request.taken) <= most {
             return false;
         }
--- a/crates/gateway/quota-policy/src/rules/escrow.rs
+++ b/crates/gateway/quota-policy/src/rules/escrow.rs
@@ -169,25 +169,25 @@
         // At home whole blocks are leased; what is known of another window tells nothing of this one.
         let whole = c.pooled || window != c.window;
         // A lost call may have been added, and is then nobody's: no more is put at risk than what waits.
-        let sound = self.recovery.state() == State::Well && self.now >= self.counter.cut_at() + SOUND;
+        let sound = self.recovery.state() == State::Well && self.now >= self.counter.last_loss_at() + SOUND;
         if whole || !sound || self.counter.few() {
             return 0.0;
         }
         let limit = self.recovery.limit(self.now, c.through, begins, c.budget);
-        let door = Door {
-            doors: c.doors,
+        let sizing = TenantWindow {
+            limiters: c.doors,
             waiting: c.wanted(),
-            held: c.held(window),
+            escrow: c.held(window),
             size: c.units,
             used: c.used,
-            past: c.past,
-            into: self.now - begins,
+            used_before: c.past,
+            elapsed: self.now - begins,
             length: c.length,
-            left: limit - c.total,
+            leasable: limit - c.total,
             store: c.store.level,
             burst: plan.burst.max(c.units),
         };
-        door.ahead()
+        sizing.ahead()
     }
 
     /// One add to the customer's window count: what waits here and is leased ahead, or a block at its home.
--- a/crates/gateway/quota-policy/src/rules/servers.rs
+++ b/crates/gateway/quota-policy/src/rules/servers.rs
@@ -116,7 +116,7 @@
         let now = self.now;
         let start = self.set.rules.start();
         let usable = self.servers.iter().flatten().filter(|s| s.ready);
-        let part = start.part(self.rate, usable.map(|s| start.warmth(s.cold_since, now)));
+        let part = start.warm_rate(self.rate, usable.map(|s| start.warmth(s.cold_since, now)));
         // Bounds below one request a server hold too: many gateways share a small fleet.
         let (limits, outs) = self.load();
         let full = outs >= f64::max(limits.min(self.room), 1.0);
@@ -185,7 +185,7 @@
         if self.cold_since.is_none() {
             return false;
         }
-        let (budget, most) = start.earns(start.warmth(self.cold_since, now), part);
+        let (budget, most) = start.rate_and_burst(start.warmth(self.cold_since, now), part);
         self.tokens.fill(budget, most, now);
         true
     }
--- a/crates/gateway/rate-limit/src/lib.rs
+++ b/crates/gateway/rate-limit/src/lib.rs
@@ -12,7 +12,7 @@
 //!
 //! Units count as used when a first attempt has come whole to a server, which is later than they were taken. A delay of at
 //! most `d` stretches `t` to `t + d`, that is by `c d` units. The rule's slack pays for it: what the ceiling's tolerance
-//! holds for the wait for a server ([`Ceiling::wait_most`]), and the 150 ms of the protocol for the way there. A request
+//! holds for the wait for a server ([`RateLimit::max_wait`]), and the 150 ms of the protocol for the way there. A request
 //! that has waited longer gives its units back and takes them anew.
 //!
 //! The inequality stands in `docs/design/ceilings.md`. Free of I/O and clock; all times are microseconds.
@@ -34,7 +34,7 @@
 
 /// A plan's hard ceiling.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Ceiling {
+pub struct RateLimit {
     /// Units a second; 0 for none.
     pub rate: f64,
     /// Units at once.
@@ -52,7 +52,7 @@
     pub budget: f64,
 }
 
-impl Ceiling {
+impl RateLimit {
     /// Whether there is one.
     pub fn binds(&self) -> bool {
         self.rate > 0.0
@@ -76,7 +76,7 @@
     }
 
     /// The longest time from the taking of units to the first send, in microseconds: what the tolerance pays for.
-    pub fn wait_most(&self) -> Micros {
+    pub fn max_wait(&self) -> Micros {
         if self.binds() {
             (self.tolerance / self.rate * SECOND) as Micros
         } else {
--- a/crates/gateway/rate-limit/tests/bound.rs
+++ b/crates/gateway/rate-limit/tests/bound.rs
@@ -1,6 +1,6 @@
 //! The sum over all doors stays under the ceiling, whatever each of them does with what it may take.
 
-use limeway_rate_limit::{Ceiling, Micros, Span};
+use limeway_rate_limit::{Micros, RateLimit, Span};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 
@@ -10,7 +10,7 @@
 type Take = (usize, Micros, f64, bool, f64);
 
 /// What all doors send, as one store that sees them all would keep it: the most that it lacks of its burst, in units.
-fn most(ceiling: &Ceiling, doors: usize, span: Span, wait_most: Micros, takes: &[Take]) -> f64 {
+fn most(ceiling: &RateLimit, doors: usize, span: Span, max_wait: Micros, takes: &[Take]) -> f64 {
     let (rate, burst) = ceiling.split(doors as f64);
     let mut buckets = vec![(burst, 0); doors];
     let mut windows: BTreeMap<u64, f64> = BTreeMap::new();
@@ -31,7 +31,7 @@
             fits
         };
         if taken {
-            sends.push((now + (wait * wait_most as f64) as Micros, units));
+            sends.push((now + (wait * max_wait as f64) as Micros, units));
         }
     }
     sends.sort_by_key(|s| s.0);
@@ -62,9 +62,9 @@
         doors in 1usize..40,
         takes in prop::collection::vec((0usize..40, 0u64..400_000, 0.5f64..4.0, any::<bool>(), 0.0f64..1.0), 1..400),
     ) {
-        let ceiling = Ceiling { rate, burst: rate * seconds, tolerance: 0.1 * rate * seconds };
+        let ceiling = RateLimit { rate, burst: rate * seconds, tolerance: 0.1 * rate * seconds };
         let span = ceiling.span(500_000, 25_000_000).expect("a ceiling");
-        let all = most(&ceiling, doors, span, ceiling.wait_most(), &takes);
+        let all = most(&ceiling, doors, span, ceiling.max_wait(), &takes);
         prop_assert!(all <= ceiling.burst + ceiling.tolerance + 1e-6, "{all} of {ceiling:?}");
         let at_once: Vec<Take> = takes.iter().map(|t| (t.0, t.1, t.2, t.3, 0.0)).collect();
         let all = most(&ceiling, doors, span, 0, &at_once);
@@ -75,10 +75,10 @@
 #[test]
 fn a_rush_at_a_windows_edge_comes_up_to_the_ceiling_and_each_figure_is_needed() {
     for (rate, burst, doors) in [(50.0, 131.0, 32), (35.0, 65.0, 20), (8.0, 16.0, 2), (10.0, 12.0, 2)] {
-        let ceiling = Ceiling { rate, burst, tolerance: 0.1 * burst };
+        let ceiling = RateLimit { rate, burst, tolerance: 0.1 * burst };
         let span = ceiling.span(100_000, 25_000_000).expect("a ceiling");
         let drawn =
-            |span: Span, takes: &[Take]| most(&ceiling, doors, span, ceiling.wait_most(), takes) / burst;
+            |span: Span, takes: &[Take]| most(&ceiling, doors, span, ceiling.max_wait(), takes) / burst;
         let near = drawn(span, &edge(span, doors));
         assert!((0.6..=1.0).contains(&near), "{near} of {ceiling:?}");
         // Windows as long, with the budget that the ceiling refills in one and holds: passed at the edge.
@@ -86,7 +86,7 @@
         assert!(drawn(full, &edge(full, doors)) > 1.3, "{ceiling:?}");
     }
     // Shorter windows of the same budget let it through more often than it refills.
-    let ceiling = Ceiling { rate: 50.0, burst: 100.0, tolerance: 0.0 };
+    let ceiling = RateLimit { rate: 50.0, burst: 100.0, tolerance: 0.0 };
     let span = ceiling.span(0, 25_000_000).expect("a ceiling");
     let short = Span { length: span.length / 4, ..span };
     let takes: Vec<Take> = (0..4_000).map(|_| (0, 1_000, 1.0, true, 0.0)).collect();
@@ -95,12 +95,12 @@
 
 #[test]
 fn windows_cut_short_or_drawn_out_hold_less_than_they_refill() {
-    let ceiling = Ceiling { rate: 1.0, burst: 120.0, tolerance: 0.0 };
+    let ceiling = RateLimit { rate: 1.0, burst: 120.0, tolerance: 0.0 };
     let cut = ceiling.span(500_000, 25_000_000).expect("a ceiling");
     assert_eq!((cut.length, cut.budget), (25_000_000, 12.5));
-    let small = Ceiling { rate: 100.0, burst: 10.0, tolerance: 1.0 };
+    let small = RateLimit { rate: 100.0, burst: 10.0, tolerance: 1.0 };
     let long = small.span(500_000, 25_000_000).expect("a ceiling");
-    assert_eq!((long.length, long.budget, small.wait_most()), (500_000, 2.5, 10_000));
-    let none = Ceiling { rate: 0.0, burst: 0.0, tolerance: 0.0 };
-    assert_eq!((none.span(1, 2), none.wait_most()), (None, Micros::MAX));
+    assert_eq!((long.length, long.budget, small.max_wait()), (500_000, 2.5, 10_000));
+    let none = RateLimit { rate: 0.0, burst: 0.0, tolerance: 0.0 };
+    assert_eq!((none.span(1, 2), none.max_wait()), (None, Micros::MAX));
 }
--- a/crates/gateway/slow-start/src/lib.rs
+++ b/crates/gateway/slow-start/src/lib.rs
@@ -18,9 +18,9 @@
 
 /// Part of the budget before a cold server falls that all limiters together use at most: the rest covers chance, and limiters
 /// whose traffic is not even.
-pub const USED: f64 = 0.5;
+pub const BUDGET_SHARE: f64 = 0.5;
 /// Least warmth that is reckoned with, whatever a site says.
-const LEAST: f64 = 0.05;
+const MIN_WARMTH: f64 = 0.05;
 /// Microseconds in a second.
 const SECOND: f64 = 1e6;
 
@@ -42,21 +42,21 @@
     pub fn warmth(&self, since: Option<Micros>, now: Micros) -> f64 {
         let Some(since) = since else { return 1.0 };
         let share = now.saturating_sub(since) as f64 / self.cold.max(1) as f64;
-        (self.from + (1.0 - self.from) * share).clamp(LEAST, 1.0)
+        (self.from + (1.0 - self.from) * share).clamp(MIN_WARMTH, 1.0)
     }
 
     /// Requests a second that this limiter should send a warm server, where it sends `rate` a second to servers of these
     /// warmths. What the cold ones cannot do falls to the others, and to each of them by its warmth; but never more than
-    /// [`USED`] of the budget that a server whose even part this is has before it falls.
-    pub fn part(&self, rate: f64, warmths: impl Iterator<Item = f64>) -> f64 {
+    /// [`BUDGET_SHARE`] of the budget that a server whose even part this is has before it falls.
+    pub fn warm_rate(&self, rate: f64, warmths: impl Iterator<Item = f64>) -> f64 {
         let (count, warm) = warmths.fold((0.0, 0.0), |(n, sum), w| (n + 1.0, sum + w));
-        let lift = (count / f64::max(warm, LEAST)).min(USED * self.multiple);
+        let lift = (count / f64::max(warm, MIN_WARMTH)).min(BUDGET_SHARE * self.multiple);
         rate / f64::max(count, 1.0) * lift
     }
 
     /// Requests a second that this limiter earns for a server of this warmth, and the most that it saves up, where a warm one
     /// gets `part` a second.
-    pub fn earns(&self, warmth: f64, part: f64) -> (f64, f64) {
+    pub fn rate_and_burst(&self, warmth: f64, part: f64) -> (f64, f64) {
         let budget = warmth * part;
         (budget, (budget * self.fall as f64 / SECOND / 2.0).max(1.0))
     }
--- a/crates/gateway/slow-start/tests/fleet.rs
+++ b/crates/gateway/slow-start/tests/fleet.rs
@@ -81,7 +81,7 @@
     fn earns(&self, at: Micros) -> (f64, f64) {
         let warm = self.start.warmth(Some(0), at);
         let warmths = (0..self.servers).map(|server| if server < self.new { warm } else { 1.0 });
-        self.start.earns(warm, self.start.part(self.rate(), warmths))
+        self.start.rate_and_burst(warm, self.start.warm_rate(self.rate(), warmths))
     }
 
     /// Moments at which a limiter sends to one cold server. Its requests come evenly from a moment of its own; it goes there
@@ -212,9 +212,9 @@
     assert_eq!(start.warmth(Some(9), 7), 0.2);
     let none = Start { cold: 0, from: 0.0, fall: 0, multiple: 0.0 };
     assert_eq!((none.warmth(Some(0), 0), none.warmth(Some(0), 1)), (0.05, 1.0));
-    assert_eq!(none.part(3.0, std::iter::empty()), 0.0);
+    assert_eq!(none.warm_rate(3.0, std::iter::empty()), 0.0);
     // Half of the servers at a fifth: the warm ones take 5/6 of all, and no lift is beyond the budget.
-    let part = start.part(60.0, [0.2, 0.2, 1.0, 1.0].into_iter());
+    let part = start.warm_rate(60.0, [0.2, 0.2, 1.0, 1.0].into_iter());
     assert!((part - 25.0).abs() < 1e-9, "{part}");
-    assert_eq!(start.part(60.0, [0.05; 4].into_iter()), 30.0);
+    assert_eq!(start.warm_rate(60.0, [0.05; 4].into_iter()), 30.0);
 }
