Checker: a run is put together by a module of its own, a step a function

Run::gather was one function of 115 lines with seven tuples; RunAssembly has named records and joins them one kind at a time.

--- a/crates/balancer/tests/hedging.rs
+++ b/crates/balancer/tests/hedging.rs
@@ -117,7 +117,8 @@
 const WARM_REQUESTS: usize = 8;
 /// Requests to two servers, one of which hangs.
 const REQUESTS: usize = 20;
-/// Those of them that may still go to it: each one is a look at whether it is back.
+/// Those of them that may still go to it: the one that finds it hanging, and a look after each of the ejections of 0.5, 1, 2, 4 and 8 s
+/// (`INITIAL_EJECTION` to `MAX_EJECTION`).
 const MAX_AT_HUNG_SERVER: usize = 6;
 
 #[test]
--- a/crates/testing/checker/src/lib.rs
+++ b/crates/testing/checker/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 
 pub mod aftermath;
+mod assembly;
 pub mod ledger;
 pub mod quota;
 pub mod rules;
--- a/crates/testing/checker/src/run.rs
+++ b/crates/testing/checker/src/run.rs
@@ -1,7 +1,8 @@
 //! A run put together from its ledger: tries with their attempts and answers, lives of limiters and nodes.
 
+use crate::assembly::RunAssembly;
 use crate::ledger::*;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
 /// Records of one ledger at most: what a run of some hours brings; beyond it memory would be the judge's limit.
 pub const MAX_RECORDS: usize = 50_000_000;
@@ -196,7 +197,13 @@
 
     /// Puts a run together from records in any order.
     pub fn gather(opening: Opening, records: Vec<Record>) -> Self {
-        let mut run = Run {
+        let mut assembly = RunAssembly::new(Run::without_records(opening));
+        records.into_iter().for_each(|record| assembly.add(record));
+        assembly.finish()
+    }
+
+    fn without_records(opening: Opening) -> Self {
+        Run {
             opening,
             tries: Vec::new(),
             attempts: Vec::new(),
@@ -211,122 +218,11 @@
             troubles: Vec::new(),
             closing: None,
             end: 0,
-        };
-        let (mut attempts, mut ends, mut answers, mut lefts) =
-            (Vec::new(), HashMap::new(), Vec::new(), Vec::new());
-        let (mut changes, mut uses, mut node_ends) = (Vec::new(), Vec::new(), Vec::new());
-        for record in records {
-            let t = record.t();
-            run.end = run.end.max(t);
-            match record {
-                Record::Arrive {
-                    t,
-                    id,
-                    first,
-                    class,
-                    plan,
-                    customer,
-                    units,
-                    limiter,
-                    patience_us,
-                    work_us,
-                    ..
-                } => {
-                    run.tries.push(Try {
-                        t,
-                        id,
-                        first,
-                        class,
-                        plan,
-                        customer,
-                        units,
-                        limiter,
-                        patience_us,
-                        work_us,
-                        answers: Vec::new(),
-                        left: None,
-                        attempts: Vec::new(),
-                    });
-                }
-                Record::Answer { t, id, status, sound } => answers.push((t, id, status, sound)),
-                Record::Left { t, id, why } => lefts.push((t, id, why)),
-                Record::Attempt { t, begun, n, id, node, limiter, work_us, sound, cross } => {
-                    let attempt = Attempt { t, begun, id, node, limiter, work_us, sound, cross, end: None };
-                    attempts.push((n, attempt));
-                }
-                Record::AttemptEnd { t, n, fate } => {
-                    ends.insert(n, (t, fate));
-                }
-                Record::Count { t, fate, .. } => run.counts.push((t, fate == Counted::Added)),
-                Record::Message { bytes, .. } => {
-                    run.messages += 1;
-                    run.message_bytes += bytes as u64;
-                }
-                Record::Told { t, limiter, node, health, started } => {
-                    run.told.entry((limiter, node)).or_default().push((t, health, started));
-                }
-                Record::NodeStart { t, node, room, capacity, cold_from, cold_us } => {
-                    run.nodes.push(NodeLife {
-                        node,
-                        room,
-                        start: t,
-                        end: Micros::MAX,
-                        capacity,
-                        cold_from,
-                        cold_us,
-                        fell: false,
-                    });
-                }
-                Record::NodeEnd { t, node, fell } => node_ends.push((t, node, fell)),
-                Record::Limiter { t, limiter, change } => changes.push((limiter, t, change)),
-                Record::Usage { t, limiter, cpu_us, system_us, rss_kb, fds } => {
-                    uses.push((limiter, t, Used { cpu_us, system_us, rss_kb, fds }));
-                }
-                Record::Said { t, limiter, what } => run.said.push((t, limiter, what)),
-                Record::Trouble { t, name, on } => run.troubles.push((t, name, on)),
-                Record::Closing(closing) => run.closing = Some(closing),
-            }
-        }
-        attempts.sort_by_key(|(n, a)| (a.t, *n));
-        run.tries.sort_by_key(|t| (t.t, t.id));
-        let places: HashMap<u64, usize> = run.tries.iter().enumerate().map(|(at, t)| (t.id, at)).collect();
-        for (at, (n, mut attempt)) in attempts.into_iter().enumerate() {
-            attempt.end = ends.get(&n).copied();
-            match places.get(&attempt.id) {
-                Some(place) => run.tries[*place].attempts.push(at),
-                None => run.strange.push(at),
-            }
-            run.attempts.push(attempt);
-        }
-        answers.sort_by_key(|a| a.0);
-        for (t, id, status, sound) in answers {
-            if let Some(place) = places.get(&id) {
-                run.tries[*place].answers.push((t, status, sound));
-            }
-        }
-        for (t, id, why) in lefts {
-            if let Some(place) = places.get(&id) {
-                run.tries[*place].left = Some((t, why));
-            }
-        }
-        node_ends.sort_unstable();
-        for (t, node, fell) in node_ends {
-            let life =
-                run.nodes.iter_mut().filter(|l| l.node == node && l.start <= t && l.end == Micros::MAX);
-            if let Some(life) = life.max_by_key(|l| l.start) {
-                (life.end, life.fell) = (t, fell);
-            }
         }
-        run.told.values_mut().for_each(|told| told.sort_by_key(|t| t.0));
-        run.troubles.sort_by_key(|t| t.0);
-        run.said.sort_by_key(|s| s.0);
-        run.gather_lives(changes, uses);
-        run.tell_later();
-        run
     }
 
     /// What a process is told while it stands still it can know only from then on that it goes on.
-    fn tell_later(&mut self) {
+    pub(crate) fn tell_later(&mut self) {
         let stalls: Vec<(u32, Micros, Micros)> = self.stalls().collect();
         for ((limiter, _), told) in &mut self.told {
             for (t, ..) in told.iter_mut() {
@@ -351,7 +247,11 @@
         })
     }
 
-    fn gather_lives(&mut self, mut changes: Vec<(u32, Micros, Change)>, uses: Vec<(u32, Micros, Used)>) {
+    pub(crate) fn gather_lives(
+        &mut self,
+        mut changes: Vec<(u32, Micros, Change)>,
+        uses: Vec<(u32, Micros, Used)>,
+    ) {
         changes.sort_by_key(|c| (c.0, c.1));
         for (limiter, t, change) in changes {
             let new = change == Change::Started || self.lives.last().is_none_or(|l| l.limiter != limiter);
--- a/crates/testing/soak/src/judge/requests.rs
+++ b/crates/testing/soak/src/judge/requests.rs
@@ -13,7 +13,7 @@
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
 /// What measuring itself may add, on a machine that is busy.
 const SLACK: Duration = Duration::from_millis(150);
-/// Requests that may reach a server late after their client has closed.
+/// Requests that may reach a server late after their client has closed: the page on GONE says "a few".
 const MAX_GONE: u64 = 5;
 /// What clients grant beyond the deadline that they state.
 const FINAL_ANSWER_SLACK: Duration = Duration::from_millis(500);
@@ -21,9 +21,9 @@
 const NEAR_DEADLINE: Duration = Duration::from_millis(200);
 /// A whole request that is not answered may lose its connection no later than this.
 const LOSS_SLACK: Duration = Duration::from_millis(200);
-/// Requests on kept connections that may be closed without an answer.
+/// Requests on kept connections that may be closed without an answer: LOST is broken from the fourth on.
 const MAX_LOST_ON_REUSED: usize = 3;
-/// Requests that may end with a status of our own that is not theirs.
+/// Requests that may end with a status of our own that is not theirs: DENIED allows five, and one in 500 more, which a run has not.
 const MAX_DENIED: u64 = 5;
 
 fn executions(seen: &Seen) -> BTreeMap<RequestId, Vec<&Execution>> {
--- a/crates/testing/soak/src/judge/service.rs
+++ b/crates/testing/soak/src/judge/service.rs
@@ -6,7 +6,7 @@
 use crate::ledger::{ConfigVersion, End, Execution, ReadinessProbe, Request, Seen};
 use std::time::Duration;
 
-/// One look in so many at a gateway in touch may find it not ready.
+/// One look in so many at a gateway in touch may find it not ready: a duty is missed for an eighth of the calm time.
 const UNREADY_RATIO: u64 = 8;
 /// Upper bound on the requests that are looked at for whether service is back.
 const MAX_RECENT: usize = 1_000;
