--- a/crates/testing/soak/src/client.rs
+++ b/crates/testing/soak/src/client.rs
@@ -123,10 +123,6 @@
             self.leave(id, conn, message).await;
         } else if reused && self.eager && self.rng.random_ratio(1, PAIR_RATIO) {
             let second = self.new_request(gateway, reused);
-            // Its time begins once the first one is answered.
-            if let Some(request) = self.ledger.seen.borrow_mut().requests.get_mut(&second.0) {
-                request.deadline += deadline;
-            }
             self.wait_for_pair(gateway, conn, [(id, message, deadline), second]).await;
         } else {
             self.wait(id, gateway, conn, message, deadline + PATIENCE).await;
@@ -159,7 +155,8 @@
         let _ = conn.write(&bytes, &Cell::new(false)).await;
         let mut keep = true;
         for (id, _, deadline) in pair {
-            // The second one is answered after the first one.
+            // The time of the second one begins once the first one is answered.
+            self.begin_deadline(id, deadline);
             match timeout(deadline + BULK_DEADLINE + PATIENCE, conn.read()).await {
                 Ok(Ok(reply)) => {
                     keep &= reply.keep;
@@ -175,6 +172,14 @@
         }
     }
 
+    /// The deadline that a request states begins now.
+    fn begin_deadline(&self, id: RequestId, deadline: Duration) {
+        let now = self.ledger.now();
+        if let Some(request) = self.ledger.seen.borrow_mut().requests.get_mut(&id) {
+            request.deadline = now.saturating_sub(request.sent) + deadline;
+        }
+    }
+
     async fn connect(&self, gateway: usize) -> Option<Conn> {
         let to = frontend_address(self.net, gateway);
         let mut conn = timeout(CONNECT_TIMEOUT, Conn::open(to, &Rc::default())).await.ok()?.ok()?;
