--- a/crates/balancer/src/settings_file.rs
+++ b/crates/balancer/src/settings_file.rs
@@ -59,7 +59,7 @@
 
 impl SettingsFile {
     /// Reads a settings file. Changes to it are told from what was read here. One that cannot be used may be being written at this
-    /// moment: it is read again for as long as [`OPEN_TIMEOUT`].
+    /// moment: it is read again for a second.
     ///
     /// # Errors
     /// It cannot be read, or is invalid.
