Gateway: 503 for a request without a unit only where known servers may not take it

What an evacuation needs is narrower: servers are known, and none may get the request (leaving, evacuated, elsewhere).

--- a/crates/balancer/src/gateway/endpoints.rs
+++ b/crates/balancer/src/gateway/endpoints.rs
@@ -60,7 +60,7 @@
     }
 }
 
-/// The endpoints by service: an immutable snapshot.
+/// The endpoints by service: an immutable snapshot. A service whose servers are all leaving or evacuated has an empty list.
 pub type EndpointTable = HashMap<Rc<str>, Vec<Endpoint>>;
 
 /// The endpoints of services, and the connections to them.
@@ -121,10 +121,10 @@
         endpoints.iter().filter(|endpoint| endpoint.is_in(allowed_regions)).map(candidate).collect()
     }
 
-    /// Whether a request may go to any endpoint of a service.
-    pub fn has_candidates(&self, service: &str, allowed_regions: [&[String]; 2]) -> bool {
+    /// Whether servers of a service are known, and none of them may get a request: they are leaving, evacuated, or elsewhere.
+    pub fn excludes_all(&self, service: &str, allowed_regions: [&[String]; 2]) -> bool {
         let table = self.table.borrow();
-        table.get(service).is_some_and(|endpoints| endpoints.iter().any(|one| one.is_in(allowed_regions)))
+        table.get(service).is_some_and(|endpoints| !endpoints.iter().any(|one| one.is_in(allowed_regions)))
     }
 
     /// Where to connect to an endpoint.
@@ -146,6 +146,7 @@
         for (id, server) in cache.registry.servers() {
             if server.phase != Phase::Ready || cache.state.evacuated.contains_key(&server.zone) {
                 knows_leaving = true;
+                table.entry(Rc::from(server.service.as_str())).or_default();
                 continue;
             }
             let region = self.settings.zones.get(&server.zone).map_or("", String::as_str);
--- a/crates/balancer/src/proxy/attempts.rs
+++ b/crates/balancer/src/proxy/attempts.rs
@@ -83,10 +83,10 @@
     allowed_regions: [&[String]; 2],
     wait: Micros,
 ) -> LocalResponse {
-    if gateway.endpoints.has_candidates(service, allowed_regions) {
-        LocalResponse::retry_after(429, Failure::QuotaExhausted, wait as f64 / 1e6)
-    } else {
+    if gateway.endpoints.excludes_all(service, allowed_regions) {
         LocalResponse::unavailable(Failure::NoServer)
+    } else {
+        LocalResponse::retry_after(429, Failure::QuotaExhausted, wait as f64 / 1e6)
     }
 }
 
--- a/crates/balancer/tests/evacuations.rs
+++ b/crates/balancer/tests/evacuations.rs
@@ -112,12 +112,25 @@
 #[test]
 fn a_request_that_no_server_may_take_is_not_refused_for_its_quota() {
     let system = System::start(92, 1, GRACE);
-    let little = config(1, 0, "/x/", r#""k1""#)
-        .replace(r#""rate-per-s":200,"burst-size":200"#, r#""rate-per-s":1,"burst-size":1"#);
-    assert_eq!(system.order("config.replace", &little).0, 200);
-    system.until("the configuration at the gateway", |system| status(system, "/z/1") == Some(404));
+    let little = |version, base, prefix| {
+        config(version, base, prefix, r#""k1""#)
+            .replace(r#""rate-per-s":200,"burst-size":200"#, r#""rate-per-s":1,"burst-size":1"#)
+    };
+    assert_eq!(system.order("config.replace", &little(1, 0, "/x/")).0, 200);
+    let mut reports = 0;
+    let mut report = |system: &System| {
+        reports += 1;
+        assert_eq!(heartbeat(system, "i-1", (Ipv4Addr::LOCALHOST, SERVER_PORT), "ready", reports), 200);
+    };
+    report(&system);
+    assert_eq!(order(&system, "evacuations.start&of=z1"), 200);
+    assert_eq!(system.order("config.replace", &little(2, 1, "/y/")).0, 200);
+    system.until("the second configuration and the server at the gateway", |system| {
+        report(system);
+        status(system, "/x/2") == Some(404) && status(system, "/y/0") == Some(503)
+    });
     let statuses: Vec<Option<u16>> = std::thread::scope(|scope| {
-        let send = || scope.spawn(|| status(&system, "/x/1"));
+        let send = || scope.spawn(|| status(&system, "/y/1"));
         let requests: Vec<_> = (0..CONCURRENT_REQUESTS).map(|_| send()).collect();
         requests.into_iter().map(|request| request.join().expect("an answer")).collect()
     });
