--- a/crates/balancer/src/proxy/attempts.rs
+++ b/crates/balancer/src/proxy/attempts.rs
@@ -54,7 +54,6 @@
         // Both bind, and have no region in common: no attempt at any time can be served, and no unit is spent on it.
         return Err(LocalResponse::new(503, Failure::NoCommonRegion));
     }
-    gateway.retries.borrow_mut().count_request(started, &service);
     if let Some(tenant) = &tenant {
         let unit = take_unit_within(gateway, tenant, time_left).await;
         record.unit_wait.set(now() - started);
@@ -177,12 +176,16 @@
         self.begin(request_attempts, &server)
     }
 
-    /// Begins an attempt. None if the server is gone meanwhile.
+    /// Begins an attempt. None if the server is gone meanwhile. The first one pays into the retry budget: a request that is refused here
+    /// costs no server anything, and must not buy retries of others.
     fn begin(
         &mut self,
         request_attempts: &RequestAttempts,
         server: &ChosenServer,
     ) -> Option<InFlightAttempt<'a>> {
+        if self.tried.is_empty() {
+            self.context.gateway.retries.borrow_mut().count_request(now(), self.context.service);
+        }
         self.tried.push(server.id.clone());
         let attempt = InFlightAttempt::begin(self.context, server)?;
         self.check_attempt(request_attempts, server);
--- a/crates/balancer/tests/operations/mod.rs
+++ b/crates/balancer/tests/operations/mod.rs
@@ -24,7 +24,20 @@
 
 /// A configuration with one route, service and tenant.
 pub(crate) fn config(version: u32, base: u32, prefix: &str, keys: &str) -> String {
+    config_with_tenants(version, base, prefix, &[tenant("t", keys, 200)])
+}
+
+/// A configuration with one route and service, and these tenants.
+pub(crate) fn config_with_tenants(version: u32, base: u32, prefix: &str, tenants: &[String]) -> String {
+    let tenants = tenants.join(",");
+    format!(
+        r#"{{"config-version":"{version:08x}","base-version":"{base:08x}","resource-list":[{{"resource-kind":"routes","metadata":{{"name":"r"}},"specification":{{"hostname":"a.example","path-prefix":"{prefix}","route-type":"idempotent","timeout":"2s","target-service":"s","max-attempts":3}}}},{{"resource-kind":"services","metadata":{{"name":"s"}},"specification":{{"health-path":"/health"}}}},{tenants}]}}"#
+    )
+}
+
+/// A tenant with these keys and a quota of so many requests a second, as many at once.
+pub(crate) fn tenant(name: &str, keys: &str, rate: u32) -> String {
     format!(
-        r#"{{"config-version":"{version:08x}","base-version":"{base:08x}","resource-list":[{{"resource-kind":"routes","metadata":{{"name":"r"}},"specification":{{"hostname":"a.example","path-prefix":"{prefix}","route-type":"idempotent","timeout":"2s","target-service":"s","max-attempts":3}}}},{{"resource-kind":"services","metadata":{{"name":"s"}},"specification":{{"health-path":"/health"}}}},{{"resource-kind":"tenants","metadata":{{"name":"t"}},"specification":{{"api-keys":[{keys}],"rate-per-s":200,"burst-size":200}}}}]}}"#
+        r#"{{"resource-kind":"tenants","metadata":{{"name":"{name}"}},"specification":{{"api-keys":[{keys}],"rate-per-s":{rate},"burst-size":{rate}}}}}"#
     )
 }
--- a/crates/data/load-balancing/src/lib.rs
+++ b/crates/data/load-balancing/src/lib.rs
@@ -6,7 +6,7 @@
 //!   Servers that break off, do not respond or refuse connections are ejected for a while that grows; once it is over a single
 //!   request probes them.
 //! - **Slow start** ([`slow_start_share`]): a share for each of a few gateways, so that all together keep the bound.
-//! - **Retries** ([`RetryBudget`]): a part of what this gateway itself has taken, and its share of the slack.
+//! - **Retries** ([`RetryBudget`]): a part of the requests that this gateway itself has sent to servers, and its share of the slack.
 //! - **What follows from an attempt** ([`attempts`]): whether another server may be tried, and what the client gets.
 //!
 //! Free of I/O and clock.
--- a/crates/data/load-balancing/src/retry_budget.rs
+++ b/crates/data/load-balancing/src/retry_budget.rs
@@ -54,7 +54,7 @@
         window
     }
 
-    /// A client's request is taken for a service.
+    /// A client's request goes to a server of a service for the first time.
     pub fn count_request(&mut self, now: Timestamp, service: &Rc<str>) {
         let window = self.window(now, service);
         let at = window.at();
