Restarted replicas of the replica tests get their options in one place

Cause: instances.rs and evacuations.rs built the same options of a process that is started again. Change: cluster.rs has them; assertions untouched.

--- a/crates/control/control-plane/tests/replica/cluster.rs
+++ b/crates/control/control-plane/tests/replica/cluster.rs
@@ -41,6 +41,11 @@
     }
 }
 
+/// The options of a process that is started again, with nothing from a disk.
+pub(crate) fn restarted(node: NodeId, seeds: &[NodeId]) -> StartOptions {
+    StartOptions { incarnation: 2_000 + u64::from(node), initial_start: false, ..options(node, seeds) }
+}
+
 /// An update of the configuration to a version with one tenant, built on another version.
 pub(crate) fn update(version: u32, base_version: u32) -> ConfigUpdate {
     let text = format!(
--- a/crates/control/control-plane/tests/replica/evacuations.rs
+++ b/crates/control/control-plane/tests/replica/evacuations.rs
@@ -1,6 +1,6 @@
 //! Evacuation calls across the end of the machine that took them: one that was answered stays, and one that was not counts once.
 
-use crate::cluster::{options, Cluster, MS, SECOND};
+use crate::cluster::{restarted, Cluster, MS, SECOND};
 use crate::snapshots::restore;
 use limeway_consensus::Acceptor;
 use limeway_control_plane::{ApiRequest, ApiResponse, Event, LogRecord, StartOptions};
@@ -24,29 +24,27 @@
 }
 
 /// What a process finds on a disk that took these records.
-fn restarted(node: u32, records: &[LogRecord]) -> StartOptions {
+fn with_disk(node: u32, records: &[LogRecord]) -> StartOptions {
     let answered = records.iter().rev().find_map(|record| record.answered_calls.clone());
     StartOptions {
-        incarnation: 2_000 + u64::from(node),
-        initial_start: false,
         acceptor: records.last().map(|record| record.acceptor.clone()).unwrap_or_default(),
         state: restore(records),
         answered_calls: answered.unwrap_or_default(),
-        ..options(node, &NODES)
+        ..restarted(node, &NODES)
     }
 }
 
 /// What a process finds on a new disk in place of one that was lost.
 fn without_disk(node: u32) -> StartOptions {
     let acceptor = Acceptor { disk: 77, ..Acceptor::default() };
-    StartOptions { incarnation: 3_000, initial_start: false, acceptor, ..options(node, &NODES) }
+    StartOptions { incarnation: 3_000, acceptor, ..restarted(node, &NODES) }
 }
 
 /// Ends all processes at one moment, and starts them again; one machine's disk may be lost.
 fn restart_all(cluster: &mut Cluster, lost_disk: Option<u32>) {
     let starts = NODES.map(|node| match lost_disk {
         Some(lost) if lost == node => without_disk(node),
-        _ => restarted(node, cluster.records(node)),
+        _ => with_disk(node, cluster.records(node)),
     });
     NODES.iter().for_each(|node| cluster.kill(*node));
     starts.into_iter().for_each(|start| cluster.add(start));
--- a/crates/control/control-plane/tests/replica/instances.rs
+++ b/crates/control/control-plane/tests/replica/instances.rs
@@ -1,6 +1,6 @@
 //! Servers and members, as gateways hear of them from any replica with quorum contact.
 
-use crate::cluster::{options, update, Cluster, MS, SECOND};
+use crate::cluster::{options, restarted, update, Cluster, MS, SECOND};
 use limeway_consensus::Acceptor;
 use limeway_control_plane::{ApiRequest, ApiResponse, StartOptions};
 use limeway_distribution::transfer::StateRequest;
@@ -171,17 +171,12 @@
     for node in 1..=3 {
         cluster.kill(node);
     }
-    let restarted = |node| StartOptions {
-        incarnation: 2_000 + u64::from(node),
-        initial_start: false,
-        ..options(node, &[1, 2, 3])
-    };
     for node in 1..=2 {
         let (state, acceptor) = (state.clone(), acceptor.clone());
-        cluster.add(StartOptions { state, acceptor, ..restarted(node) });
+        cluster.add(StartOptions { state, acceptor, ..restarted(node, &[1, 2, 3]) });
     }
     let acceptor = Acceptor { disk: 77, ..Acceptor::default() };
-    cluster.add(StartOptions { acceptor, ..restarted(3) });
+    cluster.add(StartOptions { acceptor, ..restarted(3, &[1, 2, 3]) });
     let mut gateway = StateCache::relay(9);
     cluster.run(2 * SECOND);
     follow(&mut cluster, 3, 77, &mut gateway);
