A check more: one evacuation call at least is answered in the test that counts answers

Cause: no_fewer_evacuations_are_in_force_than_calls_were_answered held also where no call was answered at all. Change: it asserts that one was; its other check is as it was.

--- a/crates/control/control-plane/tests/replica/evacuations.rs
+++ b/crates/control/control-plane/tests/replica/evacuations.rs
@@ -153,5 +153,6 @@
     let first_done = matches!(cluster.response(first), Some(ApiResponse::EvacuationDone(_)));
     let second_done = matches!(second, ApiResponse::EvacuationDone(_));
     let done = u32::from(first_done) + u32::from(second_done);
+    assert!(done > 0, "no call was answered");
     assert!(count(&cluster, 2) >= done, "{done} done, {} in force", count(&cluster, 2));
 }
