Control plane: a vote lost with its connection is asked for again; test bed: delay, reset

Of four voters one is cut off, so three must vote. The connection on which the third one's vote and the reply to a heartbeat come back is reset. The value is on the disks of a majority and its proposer does not learn it: it waits 0.45 s for the voter that is cut off. Each round meanwhile finds the value accepted, so none confirms the state before it is applied, and at 9.0 s machine 3 has no quorum contact (its last confirmed round began at 7.953 s).

Change: a phase of a ballot is sent once more to an acceptor that was heard within 1.5 s and whose call has failed before its deadline. Acceptors vote the same on a call that they have had, so this is no new proposal. Confirmation is as it was.

Test: quorum.rs, a_vote_lost_with_its_connection_costs_no_quorum_contact forces that order of events, with the reset before the call arrives and before the vote is back. The bound is the check's: quorum contact. Without the change both cases fail ("replica 4, 610 ms after the reset"), with it both pass. The test bed has a delay of messages and a reset of connections for this; without a delay its messages arrive in the order of before.

Other tests of control-plane, consensus, distribution and simulation pass.

--- a/crates/control/control-plane/src/control_plane/agreement.rs
+++ b/crates/control/control-plane/src/control_plane/agreement.rs
@@ -7,6 +7,7 @@
 use limeway_consensus::{AcceptorReply, NodeId, ProposalNumber, Proposer, ProposerStep, Slot};
 use limeway_types::{Micros, Timestamp};
 use serde_bytes::ByteBuf;
+use std::collections::BTreeSet;
 
 /// How long replies of acceptors are waited for.
 pub(crate) const ACCEPTOR_TIMEOUT: Micros = 450_000;
@@ -31,6 +32,8 @@
     deadline: Timestamp,
     /// Replies that may still come.
     outstanding: usize,
+    /// Acceptors that this phase has been asked of a second time.
+    repeated: BTreeSet<NodeId>,
 }
 
 /// The proposals of this replica.
@@ -120,8 +123,9 @@
         let deadline = self.now + ACCEPTOR_TIMEOUT;
         self.agreement.last_ballot += 1;
         let ballot = self.agreement.last_ballot;
+        let repeated = BTreeSet::new();
         self.agreement.ballot =
-            Some(Ballot { number: ballot, proposer, accepting: None, deadline, outstanding: 0 });
+            Some(Ballot { number: ballot, proposer, accepting: None, deadline, outstanding: 0, repeated });
         self.call_acceptors(ballot, &Call::Prepare(slot, number));
         self.vote_for_own(ballot, |acceptor| acceptor.prepare(slot, number));
     }
@@ -134,6 +138,7 @@
         if let Some(current) = &mut self.agreement.ballot {
             current.number = ballot;
             current.accepting = Some(value.clone());
+            current.repeated.clear();
         }
         self.call_acceptors(ballot, &Call::Accept(slot, number, value.clone()));
         self.vote_for_own(ballot, |acceptor| acceptor.accept(slot, number, value));
@@ -171,12 +176,34 @@
     }
 
     pub(crate) fn handle_ballot_reply(&mut self, ballot: u64, node: NodeId, reply: Option<Reply>) {
-        if let Some(Reply::Acceptor(reply)) = reply {
-            self.handle_vote(ballot, node, reply);
+        match reply {
+            Some(Reply::Acceptor(reply)) => self.handle_vote(ballot, node, reply),
+            None if self.repeat_call(ballot, node) => return,
+            _ => {}
         }
         self.reply_counted(ballot);
     }
 
+    /// Asks an acceptor once more whose reply was lost with its connection: it may have voted, and a value that is chosen would go
+    /// unnoticed until the ballot expires. An acceptor votes the same on a call that it has had. False if the reply is given up.
+    fn repeat_call(&mut self, ballot: u64, node: NodeId) -> bool {
+        let is_alive = self.peers.get(&node).is_some_and(|peer| peer.is_alive(self.now));
+        let Some(current) = self.agreement.ballot.as_mut().filter(|b| b.number == ballot) else {
+            return false;
+        };
+        if !is_alive || self.now >= current.deadline || !current.repeated.insert(node) {
+            return false;
+        }
+        let (slot, number) = (current.proposer.slot, current.proposer.number);
+        let call = match &current.accepting {
+            Some(value) => Call::Accept(slot, number, value.clone()),
+            None => Call::Prepare(slot, number),
+        };
+        let timeout = current.deadline - self.now;
+        self.send(node, call, timeout, SentRequest::Ballot(ballot, node));
+        true
+    }
+
     /// One reply fewer may still come. A proposal that cannot succeed any more is not waited for.
     pub(crate) fn reply_counted(&mut self, ballot: u64) {
         let Some(current) = self.agreement.ballot.as_mut().filter(|b| b.number == ballot) else { return };
--- a/crates/control/control-plane/tests/replica/cluster.rs
+++ b/crates/control/control-plane/tests/replica/cluster.rs
@@ -60,7 +60,8 @@
     /// The disk takes no writes: they wait.
     disk_hangs: bool,
     records: Vec<LogRecord>,
-    requests: BTreeMap<RequestId, Timestamp>,
+    /// Requests in flight: to whom, and until when replies are waited for.
+    requests: BTreeMap<RequestId, (NodeId, Timestamp)>,
     exited: bool,
 }
 
@@ -74,7 +75,11 @@
 pub(crate) struct Cluster {
     pub now: Timestamp,
     nodes: BTreeMap<NodeId, Node>,
-    network: VecDeque<Message>,
+    /// By the time of their arrival, in the order in which they were sent.
+    network: BTreeMap<(Timestamp, u64), Message>,
+    last_message: u64,
+    /// How long each message is under way.
+    delay: u64,
     /// Callers of a replica that are replicas: who waits for the reply, and to which request.
     callers: BTreeMap<(NodeId, CallerId), (NodeId, RequestId)>,
     next_caller: CallerId,
@@ -92,7 +97,9 @@
         let mut cluster = Cluster {
             now: START,
             nodes: BTreeMap::new(),
-            network: VecDeque::new(),
+            network: BTreeMap::new(),
+            last_message: 0,
+            delay: 0,
             callers: BTreeMap::new(),
             next_caller: 0,
             cut: BTreeSet::new(),
@@ -137,6 +144,30 @@
         self.cut_pair = Some((lower, higher));
     }
 
+    /// Has each message be under way for so long from now on.
+    pub(crate) fn set_delay(&mut self, delay: u64) {
+        self.delay = delay;
+    }
+
+    /// Resets the connections between two replicas: their calls in flight fail at once. Those that have left still arrive; their
+    /// replies reach nobody.
+    pub(crate) fn reset(&mut self, one: NodeId, other: NodeId) {
+        for (from, to) in [(one, other), (other, one)] {
+            let node = self.node_mut(from);
+            let failed: Vec<RequestId> =
+                node.requests.iter().filter(|(_, (callee, _))| *callee == to).map(|(id, _)| *id).collect();
+            for request in failed {
+                self.node_mut(from).requests.remove(&request);
+                self.handle(from, Event::Reply(request, None));
+            }
+        }
+    }
+
+    fn post(&mut self, delay: u64, message: Message) {
+        self.last_message += 1;
+        self.network.insert((self.now + delay, self.last_message), message);
+    }
+
     fn reaches(&self, one: NodeId, other: NodeId) -> bool {
         let is_cut = self.cut.contains(&one) || self.cut.contains(&other);
         !is_cut && self.cut_pair != Some((one.min(other), one.max(other)))
@@ -212,8 +243,8 @@
             match action {
                 Action::Send { request, to, call, timeout } => {
                     let deadline = self.now + timeout;
-                    self.node_mut(node).requests.insert(request, deadline);
-                    self.network.push_back(Message::Call { from: node, request, to, call });
+                    self.node_mut(node).requests.insert(request, (to, deadline));
+                    self.post(self.delay, Message::Call { from: node, request, to, call });
                 }
                 Action::Reply(caller, reply) => {
                     let Some((to, request)) = self.callers.remove(&(node, caller)) else { continue };
@@ -224,7 +255,7 @@
                     if !self.reaches(node, to) {
                         continue;
                     }
-                    self.network.push_back(Message::Reply { to, request, reply: Some(reply) });
+                    self.post(self.delay, Message::Reply { to, request, reply: Some(reply) });
                 }
                 Action::Respond(caller, response) => {
                     self.responses.insert(caller, response);
@@ -275,11 +306,14 @@
         self.settle();
     }
 
-    /// Performs writes and messages until none is left.
+    /// Performs writes and messages until none is due.
     fn settle(&mut self) {
         loop {
             self.complete_writes();
-            let Some(message) = self.network.pop_front() else { return };
+            let Some(arrival) = self.network.first_entry().filter(|entry| entry.key().0 <= self.now) else {
+                return;
+            };
+            let message = arrival.remove();
             self.deliver(message);
         }
     }
@@ -296,11 +330,13 @@
 
     fn expire_requests(&mut self) {
         let now = self.now;
+        let mut expired = Vec::new();
         for (to, node) in &self.nodes {
-            let expired = node.requests.iter().filter(|(_, deadline)| **deadline <= now);
-            for (request, _) in expired {
-                self.network.push_back(Message::Reply { to: *to, request: *request, reply: None });
-            }
+            let late = node.requests.iter().filter(|(_, (_, deadline))| *deadline <= now);
+            expired.extend(late.map(|(request, _)| (*to, *request)));
+        }
+        for (to, request) in expired {
+            self.post(0, Message::Reply { to, request, reply: None });
         }
     }
 }
--- a/crates/control/control-plane/tests/replica/quorum.rs
+++ b/crates/control/control-plane/tests/replica/quorum.rs
@@ -4,6 +4,11 @@
 use limeway_control_plane::{ApiRequest, ApiResponse, QUORUM_LEASE};
 use rstest::rstest;
 
+/// One way between two regions: the longest of the simulation.
+const DELAY: u64 = 75 * MS;
+/// How long before the reply to a heartbeat its connection is reset.
+const RESET_BEFORE_REPLY: u64 = 10 * MS;
+
 #[rstest]
 fn replicas_of_an_initial_start_get_quorum_contact() {
     let mut cluster = Cluster::start(3);
@@ -41,6 +46,39 @@
     assert_eq!(cluster.replica(3).live_frontends(cluster.now), None);
 }
 
+/// Seed 75 of the simulation: of four voters one is cut off, and the connection on which another one's vote and a heartbeat's reply come
+/// back is reset. The value is on the disks of a majority, and its proposer does not learn it; no round confirms the state before.
+#[rstest]
+#[case::before_the_call_arrives(DELAY)]
+#[case::before_the_vote_is_back(2 * DELAY - RESET_BEFORE_REPLY)]
+fn a_vote_lost_with_its_connection_costs_no_quorum_contact(#[case] proposed_before_round: u64) {
+    let mut cluster = Cluster::start(4);
+    cluster.run(4 * SECOND);
+    assert_eq!(cluster.replica(1).state().voters.len(), 4);
+    cluster.set_delay(DELAY);
+    cluster.set_cut(2, true);
+    cluster.run(2 * SECOND);
+    let slot = cluster.replica(1).state().slot;
+    let round = cluster.replica(4).next_tick();
+    cluster.run(round - proposed_before_round - cluster.now);
+    let caller = cluster.call_api(1, ApiRequest::UpdateConfig(update(1, 0)));
+    cluster.run(round + 2 * DELAY - RESET_BEFORE_REPLY - cluster.now);
+    cluster.reset(1, 4);
+    assert_eq!(cluster.replica(1).state().slot, slot, "not chosen yet");
+    let reset = cluster.now;
+    while cluster.now < reset + 2 * SECOND {
+        cluster.run(5 * MS);
+        for node in [1, 3, 4] {
+            let after = (cluster.now - reset) / MS;
+            assert!(
+                cluster.replica(node).has_quorum(cluster.now),
+                "replica {node}, {after} ms after the reset"
+            );
+        }
+    }
+    assert_eq!(cluster.response(caller), Some(&ApiResponse::Done));
+}
+
 /// A replica that is behind must not reject by its old state: what it takes for a conflict may be the newest.
 #[rstest]
 fn a_stale_replica_rejects_nothing() {
