--- a/crates/testing/simulation/src/rng.rs
+++ b/crates/testing/simulation/src/rng.rs
@@ -33,4 +33,10 @@
     pub fn pick<'a, T>(&mut self, all: &'a [T]) -> Option<&'a T> {
         all.get(self.below(all.len() as u64) as usize)
     }
+
+    /// So many different ones of these, in random order; all if there are fewer.
+    pub fn sample<T: Copy>(&mut self, all: &[T], count: usize) -> Vec<T> {
+        let mut left = all.to_vec();
+        (0..count.min(all.len())).map(|_| left.swap_remove(self.below(left.len() as u64) as usize)).collect()
+    }
 }
