Both programs block their signals before the run-time begins, in .preinit_array; starts traced

Cause: a signal has its default action until the program handles it, and main was the first line of ours: before it Rust's run-time and the initializers of libraries ran, 0.1 to 0.2 ms at rest, much longer beside load, with nothing blocked ("running without a handler"). Both mains start with the signals blocked and unblock them as before.

--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -72,11 +72,7 @@
 }
 
 fn main() -> ExitCode {
-    // Before anything else: until it is done, a signal ends the process.
-    let blocked = match BlockedSignals::block() {
-        Ok(blocked) => blocked,
-        Err(e) => return fail(&e),
-    };
+    let blocked = BlockedSignals::since_start();
     match LimewayBalancer::from_env_or_exit().subcommand {
         LimewayBalancerCmd::Check(flags) => check(&flags.path, blocked),
         LimewayBalancerCmd::Serve(flags) => serve(flags, blocked),
--- a/crates/balancer/src/signals.rs
+++ b/crates/balancer/src/signals.rs
@@ -1,23 +1,18 @@
-//! The signals of the process. Their default action ends it, so they are blocked before anything else is done, and let through
-//! once they have handlers.
+//! The signals of the process. Their default action ends it, so they are blocked when `main` begins
+//! ([`limeway_startup_signals`]), and let through once they have handlers.
 
 use crate::process::StartError;
 use error_stack::{Report, ResultExt};
-use nix::sys::signal::{SigSet, Signal as SignalNumber};
+use nix::sys::signal::SigSet;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 
 /// The signals of the platform, kept from the process until they have handlers.
 pub struct BlockedSignals(SigSet);
 
 impl BlockedSignals {
-    /// Blocks the signals: what comes from now on waits in the kernel. Threads that are started meanwhile inherit it.
-    ///
-    /// # Errors
-    /// The system refuses.
-    pub fn block() -> Result<Self, Report<StartError>> {
-        let signals: SigSet = [SignalNumber::SIGTERM, SignalNumber::SIGHUP].into_iter().collect();
-        signals.thread_block().change_context(StartError::Signals)?;
-        Ok(BlockedSignals(signals))
+    /// The signals that are blocked since the start: what comes waits in the kernel. Threads that are started meanwhile inherit it.
+    pub fn since_start() -> Self {
+        BlockedSignals(limeway_startup_signals::blocked_signals())
     }
 
     /// Lets the signals through, also if they were blocked before the program began.
--- a/crates/balancer/tests/system/mod.rs
+++ b/crates/balancer/tests/system/mod.rs
@@ -8,6 +8,8 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+/// The program under test.
+pub(crate) const PROGRAM: &str = env!("CARGO_BIN_EXE_limeway-balancer");
 /// Ports of all machines.
 pub(crate) const CONTROL: u16 = 28383;
 pub(crate) const DIRECTORY: u16 = 28385;
@@ -90,12 +92,18 @@
 
     /// Starts a machine's process with the settings that were written last.
     pub(crate) fn spawn(&self, at: usize) {
+        let mut command = Command::new(PROGRAM);
+        command.stdin(Stdio::null());
+        self.spawn_by(at, command);
+    }
+
+    /// Starts a machine's process by a command that runs the program with the arguments that are added to it.
+    pub(crate) fn spawn_by(&self, at: usize, mut command: Command) {
         let log =
             std::fs::File::options().create(true).append(true).open(self.folder.join("log")).expect("log");
-        let child = Command::new(env!("CARGO_BIN_EXE_limeway-balancer"))
+        let child = command
             .args(["serve", "--log", "info", "--settings"])
             .arg(self.settings_path(at))
-            .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log)
             .spawn()
--- a/crates/gateway/gateway/src/main.rs
+++ b/crates/gateway/gateway/src/main.rs
@@ -2,17 +2,12 @@
 #![forbid(unsafe_code)]
 
 use limeway_log_queue::{FlushGuard, LogQueue};
-use nix::sys::signal::{SigSet, Signal};
 use std::fmt::Display;
 use std::process::ExitCode;
 use tokio::task::LocalSet;
 
 fn main() -> ExitCode {
-    // Before anything else: until they have handlers, these signals would end the process.
-    let blocked: SigSet = [Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP].into_iter().collect();
-    if let Err(e) = blocked.thread_block() {
-        return fail(format!("signals: {e}"));
-    }
+    let blocked = limeway_startup_signals::blocked_signals();
     let _flush_at_exit = match log_to_stderr() {
         Ok(guard) => guard,
         Err(e) => return fail(format!("log: {e}")),
--- a/crates/gateway/gateway/tests/common/mod.rs
+++ b/crates/gateway/gateway/tests/common/mod.rs
@@ -270,13 +270,22 @@
     command().env("ROUTER_CONFIG", place(config)).spawn().expect("the limiter starts")
 }
 
+/// The program under test.
+pub(crate) const PROGRAM: &str = env!("CARGO_BIN_EXE_limeway");
+
 /// The program, with nothing of the test's own environment that it would read.
 pub(crate) fn command() -> Command {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_limeway"));
+    let mut command = Command::new(PROGRAM);
+    command.stdin(Stdio::null());
+    with_clean_environment(command)
+}
+
+/// A command that runs the program, with nothing of the test's own environment that it would read.
+pub(crate) fn with_clean_environment(mut command: Command) -> Command {
     for name in ["ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY", "ROUTER_CONFIG", "LIMEWAY_OPERATOR"] {
         command.env_remove(name);
     }
-    command.stdin(Stdio::null()).stderr(Stdio::piped());
+    command.stderr(Stdio::piped());
     command
 }
 
