--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -2,6 +2,9 @@
 //! that clients reach, one without is a core machine.
 #![forbid(unsafe_code)]
 
+// Linked for its build script.
+use limeway_static_libgcc as _;
+
 use limeway_balancer::{
     clock, process,
     settings_file::{self, SettingsFile},
--- a/crates/balancer/build.rs
+++ b/crates/data/static-libgcc/build.rs
@@ -1,6 +1,4 @@
-//! Links the library of the C compiler into the program, as `gcc -static-libgcc` does for C.
-//!
-//! A signal ends a process whose program is still being loaded, so loading is kept short: each library that is loaded takes time.
+//! Puts an archive in the place of the shared library of the C compiler, for all that link this package.
 
 use std::path::PathBuf;
 use std::{env, fs, io};
@@ -18,6 +16,6 @@
         return Ok(());
     };
     fs::write(folder.join(SHARED_LIBRARY), STATIC_LIBRARY_SCRIPT)?;
-    println!("cargo:rustc-link-arg-bins=-L{}", folder.display());
+    println!("cargo:rustc-link-search=native={}", folder.display());
     Ok(())
 }
--- a/crates/gateway/gateway/src/main.rs
+++ b/crates/gateway/gateway/src/main.rs
@@ -1,6 +1,9 @@
 //! limeway: a quota limiter on real sockets. Exit code 1 and one line on standard error where it cannot start.
 #![forbid(unsafe_code)]
 
+// Linked for its build script.
+use limeway_static_libgcc as _;
+
 use limeway_log_queue::{FlushGuard, LogQueue};
 use std::fmt::Display;
 use std::process::ExitCode;
