Soak: the seed draws per process whether its starter blocks the signals; both kinds are counted

A check is changed. Until now the soak started every process with nothing blocked. A platform may do either, so each process draws its kind from the seed of the run (a stream a machine, beside the plan's, which stays as it was), and the report counts both, and the ages of processes at their signals for each. A process that ends by itself is a broken rule as before, whoever started it, with its kind in the report. What is lost: about half of the starts that a signal could end while the program is loaded. They would find nothing but the default action of a signal before the first instruction.

--- a/crates/testing/soak/src/cluster.rs
+++ b/crates/testing/soak/src/cluster.rs
@@ -7,7 +7,9 @@
 use crate::process_age::ProcessAge;
 use crate::process_settings::ProcessSettings;
 use crate::process_status::{ProcessStatus, StartupPhase};
+use crate::starter::{Starter, Starters};
 use limeway_http1::conn::Conn;
+use limeway_process_start::SignalBlock;
 use rustix::process::{kill_process, Pid, Signal};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -34,8 +36,11 @@
 const THROTTLED_REST: Duration = Duration::from_millis(80);
 
 /// A process, or the place for one.
-#[derive(Default)]
 struct Machine {
+    /// How its processes are started.
+    starters: RefCell<Starters>,
+    /// How its present process was started.
+    starter: Cell<Starter>,
     child: RefCell<Option<Child>>,
     /// Its present process, until that has ended.
     pid: Cell<Option<Pid>>,
@@ -51,6 +56,23 @@
     reloads: Cell<u32>,
 }
 
+impl Machine {
+    /// A place without a process.
+    fn new(seed: u64, at: usize) -> Self {
+        Machine {
+            starters: RefCell::new(Starters::new(seed, at)),
+            starter: Cell::new(Starter::Plain),
+            child: RefCell::default(),
+            pid: Cell::default(),
+            started: Cell::default(),
+            counted: RefCell::default(),
+            earlier: RefCell::default(),
+            throttled: Cell::default(),
+            reloads: Cell::default(),
+        }
+    }
+}
+
 /// How a process ended after SIGTERM.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Termination {
@@ -70,22 +92,24 @@
     program: PathBuf,
     folder: PathBuf,
     machines: Vec<Machine>,
+    /// How many processes each kind of starter has started.
+    starts: RefCell<BTreeMap<Starter, u64>>,
     /// How far processes had come when a signal of this name was sent to them.
     phases: RefCell<BTreeMap<(&'static str, StartupPhase), u64>>,
-    /// How old processes were when a signal of this name was sent to them.
-    ages: RefCell<BTreeMap<(&'static str, ProcessAge), u64>>,
+    /// How old processes were when a signal of this name was sent to them, by their starter.
+    ages: RefCell<BTreeMap<(&'static str, Starter, ProcessAge), u64>>,
     /// Processes that had ended by themselves when they were to be killed.
     ended_before_kill: RefCell<Vec<String>>,
 }
 
 impl Cluster {
-    /// Processes of a program, with their files in a folder; none runs yet.
+    /// Processes of a program, with their files in a folder; none runs yet. The seed determines who starts them.
     ///
     /// # Errors
     /// The folder cannot be made.
-    pub fn new(program: &Path, folder: &Path, net: u8, layout: Layout) -> io::Result<Rc<Self>> {
+    pub fn new(program: &Path, folder: &Path, net: u8, layout: Layout, seed: u64) -> io::Result<Rc<Self>> {
         std::fs::create_dir_all(folder)?;
-        let machines = (0..layout.machines()).map(|_| Machine::default()).collect();
+        let machines = (0..layout.machines()).map(|at| Machine::new(seed, at)).collect();
         let (program, folder) = (program.to_owned(), folder.to_owned());
         Ok(Rc::new(Cluster {
             net,
@@ -93,6 +117,7 @@
             program,
             folder,
             machines,
+            starts: RefCell::default(),
             phases: RefCell::default(),
             ages: RefCell::default(),
             ended_before_kill: RefCell::default(),
@@ -138,14 +163,24 @@
         std::fs::write(&path, self.settings(at, first))?;
         let log = self.folder.join(format!("log-{at}"));
         let log = std::fs::File::options().create(true).append(true).open(log)?;
-        let child = Command::new(&self.program)
+        let mut command = Command::new(&self.program);
+        command
             .args(["serve", "--log", "info", "--settings"])
             .arg(&path)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log)
-            .kill_on_drop(true)
-            .spawn()?;
+            .kill_on_drop(true);
+        let starter = self.machines[at].starters.borrow_mut().draw();
+        let child = match starter {
+            Starter::Blocking => {
+                let _blocked = SignalBlock::new()?;
+                command.spawn()?
+            }
+            Starter::Plain => command.spawn()?,
+        };
+        self.machines[at].starter.set(starter);
+        *self.starts.borrow_mut().entry(starter).or_default() += 1;
         let id = child.id().and_then(|id| i32::try_from(id).ok());
         self.machines[at].pid.set(id.and_then(Pid::from_raw));
         self.machines[at].started.set(Some(Instant::now()));
@@ -215,17 +250,23 @@
         if let Some(status) = status {
             *self.phases.borrow_mut().entry((name, status.phase(signal))).or_default() += 1;
             let age = self.machines[at].started.get().map_or(Duration::MAX, |started| started.elapsed());
-            *self.ages.borrow_mut().entry((name, ProcessAge::from(age))).or_default() += 1;
+            let starter = self.machines[at].starter.get();
+            *self.ages.borrow_mut().entry((name, starter, ProcessAge::from(age))).or_default() += 1;
         }
     }
 
+    /// How many processes each kind of starter has started.
+    pub fn starts(&self) -> BTreeMap<Starter, u64> {
+        self.starts.borrow().clone()
+    }
+
     /// How far processes had come when they were sent a signal, by its name.
     pub fn signal_phases(&self) -> BTreeMap<(&'static str, StartupPhase), u64> {
         self.phases.borrow().clone()
     }
 
-    /// How old processes were when they were sent a signal, by its name.
-    pub fn signal_ages(&self) -> BTreeMap<(&'static str, ProcessAge), u64> {
+    /// How old processes were when they were sent a signal, by its name and their starter.
+    pub fn signal_ages(&self) -> BTreeMap<(&'static str, Starter, ProcessAge), u64> {
         self.ages.borrow().clone()
     }
 
@@ -287,7 +328,8 @@
         self.machines[at].child.take();
         self.process_ended(at);
         let phase = last.map_or("unknown".to_owned(), |last| last.phase(Signal::HUP).to_string());
-        Some(format!("machine {at}: {status}, SIGHUP {phase}"))
+        let starter = self.machines[at].starter.get();
+        Some(format!("machine {at}: {status}, SIGHUP {phase}, started with {starter}"))
     }
 
     fn process_ended(&self, at: usize) {
--- a/crates/testing/soak/src/lib.rs
+++ b/crates/testing/soak/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod run;
 pub mod server;
 pub mod stalls;
+pub mod starter;
 pub mod startup_trial;
 
 use std::time::Duration;
--- a/crates/testing/soak/src/report.rs
+++ b/crates/testing/soak/src/report.rs
@@ -6,6 +6,7 @@
 use crate::process_age::ProcessAge;
 use crate::process_status::StartupPhase;
 use crate::stalls::Stall;
+use crate::starter::Starter;
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::time::Duration;
@@ -27,10 +28,12 @@
     pub log_violations: Vec<String>,
     /// How requests ended.
     pub ends: BTreeMap<String, u64>,
+    /// How many processes each kind of starter has started.
+    pub starts: BTreeMap<Starter, u64>,
     /// How far processes had come when they were sent a signal, by its name.
     pub signal_phases: BTreeMap<(&'static str, StartupPhase), u64>,
-    /// How old processes were when they were sent a signal, by its name.
-    pub signal_ages: BTreeMap<(&'static str, ProcessAge), u64>,
+    /// How old processes were when they were sent a signal, by its name and their starter.
+    pub signal_ages: BTreeMap<(&'static str, Starter, ProcessAge), u64>,
     /// Standstills of the soak itself.
     pub stalls: Vec<Stall>,
 }
@@ -102,6 +105,9 @@
         for (end, count) in &other.ends {
             *self.ends.entry(end.clone()).or_default() += count;
         }
+        for (starter, count) in &other.starts {
+            *self.starts.entry(*starter).or_default() += count;
+        }
         for (signal, count) in &other.signal_ages {
             *self.signal_ages.entry(*signal).or_default() += count;
         }
@@ -119,11 +125,14 @@
         for (name, count) in &self.faults {
             let _ = writeln!(text, "  {name:<28} {count:>6}");
         }
+        for (starter, count) in &self.starts {
+            let _ = writeln!(text, "{:<30} {count:>6}", format!("  started, {starter}"));
+        }
         for ((signal, phase), count) in &self.signal_phases {
             let _ = writeln!(text, "{:<30} {count:>6}", format!("  {signal}, {phase}"));
         }
-        for ((signal, age), count) in &self.signal_ages {
-            let _ = writeln!(text, "{:<30} {count:>6}", format!("  {signal}, process {age}"));
+        for ((signal, starter, age), count) in &self.signal_ages {
+            let _ = writeln!(text, "{:<46} {count:>6}", format!("  {signal}, {starter}, process {age}"));
         }
         let longest = self.stalls.iter().max_by_key(|stall| stall.length);
         let longest = longest.map_or(String::new(), |stall| format!(", the longest {stall}"));
--- a/crates/testing/soak/src/run.rs
+++ b/crates/testing/soak/src/run.rs
@@ -120,7 +120,7 @@
         None => Plan::draw(seed, options.length),
     };
     let layout = plan.layout;
-    let cluster = Cluster::new(&options.program, folder, options.net, layout)?;
+    let cluster = Cluster::new(&options.program, folder, options.net, layout, seed)?;
     let (ledger, demand) = (Ledger::new(), Rc::new(Demand::default()));
     let network = Network::start(layout, options.net, seed)?;
     for at in cluster.all() {
@@ -264,6 +264,7 @@
     let seen = stage.ledger.seen.borrow();
     let (invariants, logs) = (stage.cluster.invariant_counts(), stage.cluster.violations_in_logs());
     let mut report = Report::new(seed, &seen, judge(&seen), invariants, logs);
+    report.starts = stage.cluster.starts();
     report.signal_phases = stage.cluster.signal_phases();
     report.signal_ages = stage.cluster.signal_ages();
     Ok(report)
