--- a/crates/testing/rehearsal/src/html.rs
+++ b/crates/testing/rehearsal/src/html.rs
@@ -12,6 +12,12 @@
 /// Nodes drawn one by one; beyond it a chart could not be read.
 const MAX_NODES: usize = 40;
 
+/// How the page begins.
+const HEAD: &str =
+    "<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><title>Rehearsal</title><style>\
+     body{font:15px/1.5 system-ui,sans-serif;max-width:1000px;margin:2em auto;padding:0 1em;color:#222}\
+     pre{background:#f5f5f2;padding:1em;overflow-x:auto}.fail{color:#b00020}.pass{color:#1b6e3c}svg{max-width:100%}</style>";
+
 /// A line of a chart: its name and a value for each second.
 type Line = (String, Vec<f64>);
 
@@ -21,7 +27,26 @@
 
 /// The page.
 pub fn page(run: &Run, verdict: &Verdict, text: &str) -> String {
-    let (all, troubles) = (seconds(run), spans(run));
+    let troubles = spans(run);
+    let mut page = String::from(HEAD);
+    write_summary(&mut page, verdict, text);
+    write_timeline(&mut page, &troubles);
+    for (title, lines) in charts(run) {
+        let _ = write!(page, "<h2>{}</h2>", escape(title));
+        match chart(&lines, &troubles) {
+            Ok(svg) => page.push_str(&svg),
+            Err(e) => {
+                let _ = write!(page, "<p>no chart: {}</p>", escape(&e));
+            }
+        }
+    }
+    page.push_str("</html>\n");
+    page
+}
+
+/// The charts' titles and lines.
+fn charts(run: &Run) -> Vec<(&str, Vec<Line>)> {
+    let all = seconds(run);
     let line =
         |name: &str, of: &dyn Fn(&Second) -> f64| -> Line { (name.into(), all.iter().map(of).collect()) };
     let mut charts = vec![(
@@ -49,11 +74,11 @@
         "Calls to the counter, a second",
         vec![line("added", &|s| f64::from(s.counts.0)), line("not added", &|s| f64::from(s.counts.1))],
     ));
-    let mut page = String::from(
-        "<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><title>Rehearsal</title><style>\
-         body{font:15px/1.5 system-ui,sans-serif;max-width:1000px;margin:2em auto;padding:0 1em;color:#222}\
-         pre{background:#f5f5f2;padding:1em;overflow-x:auto}.fail{color:#b00020}.pass{color:#1b6e3c}svg{max-width:100%}</style>",
-    );
+    charts
+}
+
+/// The verdict, and the report as text.
+fn write_summary(page: &mut String, verdict: &Verdict, text: &str) {
     let passes = verdict.passes();
     let word = match (&verdict.void, passes) {
         (Some(_), _) => "void",
@@ -68,25 +93,18 @@
         verdict.service.figure,
         escape(text)
     );
-    if !troubles.is_empty() {
-        page.push_str("<h2>Timeline</h2><ul>");
-        for (from, to, what) in &troubles {
-            let (from, to) = (*from as f64 / 1e6, *to as f64 / 1e6);
-            let _ = write!(page, "<li>{from:.1} to {to:.1} s: {}</li>", escape(what));
-        }
-        page.push_str("</ul>");
+}
+
+fn write_timeline(page: &mut String, troubles: &[(Micros, Micros, String)]) {
+    if troubles.is_empty() {
+        return;
     }
-    for (title, lines) in charts {
-        let _ = write!(page, "<h2>{}</h2>", escape(title));
-        match chart(&lines, &troubles) {
-            Ok(svg) => page.push_str(&svg),
-            Err(e) => {
-                let _ = write!(page, "<p>no chart: {}</p>", escape(&e));
-            }
-        }
+    page.push_str("<h2>Timeline</h2><ul>");
+    for (from, to, what) in troubles {
+        let (from, to) = (*from as f64 / 1e6, *to as f64 / 1e6);
+        let _ = write!(page, "<li>{from:.1} to {to:.1} s: {}</li>", escape(what));
     }
-    page.push_str("</html>\n");
-    page
+    page.push_str("</ul>");
 }
 
 /// A chart of lines over seconds, with the spans of troubles shaded.
--- a/crates/testing/rehearsal/src/report.rs
+++ b/crates/testing/rehearsal/src/report.rs
@@ -4,12 +4,12 @@
 use comfy_table::{CellAlignment, Table};
 use limeway_checker::ledger::Closing;
 use limeway_checker::rules::Judged;
-use limeway_checker::service::Service;
+use limeway_checker::service::{Prices, Service};
 use limeway_checker::Verdict;
 use std::fmt::Write;
 
 /// Breaks of a rule that the table shows; the JSON report holds more.
-const SHOWN: usize = 3;
+const MAX_SHOWN_BREAKS: usize = 3;
 
 fn table() -> Table {
     let mut table = Table::new();
@@ -34,11 +34,22 @@
 /// The verdict as text.
 pub fn text(verdict: &Verdict, closing: Option<&Closing>, notes: &[String]) -> String {
     let mut out = String::new();
-    let s = &verdict.service;
     let _ = writeln!(out, "\n{}, seed {}", verdict.scenario, verdict.seed);
     for note in notes {
         let _ = writeln!(out, "note: {note}");
     }
+    write_rules(&mut out, verdict);
+    write_service(&mut out, &verdict.service);
+    write_limiters(&mut out, verdict);
+    if let Some(closing) = closing {
+        write_lateness(&mut out, closing);
+    }
+    write_conclusion(&mut out, verdict);
+    out
+}
+
+/// A row a rule, then the first breaks of those that were broken.
+fn write_rules(out: &mut String, verdict: &Verdict) {
     let mut rules = table();
     for rule in &verdict.rules {
         let word = word(rule);
@@ -50,45 +61,64 @@
     }
     let _ = writeln!(out, "{rules}");
     for rule in verdict.rules.iter().filter(|r| r.broken > 0) {
-        for seen in rule.breaks.iter().take(SHOWN) {
+        for seen in rule.breaks.iter().take(MAX_SHOWN_BREAKS) {
             let at = seen.t as f64 / 1e6;
             let _ = writeln!(out, "  rule {} at {at:.3} s, {}: {}", rule.rule, seen.of, seen.seen);
         }
     }
-    let _ = writeln!(out, "\nservice {:.3}", s.figure);
+}
+
+/// The figure, what it is made of, and where first tries ended.
+fn write_service(out: &mut String, service: &Service) {
+    let _ = writeln!(out, "\nservice {:.3}", service.figure);
     let mut parts = table();
-    let row = |parts: &mut Table, name: &str, value: String, note: String| {
+    let mut row = |name: &str, value: String, note: String| {
         parts.add_row(vec![format!("  {name}"), value, note]);
     };
-    row(&mut parts, "whole run", percent(s.whole), String::new());
-    let worst = format!("from {:.0} s on", s.worst_at as f64 / 1e6);
-    row(&mut parts, "worst 10 s", percent(s.worst_window), worst);
-    row(&mut parts, "worst plan", percent(s.worst_plan), String::new());
-    for plan in &s.plans {
+    row("whole run", percent(service.whole), String::new());
+    let worst = format!("from {:.0} s on", service.worst_at as f64 / 1e6);
+    row("worst 10 s", percent(service.worst_window), worst);
+    row("worst plan", percent(service.worst_plan), String::new());
+    for plan in &service.plans {
         let note = format!("{} first tries, {} inside the quota", plan.asked, plan.inside);
-        row(&mut parts, &format!("plan {}", plan.name), percent(plan.service), note);
+        row(&format!("plan {}", plan.name), percent(plan.service), note);
     }
-    let p = &s.prices;
-    for (name, value) in [
-        ("sent on beyond quotas", p.over_quota),
-        ("calls to the counter", p.counter),
-        ("messages", p.peer),
-        ("wasted work", p.waste),
-        ("late failures", p.late_fail),
-        ("rooms crossed", p.cross_room),
-    ] {
-        row(&mut parts, name, format!("-{}", percent(value)), String::new());
+    for (name, value) in named_prices(&service.prices) {
+        row(name, format!("-{}", percent(value)), String::new());
     }
     if let Some(column) = parts.column_mut(1) {
         column.set_cell_alignment(CellAlignment::Right);
     }
     let _ = writeln!(out, "{parts}");
-    let e = &s.ends;
+    let ends = &service.ends;
     let _ = writeln!(
         out,
         "\n{} first tries: {} served in time, {} late, {} refused, {} failed; {} tries, {} attempts, {} calls to the counter, {} messages",
-        e.asked, e.in_time, e.late, e.refused, e.failed, s.tries, s.attempts, s.counts, s.messages
+        ends.asked,
+        ends.in_time,
+        ends.late,
+        ends.refused,
+        ends.failed,
+        service.tries,
+        service.attempts,
+        service.counts,
+        service.messages
     );
+}
+
+fn named_prices(prices: &Prices) -> [(&'static str, f64); 6] {
+    [
+        ("sent on beyond quotas", prices.over_quota),
+        ("calls to the counter", prices.counter),
+        ("messages", prices.peer),
+        ("wasted work", prices.waste),
+        ("late failures", prices.late_fail),
+        ("rooms crossed", prices.cross_room),
+    ]
+}
+
+/// What each limiter used.
+fn write_limiters(out: &mut String, verdict: &Verdict) {
     for cost in &verdict.limiters {
         let _ = writeln!(
             out,
@@ -101,17 +131,21 @@
             cost.fds
         );
     }
-    if let Some(c) = closing {
-        let ms = |t: u64| t as f64 / 1e3;
-        let _ = writeln!(
-            out,
-            "the kit's own lateness: {:.2} ms p50, {:.2} ms p99, {:.2} ms p99.9, {:.2} ms at most",
-            ms(c.late_p50_us),
-            ms(c.late_p99_us),
-            ms(c.late_p999_us),
-            ms(c.late_max_us)
-        );
-    }
+}
+
+fn write_lateness(out: &mut String, closing: &Closing) {
+    let ms = |t: u64| t as f64 / 1e3;
+    let _ = writeln!(
+        out,
+        "the kit's own lateness: {:.2} ms p50, {:.2} ms p99, {:.2} ms p99.9, {:.2} ms at most",
+        ms(closing.late_p50_us),
+        ms(closing.late_p99_us),
+        ms(closing.late_p999_us),
+        ms(closing.late_max_us)
+    );
+}
+
+fn write_conclusion(out: &mut String, verdict: &Verdict) {
     match &verdict.void {
         Some(reason) => {
             let _ = writeln!(out, "\nVOID: {reason}. This run proves nothing.");
@@ -121,7 +155,6 @@
             let _ = writeln!(out, "\n{passed} of {} rules pass", verdict.rules.len());
         }
     }
-    out
 }
 
 /// A part of service.
