--- a/crates/testing/rehearsal/src/rehearsal.rs
+++ b/crates/testing/rehearsal/src/rehearsal.rs
@@ -13,8 +13,10 @@
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::path::{Path, PathBuf};
+use std::pin::Pin;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use tokio::task::JoinHandle;
 use tokio::time::{interval, sleep, Instant};
 
 /// Time from the last limiter's readiness to the first arrival.
@@ -109,8 +111,6 @@
     mut tell: impl FnMut(&Progress),
 ) -> Result<Played, KitError> {
     let folder = Folder::new(plan.logs.as_deref())?;
-    let length = plan.day.length;
-    let longest = plan.day.scenario.class.iter().map(|c| c.deadline_seconds).fold(0.0, f64::max);
     let operator = match plan.history {
         true => Some(histories::ask_for(folder.path(), plan.operator.as_deref())?),
         false => plan.operator.clone(),
@@ -118,79 +118,20 @@
     let world = World::start(plan.day).await.map_err(|e| KitError::Setup(format!("stand-ins: {e}")))?;
     let fleet = Fleet::new(world.clone(), &plan.program, folder.path(), plan.ready_most, operator);
     let opening = opening(&world.day, &world.book.clock);
-    tokio::pin!(stop);
-    let mut records = Vec::new();
-    let ready = async {
-        for limiter in 0..world.limiters.len() as u32 {
-            fleet.start(limiter).await?;
-        }
-        Ok::<_, KitError>(())
-    };
-    let stopped = tokio::select! {
-        ready = ready => { ready?; false }
-        () = &mut stop => true,
-    };
     let stage = Arc::new(Stage {
         world: world.clone(),
         fleet: fleet.clone(),
         on: On::default(),
         errors: Mutex::default(),
     });
-    let start = world.book.now() + LEAD;
-    let mut tasks = Vec::new();
-    let mut complete = false;
-    if !stopped {
-        let sending = tokio::spawn(world.clients.clone().run(start));
-        for event in world.day.events.clone() {
-            tasks.push(tokio::spawn(stage.clone().play(event, start)));
-        }
-        let end = world.book.clock.instant(start + length);
-        let last = Instant::from_std(end) + Duration::from_secs_f64(longest) + MAX_LAST;
-        let mut every = interval(MEASURE_EVERY);
-        let mut progress = Progress::default();
-        loop {
-            tokio::select! {
-                biased;
-                () = &mut stop => break,
-                () = fleet.crash() => {
-                    // What clients saw of it still comes; the run is void all the same.
-                    sleep(MEASURE_EVERY).await;
-                    break;
-                }
-                _ = every.tick() => {
-                    fleet.measure();
-                    let news = world.book.take();
-                    progress.count(&news);
-                    progress.seconds = world.book.now().saturating_sub(start) as f64 / 1e6;
-                    progress.on = stage.on.names();
-                    tell(&progress);
-                    records.extend(news);
-                }
-            }
-            let over =
-                sending.is_finished() && world.clients.busy() == 0 && world.book.now() >= start + length;
-            if over || Instant::now() > last {
-                complete = over;
-                break;
-            }
-        }
-        sending.abort();
-        fleet.measure();
-    }
-    tasks.iter().for_each(|t| t.abort());
-    let late = world.clients.lateness();
-    let at = |part: f64| late.get(((late.len() as f64 * part) as usize).min(late.len().saturating_sub(1)));
-    let at = |part: f64| at(part).map_or(0, |l| Micros::from(*l));
-    let planned = world.day.arrivals.len() as u64;
-    let closing = Closing {
-        t: world.book.now(),
-        complete: complete && world.book.lost() == 0,
-        planned,
-        late_p50_us: at(0.5),
-        late_p99_us: at(0.99),
-        late_p999_us: at(0.999),
-        late_max_us: at(1.0),
+    tokio::pin!(stop);
+    let stopped = tokio::select! {
+        ready = stage.start_limiters() => { ready?; false }
+        () = &mut stop => true,
     };
+    let mut records = Vec::new();
+    let complete = !stopped && stage.offer_load(stop, &mut tell, &mut records).await;
+    let closing = closing(&world, complete);
     records.extend(world.book.take());
     records.push(Record::Closing(closing));
     fleet.stop();
@@ -205,6 +146,22 @@
     }
 }
 
+/// The ledger's last line of the kit itself.
+fn closing(world: &World, complete: bool) -> Closing {
+    let late = world.clients.lateness();
+    let at = |part: f64| late.get(((late.len() as f64 * part) as usize).min(late.len().saturating_sub(1)));
+    let at = |part: f64| at(part).map_or(0, |l| Micros::from(*l));
+    Closing {
+        t: world.book.now(),
+        complete: complete && world.book.lost() == 0,
+        planned: world.day.arrivals.len() as u64,
+        late_p50_us: at(0.5),
+        late_p99_us: at(0.99),
+        late_p999_us: at(0.999),
+        late_max_us: at(1.0),
+    }
+}
+
 impl Progress {
     fn count(&mut self, news: &[Record]) {
         for record in news {
@@ -220,6 +177,72 @@
 }
 
 impl Stage {
+    /// Starts all limiters, one after the other.
+    async fn start_limiters(&self) -> Result<(), KitError> {
+        for limiter in 0..self.world.limiters.len() as u32 {
+            self.fleet.start(limiter).await?;
+        }
+        Ok(())
+    }
+
+    /// Offers the day's load and plays its timeline. Whether it came to its end.
+    async fn offer_load(
+        self: &Arc<Self>,
+        stop: Pin<&mut impl Future<Output = ()>>,
+        tell: &mut impl FnMut(&Progress),
+        records: &mut Vec<Record>,
+    ) -> bool {
+        let start = self.world.book.now() + LEAD;
+        let sending = tokio::spawn(self.world.clients.clone().run(start));
+        let events = self.world.day.events.clone().into_iter();
+        let playing: Vec<_> = events.map(|event| tokio::spawn(self.clone().play(event, start))).collect();
+        let complete = self.watch(start, &sending, stop, tell, records).await;
+        sending.abort();
+        self.fleet.measure();
+        playing.iter().for_each(JoinHandle::abort);
+        complete
+    }
+
+    /// Tells how the run stands until it is over, is stopped, or a limiter has crashed. Whether it came to its end.
+    async fn watch(
+        &self,
+        start: Micros,
+        sending: &JoinHandle<()>,
+        mut stop: Pin<&mut impl Future<Output = ()>>,
+        tell: &mut impl FnMut(&Progress),
+        records: &mut Vec<Record>,
+    ) -> bool {
+        let (world, fleet) = (&self.world, &self.fleet);
+        let end = start + world.day.length;
+        let last = Instant::from_std(world.book.clock.instant(end)) + longest_deadline(&world.day) + MAX_LAST;
+        let mut every = interval(MEASURE_EVERY);
+        let mut progress = Progress::default();
+        loop {
+            tokio::select! {
+                biased;
+                () = &mut stop => return false,
+                () = fleet.crash() => {
+                    // What clients saw of it still comes; the run is void all the same.
+                    sleep(MEASURE_EVERY).await;
+                    return false;
+                }
+                _ = every.tick() => {
+                    fleet.measure();
+                    let taken = world.book.take();
+                    progress.count(&taken);
+                    progress.seconds = world.book.now().saturating_sub(start) as f64 / 1e6;
+                    progress.on = self.on.names();
+                    tell(&progress);
+                    records.extend(taken);
+                }
+            }
+            let is_over = sending.is_finished() && world.clients.busy() == 0 && world.book.now() >= end;
+            if is_over || Instant::now() > last {
+                return is_over;
+            }
+        }
+    }
+
     /// Plays one event of the timeline.
     async fn play(self: Arc<Self>, event: Event, start: Micros) {
         let world = &self.world;
@@ -241,89 +264,78 @@
 
     async fn act(&self, event: &Event) -> Result<(), KitError> {
         let (world, fleet) = (&self.world, &self.fleet);
-        let wait = || sleep(Duration::from_micros(event.lasts));
         let io = |e: std::io::Error| KitError::Setup(e.to_string());
         match event.what {
-            What::CounterRefuse => self.counter(Mode::Refusing, event).await,
-            What::CounterSilent => self.counter(Mode::Silent, event).await,
-            What::CounterSlow(times) => self.counter(Mode::Slow(times), event).await,
+            What::CounterRefuse => self.counter(event, Mode::Refusing).await,
+            What::CounterSilent => self.counter(event, Mode::Silent).await,
+            What::CounterSlow(times) => self.counter(event, Mode::Slow(times)).await,
             What::CounterEmpty => world.counter.forget(),
-            What::CounterCut(limiter) => {
-                world.cut_counter(limiter, true);
-                wait().await;
-                world.cut_counter(limiter, false);
-            }
+            What::CounterCut(limiter) => while_on(event, |on| world.cut_counter(limiter, on)).await,
             What::CounterOther(limiter) => {
-                world.counter.move_limiter(limiter, true);
-                wait().await;
-                world.counter.move_limiter(limiter, false);
+                while_on(event, |on| world.counter.move_limiter(limiter, on)).await;
             }
             // Drawn into the arrivals already.
-            What::HotCustomers(..) | What::PlanBurst(..) => wait().await,
-            What::RoomCut(room) => {
-                world.cut_room(room, true);
-                wait().await;
-                world.cut_room(room, false);
-            }
+            What::HotCustomers(..) | What::PlanBurst(..) => lasting(event).await,
+            What::RoomCut(room) => while_on(event, |on| world.cut_room(room, on)).await,
             What::NodeDrain(node) => {
                 world.drain(node);
                 if event.lasts > 0 {
-                    wait().await;
+                    lasting(event).await;
                     world.undrain(node);
                 }
             }
             What::NodeKill(node) => {
                 world.kill(node);
                 if event.lasts > 0 {
-                    wait().await;
+                    lasting(event).await;
                     world.start_node(node, false).map_err(io)?;
                 }
             }
             What::NodeReplace(node) => world.replace(node).await.map_err(io)?,
             What::NodeSlow(node, times) => {
                 let slow = |times| world.node(node).iter().for_each(|n| n.slow(times));
-                slow(times);
-                wait().await;
-                slow(1.0);
+                while_on(event, |on| slow(if on { times } else { 1.0 })).await;
             }
             What::LimiterKill(limiter) => {
                 fleet.kill(limiter);
-                wait().await;
+                lasting(event).await;
                 fleet.start(limiter).await?;
             }
             What::LimiterRestart(limiter) => {
                 fleet.terminate(limiter).await;
                 fleet.start(limiter).await?;
             }
-            What::LimiterStall(limiter) => {
-                fleet.stall(limiter, true);
-                wait().await;
-                fleet.stall(limiter, false);
-            }
+            What::LimiterStall(limiter) => while_on(event, |on| fleet.stall(limiter, on)).await,
             What::LimiterReload(limiter, half) => fleet.reload(limiter, half)?,
-            What::PeersCut(apart) => {
-                world.cut_apart(apart, true);
-                wait().await;
-                world.cut_apart(apart, false);
-            }
-            What::Link(link) => {
-                world.link_fault(link, true);
-                if !link.fault.at_once() {
-                    wait().await;
-                    world.link_fault(link, false);
-                }
-            }
+            What::PeersCut(apart) => while_on(event, |on| world.cut_apart(apart, on)).await,
+            What::Link(link) if link.fault.at_once() => world.link_fault(link, true),
+            What::Link(link) => while_on(event, |on| world.link_fault(link, on)).await,
         }
         Ok(())
     }
 
-    async fn counter(&self, mode: Mode, event: &Event) {
-        self.world.counter.set(mode);
-        sleep(Duration::from_micros(event.lasts)).await;
-        self.world.counter.set(Mode::Well);
+    async fn counter(&self, event: &Event, mode: Mode) {
+        while_on(event, |on| self.world.counter.set(if on { mode } else { Mode::Well })).await;
     }
 }
 
+/// Waits for as long as an event lasts.
+async fn lasting(event: &Event) {
+    sleep(Duration::from_micros(event.lasts)).await;
+}
+
+/// Switches something on for as long as an event lasts.
+async fn while_on(event: &Event, switch: impl Fn(bool)) {
+    switch(true);
+    lasting(event).await;
+    switch(false);
+}
+
+/// The longest time that a client waits for its answer.
+fn longest_deadline(day: &Day) -> Duration {
+    Duration::from_secs_f64(day.scenario.class.iter().map(|c| c.deadline_seconds).fold(0.0, f64::max))
+}
+
 /// Where configurations and logs go.
 enum Folder {
     Kept(PathBuf),
