--- a/crates/testing/checker/src/rules.rs
+++ b/crates/testing/checker/src/rules.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 /// Failures of a rule that are told one by one; beyond that only their number.
-pub const MAX_TOLD: usize = 20;
+pub const MAX_LISTED_BREAKS: usize = 20;
 /// Part of the work sent to a fallen node that limiters which knew of its start must have sent, for it to be theirs.
 const INFORMED: f64 = 2.0 / 3.0;
 /// Names of the rules.
@@ -40,7 +40,7 @@
     pub broken: usize,
     /// What it was judged on: tries, attempts, nodes or customers.
     pub of: usize,
-    /// The first breaks, [`MAX_TOLD`] at most.
+    /// The first breaks, [`MAX_LISTED_BREAKS`] at most.
     pub breaks: Vec<Break>,
 }
 
@@ -65,7 +65,7 @@
     let judged = sheets.into_iter().zip(RULES).zip(1..).map(|((mut sheet, name), rule)| {
         sheet.breaks.sort_by_key(|b| b.t);
         let broken = sheet.breaks.len();
-        sheet.breaks.truncate(MAX_TOLD);
+        sheet.breaks.truncate(MAX_LISTED_BREAKS);
         Judged { rule, name, broken, of: sheet.of, breaks: sheet.breaks }
     });
     judged.collect()
--- a/crates/testing/rehearsal/src/fleet.rs
+++ b/crates/testing/rehearsal/src/fleet.rs
@@ -49,7 +49,7 @@
     world: Arc<World>,
     program: PathBuf,
     folder: PathBuf,
-    ready_most: Duration,
+    ready_timeout: Duration,
     operator: Option<PathBuf>,
     lives: Mutex<Vec<Option<Life>>>,
     /// A limiter has ended by itself.
@@ -58,12 +58,12 @@
 
 impl Fleet {
     /// A fleet of none yet, whose configurations and logs go into a folder, and each of whose limiters must be ready
-    /// within `ready_most`; `operator` is their operators' file.
+    /// within `ready_timeout`; `operator` is their operators' file.
     pub fn new(
         world: Arc<World>,
         program: &Path,
         folder: &Path,
-        ready_most: Duration,
+        ready_timeout: Duration,
         operator: Option<PathBuf>,
     ) -> Arc<Self> {
         let lives = (0..world.limiters.len()).map(|_| None).collect();
@@ -71,7 +71,7 @@
             world,
             program: program.to_owned(),
             folder: folder.to_owned(),
-            ready_most,
+            ready_timeout,
             operator,
             lives: Mutex::new(lives),
             crashed: watch::Sender::new(false),
@@ -113,13 +113,13 @@
         lock(&self.lives)[limiter as usize] =
             Some(Life { pid, expected: expected.clone(), stalled: false, ended: ended.clone() });
         tokio::spawn(self.clone().watch(limiter, child, expected, tell));
-        let end = Instant::now() + self.ready_most;
+        let end = Instant::now() + self.ready_timeout;
         while !self.world.clients.healthy(limiter).await {
             if *ended.borrow() {
                 return Err(KitError::Setup(format!("limiter {limiter} ended: {}", self.quote(limiter))));
             }
             if Instant::now() > end {
-                let (within, said) = (self.ready_most.as_secs(), self.quote(limiter));
+                let (within, said) = (self.ready_timeout.as_secs(), self.quote(limiter));
                 return Err(KitError::Setup(format!(
                     "limiter {limiter} is not ready within {within} s: {said}"
                 )));
--- a/crates/testing/rehearsal/src/main.rs
+++ b/crates/testing/rehearsal/src/main.rs
@@ -23,7 +23,7 @@
 const CANNOT: u8 = 2;
 const VOID: u8 = 3;
 /// Without a terminal, progress is told so often, in seconds.
-const TOLD_EVERY: f64 = 5.0;
+const PROGRESS_INTERVAL_SECONDS: f64 = 5.0;
 /// Quotas beyond this share of the fleet are noted.
 const QUOTAS_NOTED: f64 = 1.0;
 
@@ -257,7 +257,7 @@
         only: options.only.clone().filter(|_| !each),
         operator: options.operator.clone(),
         logs: options.keep_logs.clone(),
-        ready_most: MAX_READY,
+        ready_timeout: MAX_READY,
     };
     if options.runs == 1 && !each {
         return one_schedule(&runtime, options, &play);
@@ -440,7 +440,7 @@
             day: day.clone(),
             program: program.to_owned(),
             logs,
-            ready_most: MAX_READY,
+            ready_timeout: MAX_READY,
             operator,
             history: false,
         };
@@ -481,7 +481,7 @@
         let on = if p.on.is_empty() { String::new() } else { format!("; {}", p.on.join(", ")) };
         let line = format!("{offered} offered, {served} served, {refused} refused, {other} other{on}");
         bar.set_position(p.seconds.min(length) as u64);
-        if !terminal && p.seconds >= told + TOLD_EVERY {
+        if !terminal && p.seconds >= told + PROGRESS_INTERVAL_SECONDS {
             told = p.seconds;
             eprintln!("{:5.1} s  {line}", p.seconds);
         }
--- a/crates/testing/rehearsal/src/measure.rs
+++ b/crates/testing/rehearsal/src/measure.rs
@@ -90,7 +90,7 @@
         day,
         program: program.to_owned(),
         logs: None,
-        ready_most: MAX_READY,
+        ready_timeout: MAX_READY,
         operator: None,
         history: false,
     };
--- a/crates/testing/rehearsal/src/nemesis.rs
+++ b/crates/testing/rehearsal/src/nemesis.rs
@@ -49,7 +49,7 @@
     /// Folder for configurations and logs.
     pub logs: Option<PathBuf>,
     /// Each limiter must be ready within this time.
-    pub ready_most: Duration,
+    pub ready_timeout: Duration,
 }
 
 /// A schedule that was played.
@@ -152,7 +152,7 @@
         day: draw(&scenario, seed)?,
         program: options.program.clone(),
         logs: options.logs.clone(),
-        ready_most: options.ready_most,
+        ready_timeout: options.ready_timeout,
         operator: options.operator.clone(),
         history: true,
     };
--- a/crates/testing/rehearsal/src/rehearsal.rs
+++ b/crates/testing/rehearsal/src/rehearsal.rs
@@ -35,7 +35,7 @@
     /// Where configurations and logs go; nothing for a folder that goes with the run.
     pub logs: Option<PathBuf>,
     /// Each limiter must be ready within this time.
-    pub ready_most: Duration,
+    pub ready_timeout: Duration,
     /// The operators' file of all limiters, if they have one.
     pub operator: Option<PathBuf>,
     /// Limiters keep histories, which go into the ledger.
@@ -116,7 +116,7 @@
         false => plan.operator.clone(),
     };
     let world = World::start(plan.day).await.map_err(|e| KitError::Setup(format!("stand-ins: {e}")))?;
-    let fleet = Fleet::new(world.clone(), &plan.program, folder.path(), plan.ready_most, operator);
+    let fleet = Fleet::new(world.clone(), &plan.program, folder.path(), plan.ready_timeout, operator);
     let opening = opening(&world.day, &world.book.clock);
     let stage = Arc::new(Stage {
         world: world.clone(),
--- a/crates/testing/rehearsal/tests/common/mod.rs
+++ b/crates/testing/rehearsal/tests/common/mod.rs
@@ -55,7 +55,7 @@
         day,
         program,
         logs: None,
-        ready_most: Duration::from_secs(10),
+        ready_timeout: Duration::from_secs(10),
         operator: None,
         history: false,
     };
--- a/crates/testing/rehearsal/tests/fleet.rs
+++ b/crates/testing/rehearsal/tests/fleet.rs
@@ -26,7 +26,7 @@
         only: None,
         operator: None,
         logs: None,
-        ready_most: Duration::from_secs(20),
+        ready_timeout: Duration::from_secs(20),
     }
 }
 
--- a/crates/testing/rehearsal/tests/quotas.rs
+++ b/crates/testing/rehearsal/tests/quotas.rs
@@ -34,7 +34,7 @@
         day,
         program: limeway(),
         logs,
-        ready_most: Duration::from_secs(10),
+        ready_timeout: Duration::from_secs(10),
         operator: Some(file),
         history: false,
     };
--- a/crates/testing/rehearsal/tests/rogue.rs
+++ b/crates/testing/rehearsal/tests/rogue.rs
@@ -104,7 +104,7 @@
         only: Some("one-way".into()),
         operator: None,
         logs: None,
-        ready_most: Duration::from_secs(10),
+        ready_timeout: Duration::from_secs(10),
     };
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
     let played = runtime.expect("a runtime").block_on(async {
--- a/crates/testing/test-services/src/counter.rs
+++ b/crates/testing/test-services/src/counter.rs
@@ -22,7 +22,7 @@
 /// Idle connections are closed after so long.
 const IDLE: Duration = Duration::from_secs(10);
 /// Longest life of a name.
-const LIFE_MOST_MS: u64 = 60_000;
+const MAX_LIFETIME_MS: u64 = 60_000;
 /// Names that are kept at most: expired ones go first.
 const MAX_NAMES: usize = 1_000_000;
 
@@ -98,7 +98,7 @@
     let amount: f64 = value("add=")?.parse().ok()?;
     let life: u64 = value("ttl_ms=")?.parse().ok()?;
     let sound = (1..=64).contains(&name.len()) && amount.is_finite() && amount.abs() <= 1e9 && life >= 1;
-    sound.then(|| (name.to_owned(), amount, life.min(LIFE_MOST_MS)))
+    sound.then(|| (name.to_owned(), amount, life.min(MAX_LIFETIME_MS)))
 }
 
 impl Counter {
--- a/crates/testing/test-services/src/discovery.rs
+++ b/crates/testing/test-services/src/discovery.rs
@@ -22,7 +22,7 @@
 /// Idle connections are closed after so long.
 const IDLE: Duration = Duration::from_secs(60);
 /// Longest wait of a watch, in milliseconds.
-const HOLD_MOST_MS: u64 = 60_000;
+const MAX_HOLD_MS: u64 = 60_000;
 
 /// A node as discovery names it.
 #[derive(Debug, Clone, PartialEq)]
@@ -156,7 +156,7 @@
         }
         let since: Option<u64> = value("from=");
         if let (Some(since), Some(agent)) = (since, self.agents.get(limiter as usize)) {
-            let most = Duration::from_millis(value("hold_ms=").unwrap_or(0).min(HOLD_MOST_MS));
+            let most = Duration::from_millis(value("hold_ms=").unwrap_or(0).min(MAX_HOLD_MS));
             let mut version = agent.version.subscribe();
             let _ = tokio::time::timeout(most, version.wait_for(|v| *v != since)).await;
         }
