--- a/crates/balancer/src/main.rs
+++ b/crates/balancer/src/main.rs
@@ -75,7 +75,10 @@
 }
 
 fn main() -> ExitCode {
-    let blocked = BlockedSignals::since_start();
+    let blocked = match BlockedSignals::block(limeway_startup_signals::signals()) {
+        Ok(blocked) => blocked,
+        Err(e) => return fail(&e),
+    };
     match LimewayBalancer::from_env_or_exit().subcommand {
         LimewayBalancerCmd::Check(flags) => check(&flags.path, blocked),
         LimewayBalancerCmd::Serve(flags) => serve(flags, blocked),
--- a/crates/balancer/src/signals.rs
+++ b/crates/balancer/src/signals.rs
@@ -1,5 +1,5 @@
-//! The signals of the process. Their default action ends it, so they are blocked when `main` begins
-//! ([`limeway_startup_signals`]), and let through once they have handlers.
+//! The signals of the process. Their default action ends it, so they are blocked before anything else
+//! is done, and let through once they have handlers.
 
 use crate::process::StartError;
 use error_stack::{Report, ResultExt};
@@ -10,9 +10,14 @@
 pub struct BlockedSignals(SigSet);
 
 impl BlockedSignals {
-    /// The signals that are blocked since the start: what comes waits in the kernel. Threads that are started meanwhile inherit it.
-    pub fn since_start() -> Self {
-        BlockedSignals(limeway_startup_signals::blocked_signals())
+    /// Blocks these signals: what comes from now on waits in the kernel. Threads that are started meanwhile inherit it. The loader has
+    /// blocked them before, where it runs functions of `.preinit_array`.
+    ///
+    /// # Errors
+    /// The system refuses.
+    pub fn block(signals: SigSet) -> Result<Self, Report<StartError>> {
+        signals.thread_block().change_context(StartError::Signals)?;
+        Ok(BlockedSignals(signals))
     }
 
     /// Lets the signals through, also if they were blocked before the program began.
--- a/crates/balancer/tests/startup_phases.rs
+++ b/crates/balancer/tests/startup_phases.rs
@@ -1,5 +1,5 @@
-//! Signals at set moments of a start, forced by a trace of the process: no instruction of the program runs with a signal's default
-//! action, and a signal that comes before its handler is there is taken once it is.
+//! Signals at set moments of a start, forced by a trace of the process: Rust's run-time and all that follows it never run with a signal's
+//! default action, and a signal that comes before its handler is there is taken once it is.
 
 mod ends;
 mod http_call;
@@ -44,7 +44,8 @@
 
 fn has_reloaded(system: &System, at: usize) -> bool {
     let to = (system.machines[at].ip, METRICS).into();
-    ask(to, "GET", "/metrics", &[("Host", "m")], "").is_some_and(|(_, text)| text.contains(ONE_RELOAD))
+    ask(to, "GET", "/metrics", &[("Host", "m")], "")
+        .is_some_and(|(_, text)| text.lines().any(|line| line == ONE_RELOAD))
 }
 
 /// A SIGHUP that was sent has ended nothing and has been taken, by a gateway as a reload.
--- a/crates/balancer/tests/traced_start/mod.rs
+++ b/crates/balancer/tests/traced_start/mod.rs
@@ -1,7 +1,7 @@
 //! Starts of a program that are held before `exec`, and followed from there from one system call to the next.
 //!
-//! What a process does with its signals changes by system calls only. A test that looks at each of them sees every state that a signal
-//! can meet, at whatever speed the machine runs.
+//! What a process does with its signals changes by system calls only. A test that looks at each of those of the main thread sees every
+//! state that a signal can meet until other threads run, at whatever speed the machine runs.
 
 use limeway_soak::process_status::{ProcessStatus, StartupPhase};
 use nix::sys::ptrace::{self, Event, Options};
@@ -12,6 +12,7 @@
 use std::io::Write;
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
 
 /// Reads a line, and becomes the program that it is given then.
 const HOLD_SCRIPT: &str = r#"read -r line && exec "$0" "$@" </dev/null"#;
@@ -20,6 +21,8 @@
 const BLOCK: &str = "--block-signal=HUP,INT,TERM";
 /// A program that has no handler after so many steps never gets one.
 const MAX_STEPS: usize = 10_000;
+/// A process that comes to no stop for so long hangs.
+const HANG_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// How a starter leaves the signals of the platform to the process that it starts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -59,8 +62,11 @@
 
 /// Lets a process that is held with blocked signals become its program, with one that waits for it.
 pub(crate) fn release_with_pending(held: &mut Child, signal: Signal) {
+    let begun = Instant::now();
     while status_of(held).phase(signal) != StartupPhase::Blocked {
-        assert!(!status_of(held).has_ended, "it is held");
+        assert!(!status_of(held).has_ended, "it is held: does `env` know --block-signal?");
+        assert!(begun.elapsed() < HANG_TIMEOUT, "it is held and blocks nothing");
+        std::thread::yield_now();
     }
     kill_process(pid_of(held), signal).expect("a signal");
     assert!(status_of(held).is_pending(signal));
@@ -97,6 +103,13 @@
             ptrace::cont(process.traced_pid(), None).expect("it stands still");
             process.expect_exec();
         }
+        for signal in [Signal::HUP, Signal::TERM, Signal::INT] {
+            assert_eq!(
+                process.phase(signal),
+                StartupPhase::Loading,
+                "the test inherits no block and no handler"
+            );
+        }
         process
     }
 
@@ -168,7 +181,15 @@
     }
 
     fn next_stop(&self) -> WaitStatus {
-        waitpid(self.traced_pid(), Some(WaitPidFlag::__WALL)).expect("a child")
+        let flags = WaitPidFlag::__WALL | WaitPidFlag::WNOHANG;
+        let begun = Instant::now();
+        loop {
+            match waitpid(self.traced_pid(), Some(flags)).expect("a child") {
+                WaitStatus::StillAlive => std::thread::yield_now(),
+                stop => return stop,
+            }
+            assert!(begun.elapsed() < HANG_TIMEOUT, "no stop for {HANG_TIMEOUT:?}");
+        }
     }
 
     fn traced_pid(&self) -> TracedPid {
--- a/crates/gateway/gateway/src/main.rs
+++ b/crates/gateway/gateway/src/main.rs
@@ -10,7 +10,11 @@
 use tokio::task::LocalSet;
 
 fn main() -> ExitCode {
-    let blocked = limeway_startup_signals::blocked_signals();
+    let blocked = limeway_startup_signals::signals();
+    // The loader has blocked them before, where it runs functions of `.preinit_array`.
+    if let Err(e) = blocked.thread_block() {
+        return fail(format!("signals: {e}"));
+    }
     let _flush_at_exit = match log_to_stderr() {
         Ok(guard) => guard,
         Err(e) => return fail(format!("log: {e}")),
--- a/crates/testing/soak/src/cluster.rs
+++ b/crates/testing/soak/src/cluster.rs
@@ -94,8 +94,8 @@
     machines: Vec<Machine>,
     /// How many processes each kind of starter has started.
     starts: RefCell<BTreeMap<Starter, u64>>,
-    /// How far processes had come when a signal of this name was sent to them.
-    phases: RefCell<BTreeMap<(&'static str, StartupPhase), u64>>,
+    /// How far processes had come when a signal of this name was sent to them, by their starter.
+    phases: RefCell<BTreeMap<(&'static str, Starter, StartupPhase), u64>>,
     /// How old processes were when a signal of this name was sent to them, by their starter.
     ages: RefCell<BTreeMap<(&'static str, Starter, ProcessAge), u64>>,
     /// Processes that had ended by themselves when they were to be killed.
@@ -248,9 +248,9 @@
         let status = self.machines[at].pid.get().and_then(ProcessStatus::read);
         self.signal(at, signal);
         if let Some(status) = status {
-            *self.phases.borrow_mut().entry((name, status.phase(signal))).or_default() += 1;
-            let age = self.machines[at].started.get().map_or(Duration::MAX, |started| started.elapsed());
             let starter = self.machines[at].starter.get();
+            *self.phases.borrow_mut().entry((name, starter, status.phase(signal))).or_default() += 1;
+            let age = self.machines[at].started.get().map_or(Duration::MAX, |started| started.elapsed());
             *self.ages.borrow_mut().entry((name, starter, ProcessAge::from(age))).or_default() += 1;
         }
     }
@@ -260,8 +260,8 @@
         self.starts.borrow().clone()
     }
 
-    /// How far processes had come when they were sent a signal, by its name.
-    pub fn signal_phases(&self) -> BTreeMap<(&'static str, StartupPhase), u64> {
+    /// How far processes had come when they were sent a signal, by its name and their starter.
+    pub fn signal_phases(&self) -> BTreeMap<(&'static str, Starter, StartupPhase), u64> {
         self.phases.borrow().clone()
     }
 
--- a/crates/testing/soak/src/report.rs
+++ b/crates/testing/soak/src/report.rs
@@ -30,8 +30,8 @@
     pub ends: BTreeMap<String, u64>,
     /// How many processes each kind of starter has started.
     pub starts: BTreeMap<Starter, u64>,
-    /// How far processes had come when they were sent a signal, by its name.
-    pub signal_phases: BTreeMap<(&'static str, StartupPhase), u64>,
+    /// How far processes had come when they were sent a signal, by its name and their starter.
+    pub signal_phases: BTreeMap<(&'static str, Starter, StartupPhase), u64>,
     /// How old processes were when they were sent a signal, by its name and their starter.
     pub signal_ages: BTreeMap<(&'static str, Starter, ProcessAge), u64>,
     /// Standstills of the soak itself.
@@ -128,8 +128,8 @@
         for (starter, count) in &self.starts {
             let _ = writeln!(text, "{:<30} {count:>6}", format!("  started, {starter}"));
         }
-        for ((signal, phase), count) in &self.signal_phases {
-            let _ = writeln!(text, "{:<30} {count:>6}", format!("  {signal}, {phase}"));
+        for ((signal, starter, phase), count) in &self.signal_phases {
+            let _ = writeln!(text, "{:<46} {count:>6}", format!("  {signal}, {starter}, {phase}"));
         }
         for ((signal, starter, age), count) in &self.signal_ages {
             let _ = writeln!(text, "{:<46} {count:>6}", format!("  {signal}, {starter}, process {age}"));
