Control plane: evacuation calls that wait for agreement go before updates

Cause: a slot takes two round trips, 0.3 s between far machines, and machines with updates take them in turn. A call that lost two slots was answered 503 after 0.9 s with its own proposal under way, and was in force up to 0.15 s later.

Change: a call that waits for agreement goes before updates, changes of gateways and the closing of expired calls, at its machine at once, at the others as of the heartbeat that lists it, for 0.5 s at most. Changes of voters and the closing of calls that were answered do not wait. Messages stay as they are.

--- a/crates/control/control-plane/src/control_plane/answered_calls.rs
+++ b/crates/control/control-plane/src/control_plane/answered_calls.rs
@@ -9,13 +9,16 @@
 use limeway_consensus::{NodeId, Voter};
 use limeway_routing_config::state::OpenCall;
 use limeway_routing_config::{Operation, State};
-use limeway_types::Timestamp;
+use limeway_types::{Micros, Timestamp};
 use std::collections::BTreeMap;
 
 /// Upper bound on the calls that are answered and not yet closed.
 const MAX_ANSWERED_CALLS: usize = 64;
 /// Upper bound on the replicas whose answered calls are remembered.
 const MAX_REPORTING_PEERS: usize = 64;
+/// How long a call that waits for agreement goes before what can wait: a proposal that is under way when others hear of it, and the
+/// first messages of its own, after which others yield to that.
+const CALL_PRECEDENCE: Micros = 500_000;
 
 /// How far the answer to a call has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -55,7 +58,20 @@
 #[derive(Debug)]
 struct PeerReport {
     received: Timestamp,
-    call_ids: Vec<u64>,
+    calls: Vec<ReportedCall>,
+}
+
+/// A call that another replica has answered, or works on.
+#[derive(Debug, Clone, Copy)]
+struct ReportedCall {
+    call_id: u64,
+    first_reported: Timestamp,
+}
+
+impl PeerReport {
+    fn call(&self, call_id: u64) -> Option<&ReportedCall> {
+        self.calls.iter().find(|call| call.call_id == call_id)
+    }
 }
 
 /// The calls of this replica, and what others have said of theirs.
@@ -146,15 +162,29 @@
 
     /// Another replica has said which calls it has answered, or works on.
     pub(crate) fn observe_peer(&mut self, now: Timestamp, node: NodeId, call_ids: Vec<u64>) {
-        if self.peers.len() < MAX_REPORTING_PEERS || self.peers.contains_key(&node) {
-            self.peers.insert(node, PeerReport { received: now, call_ids });
+        let last = self.peers.get(&node);
+        if last.is_none() && self.peers.len() >= MAX_REPORTING_PEERS {
+            return;
         }
+        let reported = |call_id| {
+            let known = last.and_then(|report| report.call(call_id));
+            known.copied().unwrap_or(ReportedCall { call_id, first_reported: now })
+        };
+        let calls = call_ids.into_iter().map(reported).collect();
+        self.peers.insert(node, PeerReport { received: now, calls });
+    }
+
+    /// Until when calls of other replicas that wait for agreement go before what can wait.
+    fn peers_precede_until(&self, state: &State) -> Option<Timestamp> {
+        let reported = self.peers.values().flat_map(|report| &report.calls);
+        let waiting = reported.filter(|call| !state.knows_call(call.call_id));
+        waiting.map(|call| call.first_reported + CALL_PRECEDENCE).max()
     }
 
     /// What another replica has said of a call at this time or later.
     fn reported(&self, node: NodeId, call_id: u64, since: Timestamp) -> AnswerStatus {
         match self.peers.get(&node) {
-            Some(report) if report.received >= since && report.call_ids.contains(&call_id) => {
+            Some(report) if report.received >= since && report.call(call_id).is_some() => {
                 AnswerStatus::Answered
             }
             Some(report) if report.received >= since => AnswerStatus::Unanswered,
@@ -174,6 +204,14 @@
         self.answered_calls.ids().chain(self.proposals.pending_evacuation_calls()).collect()
     }
 
+    /// Until when evacuation calls that wait for agreement, here or elsewhere, go before updates and upkeep. An update that is chosen
+    /// when its caller has given up is confirmed to the retry at once, while the retry of an evacuation call needs a slot of its own.
+    pub(super) fn evacuations_precede_until(&self) -> Option<Timestamp> {
+        let own = self.proposals.last_evacuation_received().map(|received| received + CALL_PRECEDENCE);
+        let others = self.answered_calls.peers_precede_until(&self.cache.state);
+        own.max(others).filter(|until| self.now < *until)
+    }
+
     /// What is known of the answer to an open call, as of this time or later.
     pub(super) fn answer_status(&self, call: &OpenCall, since: Timestamp) -> AnswerStatus {
         let Some(recorder) = call.taken_by else { return AnswerStatus::Unanswered };
@@ -234,7 +272,7 @@
         self.proposals.evacuation_calls.observe(self.now, state);
         self.answered_calls.forget_closed(state);
         let expired = self.proposals.evacuation_calls.expired(self.now, self.options.ack_timeout);
-        let expired = expired.filter(|_| self.is_coordinator());
+        let expired = expired.filter(|_| self.is_coordinator() && self.evacuations_precede_until().is_none());
         self.answered_calls.first_delivered().or(expired).map(Operation::CloseCall)
     }
 }
--- a/crates/control/control-plane/src/control_plane/proposals.rs
+++ b/crates/control/control-plane/src/control_plane/proposals.rs
@@ -36,7 +36,7 @@
     request: Request,
     pub received: Timestamp,
     pub deadline: Timestamp,
-    /// A like evacuation call is being answered until then.
+    /// A like evacuation call is being answered until then, or others go before this update.
     pub retry_at: Timestamp,
     /// What the state of this slot makes of the request.
     pub admitted: Option<(Slot, Result<Operation, Rejection>)>,
@@ -51,6 +51,10 @@
         }
     }
 
+    fn is_evacuation(&self) -> bool {
+        matches!(self.request, Request::Evacuate(_))
+    }
+
     fn take_operation(&mut self) -> Option<Operation> {
         self.admitted.take().and_then(|(_, admitted)| admitted.ok())
     }
@@ -88,6 +92,11 @@
         })
     }
 
+    /// When the last evacuation call came that is not answered yet.
+    pub(crate) fn last_evacuation_received(&self) -> Option<Timestamp> {
+        self.pending.iter().filter(|pending| pending.is_evacuation()).map(|pending| pending.received).max()
+    }
+
     pub(crate) fn next_tick(&self, now: Timestamp) -> Option<Timestamp> {
         let next = |request: &PendingRequest| {
             let retry_at = if request.retry_at > now { request.retry_at } else { Timestamp::MAX };
@@ -157,7 +166,7 @@
         }
         let operation = match self.next_voter_change() {
             None if self.is_forming() => None,
-            None => self.next_call_to_close().or_else(|| self.next_gateway_change()),
+            None => self.next_call_to_close().or_else(|| self.next_gateway_change_in_turn()),
             voters => voters,
         };
         if let Some(operation) = operation {
@@ -165,9 +174,19 @@
         }
     }
 
+    /// A change of gateways, unless evacuation calls go before it: then it is looked at again later.
+    fn next_gateway_change_in_turn(&mut self) -> Option<Operation> {
+        if self.evacuations_precede_until().is_some() {
+            self.voter_changes.review = true;
+            return None;
+        }
+        self.next_gateway_change()
+    }
+
     /// Answers requests. Returns the operation to propose for the first that needs one.
     fn answer_requests(&mut self) -> Option<Operation> {
         let may_propose = self.agreement.is_free(self.now) && !self.is_forming();
+        let held_until = self.evacuations_precede_until();
         let mut operation = None;
         for mut request in std::mem::take(&mut self.proposals.pending) {
             match self.next_step(&mut request) {
@@ -187,9 +206,10 @@
                     self.actions.push(Action::Respond(request.caller, ApiResponse::Indeterminate));
                     continue;
                 }
-                RequestStep::Propose if may_propose && operation.is_none() => {
-                    operation = request.take_operation();
-                }
+                RequestStep::Propose if may_propose && operation.is_none() => match held_until {
+                    Some(until) if !request.is_evacuation() => request.retry_at = until,
+                    _ => operation = request.take_operation(),
+                },
                 _ => {}
             }
             self.proposals.pending.push_back(request);
--- a/crates/control/control-plane/tests/replica/evacuations.rs
+++ b/crates/control/control-plane/tests/replica/evacuations.rs
@@ -1,9 +1,9 @@
 //! Evacuation calls across the end of the machine that took them: one that was answered stays, and one that was not counts once.
 
-use crate::cluster::{restarted, Cluster, MS, SECOND};
+use crate::cluster::{restarted, update, Cluster, MS, SECOND};
 use crate::snapshots::restore;
 use limeway_consensus::Acceptor;
-use limeway_control_plane::{ApiRequest, ApiResponse, Event, LogRecord, StartOptions};
+use limeway_control_plane::{ApiRequest, ApiResponse, CallerId, Event, LogRecord, StartOptions};
 use rstest::rstest;
 
 const ZONE: &str = "north";
@@ -156,3 +156,97 @@
     assert!(done > 0, "no call was answered");
     assert!(count(&cluster, 2) >= done, "{done} done, {} in force", count(&cluster, 2));
 }
+
+/// Operators who send one update after the other to a machine, each on the version that is in place there.
+struct Updates {
+    node: u32,
+    waiting: Option<CallerId>,
+    /// Updates that were answered as done.
+    done: u32,
+}
+
+impl Updates {
+    fn at(node: u32) -> Self {
+        Updates { node, waiting: None, done: 0 }
+    }
+
+    fn send_next(&mut self, cluster: &mut Cluster) {
+        match self.waiting.map(|caller| cluster.response(caller).cloned()) {
+            Some(None) => return,
+            Some(Some(response)) => self.done += u32::from(response == ApiResponse::Done),
+            None => {}
+        }
+        let base = cluster.replica(self.node).state().version;
+        self.waiting =
+            Some(cluster.call_api(self.node, ApiRequest::UpdateConfig(update(base + self.node, base))));
+    }
+}
+
+/// The machines are far apart and the others always have an update to propose: a call about a zone has to have its turn within its
+/// time, as its retry would have to win a slot of its own.
+#[rstest]
+#[case::one_busy(&[3])]
+#[case::all_others_busy(&[1, 3])]
+fn an_evacuation_call_has_its_turn_while_updates_come_one_after_the_other(#[case] busy: &[u32]) {
+    let mut cluster = running();
+    cluster.set_delay(70 * MS);
+    let mut updates: Vec<Updates> = busy.iter().map(|node| Updates::at(*node)).collect();
+    let mut responses = Vec::new();
+    for at in 0..12 {
+        let zone = format!("z{at}");
+        for _ in 0..(60 + 7 * at) {
+            updates.iter_mut().for_each(|updates| updates.send_next(&mut cluster));
+            cluster.run(5 * MS);
+        }
+        let call = cluster.call_api(2, ApiRequest::Evacuate { zone, starts: true });
+        while cluster.response(call).is_none() {
+            updates.iter_mut().for_each(|updates| updates.send_next(&mut cluster));
+            cluster.run(5 * MS);
+        }
+        responses.push(cluster.response(call).cloned());
+    }
+    let unclear = responses.iter().filter(|r| **r == Some(ApiResponse::Indeterminate)).count();
+    assert_eq!(unclear, 0, "of {}", responses.len());
+    let done: u32 = updates.iter().map(|updates| updates.done).sum();
+    assert!(done >= 12, "{done} updates in the meantime");
+}
+
+/// Both wait for another machine's proposal to end: an update that is chosen late is confirmed to its caller's retry, the call is not.
+#[rstest]
+fn an_evacuation_call_goes_before_an_update_that_waits_at_its_machine() {
+    let mut cluster = running();
+    cluster.set_delay(70 * MS);
+    cluster.call_api(3, ApiRequest::Evacuate { zone: "south".into(), starts: true });
+    cluster.run(300 * MS);
+    let slot = cluster.replica(2).state().slot;
+    let earlier = cluster.call_api(2, ApiRequest::UpdateConfig(update(1, 0)));
+    cluster.run(5 * MS);
+    let call = cluster.call_api(2, start());
+    assert_eq!(cluster.replica(2).state().slot, slot, "the other proposal is under way");
+    while cluster.response(call).is_none() {
+        cluster.run(5 * MS);
+    }
+    assert!(matches!(cluster.response(call), Some(ApiResponse::EvacuationDone(_))));
+    assert_eq!(cluster.response(earlier), None, "it goes second");
+    cluster.run(400 * MS);
+    assert_eq!(cluster.response(earlier), Some(&ApiResponse::Done));
+}
+
+/// An evacuation call that cannot be agreed on holds updates back for a moment only, however often it comes again.
+#[rstest]
+fn updates_are_not_held_back_by_an_evacuation_call_that_waits() {
+    let mut cluster = running();
+    assert!(matches!(cluster.ask(1, start()), ApiResponse::EvacuationDone(_)));
+    cluster.kill(1);
+    for base in 0..2 {
+        // It waits for the word of the machine that is gone.
+        let sent = cluster.now;
+        let call = cluster.call_api(2, start());
+        cluster.run(100 * MS);
+        assert_eq!(cluster.ask(3, ApiRequest::UpdateConfig(update(base + 1, base))), ApiResponse::Done);
+        let took = cluster.now - sent;
+        assert!(took < 600 * MS, "{took} us");
+        cluster.run(SECOND);
+        assert_eq!(cluster.response(call), Some(&ApiResponse::Indeterminate));
+    }
+}
