Control plane: a replica that is behind catches up before it proposes again

Change: after such an answer the next proposal waits until the slot is applied here, or 250 ms, as that acceptor may be gone. A fetch whose answer is lost goes to another replica at once, each once; one that is silent for 250 ms holds up no fetch from another.

--- a/crates/control/control-plane/src/control_plane/agreement.rs
+++ b/crates/control/control-plane/src/control_plane/agreement.rs
@@ -46,6 +46,8 @@
     backoff_until: Timestamp,
     /// Until when another replica's proposal on this slot may go on: preempting one that is merely slow would end both.
     yields_until: Timestamp,
+    /// The last slot that an acceptor has said to be decided. A proposal before it is applied here comes to nothing.
+    catches_up_to: Slot,
     losses: u32,
 }
 
@@ -64,7 +66,9 @@
 
     /// The slot of other replicas' proposals is decided; so is that of an own one that is not for a later slot.
     pub(crate) fn slot_decided(&mut self, applied: Slot) {
-        self.yields_until = 0;
+        if applied >= self.catches_up_to {
+            self.yields_until = 0;
+        }
         if self.ballot.as_ref().is_some_and(|ballot| ballot.proposer.slot <= applied) {
             self.ballot = None;
         }
@@ -121,6 +125,7 @@
         let number = ProposalNumber { round, proposer, incarnation: self.options.incarnation };
         let proposer = Proposer::new(slot, number, self.voters().to_vec(), value);
         let deadline = self.now + ACCEPTOR_TIMEOUT;
+        self.agreement.catches_up_to = 0;
         self.agreement.last_ballot += 1;
         let ballot = self.agreement.last_ballot;
         let repeated = BTreeSet::new();
@@ -224,10 +229,7 @@
                 let value = current.accepting.take().unwrap_or_default();
                 self.proposal_chosen(slot, value);
             }
-            ProposerStep::CatchUp(_) => {
-                self.agreement.ballot = None;
-                self.fetch(from);
-            }
+            ProposerStep::CatchUp(decided) => self.proposal_too_late(from, decided),
             ProposerStep::Preempted(other) => self.proposal_preempted(other),
         }
     }
@@ -252,6 +254,15 @@
         }
     }
 
+    /// The slot was decided before. The next proposal waits until this replica has caught up, but not for ever: the acceptor that has
+    /// applied the slot may be gone, and a proposal is what finds the value at the others.
+    fn proposal_too_late(&mut self, acceptor: NodeId, decided: Slot) {
+        self.agreement.ballot = None;
+        self.agreement.catches_up_to = decided;
+        self.agreement.yields_until = self.now + YIELD_TIMEOUT;
+        self.fetch(acceptor);
+    }
+
     /// A proposal came to nothing: backs off.
     fn proposal_lost(&mut self) {
         self.agreement.ballot = None;
--- a/crates/control/control-plane/src/control_plane/replication.rs
+++ b/crates/control/control-plane/src/control_plane/replication.rs
@@ -1,5 +1,6 @@
 //! Replication of the log: applying what was chosen, here or elsewhere, and catching up.
 
+use super::peers::Peer;
 use super::persistence::AfterWrite;
 use super::{ControlPlane, SentRequest};
 use crate::api::{Action, CallerId};
@@ -8,15 +9,20 @@
 use limeway_distribution::transfer::StateRequest;
 use limeway_invariants::{check, Invariant};
 use limeway_types::{Micros, Timestamp};
+use std::collections::BTreeSet;
 
 /// How long another replica may take to send a chunk of what this one lacks.
 const FETCH_TIMEOUT: Micros = 700_000;
+/// How long it is waited for alone: another one that has applied more is asked after this.
+const FETCH_PATIENCE: Micros = 250_000;
 
 /// What this replica is receiving from others.
 #[derive(Debug, Default)]
 pub(crate) struct Replication {
-    /// A request for what this replica lacks is under way, until then at most.
-    fetching_until: Option<Timestamp>,
+    /// The request for what this replica lacks that was sent last, if it is under way: to whom, and since when.
+    fetching: Option<(NodeId, Timestamp)>,
+    /// Replicas whose answers to it were lost: they are not asked again until a message shows that someone has applied more.
+    lost: BTreeSet<NodeId>,
 }
 
 impl ControlPlane {
@@ -46,22 +52,47 @@
         self.actions.push(Action::Reply(caller, if durable { Reply::Done } else { Reply::Declined }));
     }
 
-    /// Has another replica send what this one lacks, one request at a time.
+    /// Has another replica send what this one lacks: one request at a time, unless the answer to the last takes too long.
     pub(crate) fn fetch(&mut self, from: NodeId) {
-        let fetching = self.replication.fetching_until.is_some_and(|until| self.now < until);
-        if from == self.options.node || fetching {
+        let is_waiting =
+            |(node, since): (NodeId, Timestamp)| node == from || self.now < since + FETCH_PATIENCE;
+        if from == self.options.node || self.replication.fetching.is_some_and(is_waiting) {
             return;
         }
+        self.replication.lost.clear();
+        self.send_fetch(from);
+    }
+
+    fn send_fetch(&mut self, from: NodeId) {
         let request = self.cache.state_request();
-        self.replication.fetching_until = Some(self.now + FETCH_TIMEOUT);
+        self.replication.fetching = Some((from, self.now));
         self.send(from, Call::Fetch(request), FETCH_TIMEOUT, SentRequest::Fetch(from, request));
     }
 
+    /// The answer to a fetch is lost: asks the one of the others that has applied most, as far as is known, each once.
+    fn fetch_lost(&mut self, from: NodeId) {
+        log::debug!(from; "replica sent no state update");
+        let (now, own, replication) = (self.now, self.options.node, &mut self.replication);
+        replication.lost.insert(from);
+        if replication.fetching.is_some() {
+            return;
+        }
+        let may_know = |(id, peer): &(&NodeId, &Peer)| {
+            **id != own && peer.is_alive(now) && !replication.lost.contains(id)
+        };
+        let others = self.peers.iter().filter(may_know);
+        let next = others.max_by_key(|(_, peer)| peer.status.slot).map(|(node, _)| *node);
+        if let Some(next) = next {
+            self.send_fetch(next);
+        }
+    }
+
     pub(crate) fn handle_fetched(&mut self, from: NodeId, request: StateRequest, reply: Option<Reply>) {
-        self.replication.fetching_until = None;
+        if self.replication.fetching.is_some_and(|(node, _)| node == from) {
+            self.replication.fetching = None;
+        }
         let Some(Reply::StateUpdate(update)) = reply else {
-            log::debug!(from; "replica sent no state update");
-            return;
+            return self.fetch_lost(from);
         };
         let before = self.cache.state.slot;
         if self.cache.apply_update(request.slot, update) {
--- a/crates/control/control-plane/tests/replica/cluster.rs
+++ b/crates/control/control-plane/tests/replica/cluster.rs
@@ -89,6 +89,8 @@
     responses: BTreeMap<CallerId, ApiResponse>,
     /// Answers to polls of gateways.
     updates: Vec<UpdateResponse>,
+    /// The calls that replicas have sent: from whom, and to whom.
+    sent: Vec<(NodeId, NodeId, Call)>,
 }
 
 impl Cluster {
@@ -106,6 +108,7 @@
             cut_pair: None,
             responses: BTreeMap::new(),
             updates: Vec::new(),
+            sent: Vec::new(),
         };
         let seeds: Vec<NodeId> = (1..=count.min(3)).collect();
         for node in 1..=count {
@@ -163,6 +166,11 @@
         }
     }
 
+    /// How many calls of a kind a replica has sent to another.
+    pub(crate) fn sent(&self, from: NodeId, to: NodeId, is_kind: fn(&Call) -> bool) -> usize {
+        self.sent.iter().filter(|(f, t, call)| (*f, *t) == (from, to) && is_kind(call)).count()
+    }
+
     fn post(&mut self, delay: u64, message: Message) {
         self.last_message += 1;
         self.network.insert((self.now + delay, self.last_message), message);
@@ -244,6 +252,7 @@
                 Action::Send { request, to, call, timeout } => {
                     let deadline = self.now + timeout;
                     self.node_mut(node).requests.insert(request, (to, deadline));
+                    self.sent.push((node, to, call.clone()));
                     self.post(self.delay, Message::Call { from: node, request, to, call });
                 }
                 Action::Reply(caller, reply) => {
--- a/crates/control/control-plane/tests/replica/main.rs
+++ b/crates/control/control-plane/tests/replica/main.rs
@@ -1,5 +1,6 @@
 //! A few replicas, played event by event: quorum contact, proposals, voters, role leases, snapshots.
 
+mod catching_up;
 mod cluster;
 mod evacuations;
 mod instances;
