Control plane: a voter completes an accepted value in its turn once the proposer is silent

Cause: a round confirms the state only by the slot after an accepted value; with the proposer gone the others closed two rounds first, each waiting 0.3 s for it, and then proposed at once and preempted each other. Quorum contact ended before the slot was applied.

Change: a voter that has accepted a value completes it 250 ms after the last message of a proposer, the voters that answer one after the other; the proposer of the value has no turn. Only while a majority answers its rounds. Others complete after two rounds as before.

--- a/crates/control/control-plane/src/control_plane/agreement.rs
+++ b/crates/control/control-plane/src/control_plane/agreement.rs
@@ -19,7 +19,7 @@
 const MAX_BACKOFF_DOUBLINGS: u32 = 3;
 /// How long another replica's proposal that this one has voted for may go on without a further message: a round trip on the longest
 /// links, and the writes of others.
-const YIELD_TIMEOUT: Micros = 250_000;
+pub(crate) const YIELD_TIMEOUT: Micros = 250_000;
 
 /// One phase of a proposal under way.
 #[derive(Debug)]
@@ -61,7 +61,12 @@
 
     /// Whether a proposal may be begun.
     pub(crate) fn is_free(&self, now: Timestamp) -> bool {
-        self.ballot.is_none() && now >= self.backoff_until.max(self.yields_until)
+        self.free_from().is_some_and(|free_from| now >= free_from)
+    }
+
+    /// When no proposal is waited for any more, unless one of this replica is under way.
+    pub(crate) fn free_from(&self) -> Option<Timestamp> {
+        self.ballot.is_none().then_some(self.backoff_until.max(self.yields_until))
     }
 
     /// The slot of other replicas' proposals is decided; so is that of an own one that is not for a later slot.
--- a/crates/control/control-plane/src/control_plane/mod.rs
+++ b/crates/control/control-plane/src/control_plane/mod.rs
@@ -267,6 +267,7 @@
             shutdown,
             requested_round,
             ballot,
+            self.completion_turn().filter(|turn| *turn > now),
             self.proposals.next_tick(now),
             self.long_polls.next_tick(),
         ]
--- a/crates/control/control-plane/src/control_plane/quorum.rs
+++ b/crates/control/control-plane/src/control_plane/quorum.rs
@@ -4,6 +4,7 @@
 //! the newest that any of them has applied, and one more if a value is accepted there. Once this replica has applied that slot, its
 //! state is *confirmed* as of the round's beginning (a linearizable read point), however many updates are under way meanwhile.
 
+use super::agreement::YIELD_TIMEOUT;
 use super::updates::MAX_LONG_POLLS;
 use super::{ControlPlane, SentRequest};
 use crate::messages::{Call, Heartbeat, HeartbeatReply, RelayedView, Reply};
@@ -33,6 +34,8 @@
 const MIN_ROUND_INTERVAL: Micros = 10_000;
 /// While a voter is not reached, the others are asked for the whole service registry this often.
 const RELAY_INTERVAL: Micros = SECOND;
+/// How long a voter leaves the completion of an accepted value to each voter before it: a message's way on the longest links.
+const COMPLETION_TURN: Micros = 80_000;
 /// Upper bound on the rounds under way.
 const MAX_ROUNDS: usize = 8;
 /// Upper bound on all that a replica has pending: long polls, and as much again.
@@ -67,6 +70,8 @@
     pub next_round: Timestamp,
     last_round: u64,
     last_started: Timestamp,
+    /// When the newest round began that a majority has answered, whether or not it has confirmed the state.
+    last_concluded: Timestamp,
     /// When the registry of others was last asked for in place of a voter that is not reached.
     relay_requested: Timestamp,
     rounds: BTreeMap<u64, Round>,
@@ -317,6 +322,7 @@
         let Some(round) = self.quorum.rounds.get_mut(&number) else { return };
         if round.voters_heard >= majority && !round.concluded {
             round.concluded = true;
+            self.quorum.last_concluded = self.quorum.last_concluded.max(round.started);
             self.quorum.unconfirmed.push((round.started, round.confirmed_by));
         }
         let won =
@@ -376,12 +382,31 @@
         }
     }
 
+    /// When this voter completes the value that it has accepted itself: no round confirms the state before it is applied, so it does
+    /// not wait for two of them once the proposer is silent. The other voters that answer take turns, or they would preempt each other.
+    pub(crate) fn completion_turn(&self) -> Option<Timestamp> {
+        let own = self.own_voter()?;
+        let proposer = self.acceptor.slot_state.accepted.as_ref().map(|(number, _)| number.proposer)?;
+        let free_from = self.agreement.free_from()?.max(self.started + YIELD_TIMEOUT);
+        let has_turn = |voter: &&Voter| voter.node != proposer && !self.unanswered.contains(&voter.node);
+        let before_own = self.voters().iter().take_while(|voter| **voter != own).filter(has_turn);
+        Some(free_from + before_own.count() as u64 * COMPLETION_TURN)
+    }
+
+    /// Whether it is this voter's turn, and a majority is there to accept the value.
+    fn is_completion_due(&self) -> bool {
+        let hears_majority = self.now < self.quorum.last_concluded + QUORUM_LEASE;
+        let may_vote = self.persistence.is_healthy(self.now);
+        hears_majority && may_vote && self.completion_turn().is_some_and(|turn| self.now >= turn)
+    }
+
     /// Completes a value that was found accepted, or closes its slot with an operation that changes nothing: a proposal without a
     /// value of its own would leave the accepted one where it is if it finds nothing at a majority, and nobody could confirm
     /// the state.
     pub(crate) fn complete_accepted(&mut self) {
-        let due = std::mem::take(&mut self.quorum.complete_accepted);
-        if due && self.quorum.accepted_slot == self.cache.state.slot + 1 {
+        let found = std::mem::take(&mut self.quorum.complete_accepted)
+            && self.quorum.accepted_slot == self.cache.state.slot + 1;
+        if found || self.is_completion_due() {
             let no_change = Operation::SetGateways { add: Vec::new(), remove: Vec::new() };
             self.propose(ByteBuf::from(encode(&no_change)));
         }
--- a/crates/control/control-plane/tests/replica/quorum.rs
+++ b/crates/control/control-plane/tests/replica/quorum.rs
@@ -79,6 +79,37 @@
     assert_eq!(cluster.response(caller), Some(&ApiResponse::Done));
 }
 
+/// Two of three voters have accepted a value whose proposer is gone, on the longest links: they complete it before their contact ends.
+/// Each round that was answered before waits for the proposer, and both would propose at once after two of them.
+#[rstest]
+fn an_accepted_value_whose_proposer_is_gone_costs_no_quorum_contact(
+    #[values(0, 50, 100, 150, 200)] accepted_before_round: u64,
+) {
+    let mut cluster = Cluster::start(3);
+    cluster.run(4 * SECOND);
+    cluster.set_delay(DELAY);
+    cluster.run(2 * SECOND);
+    let round = cluster.replica(2).next_tick() + 250 * MS;
+    cluster.run(round - accepted_before_round * MS - 3 * DELAY - cluster.now);
+    let slot = cluster.replica(2).state().slot;
+    cluster.call_api(1, ApiRequest::UpdateConfig(update(1, 0)));
+    cluster.run(3 * DELAY);
+    cluster.set_cut(1, true);
+    for node in [2, 3] {
+        let acceptor = cluster.replica(node).acceptor();
+        assert!(acceptor.slot_state.accepted.is_some() && acceptor.applied == slot, "replica {node}");
+    }
+    let cut = cluster.now;
+    while cluster.now < cut + 2 * SECOND {
+        cluster.run(5 * MS);
+        for node in [2, 3] {
+            let after = (cluster.now - cut) / MS;
+            assert!(cluster.replica(node).has_quorum(cluster.now), "replica {node}, after {after} ms");
+        }
+    }
+    assert_eq!(cluster.replica(2).state().version, 1);
+}
+
 /// A replica that is behind must not reject by its old state: what it takes for a conflict may be the newest.
 #[rstest]
 fn a_stale_replica_rejects_nothing() {
