shutdown: a gateway accepts what waits in its backlog before its listener closes

Cause: at the end of the time for new connections the task that accepts was aborted, and the kernel reset every connection that waited to be accepted, with whole requests in some. Then the process waited for busy connections only, so one that had just been accepted and whose request was on its way lost it by the exit.

Change: the listener is told to close; it accepts what the kernel holds, as far as there is room, and ends.

--- a/crates/balancer/src/proxy/connections.rs
+++ b/crates/balancer/src/proxy/connections.rs
@@ -30,6 +30,7 @@
     /// Connections with a request that has begun to come, is in flight, or whose response is being sent.
     busy: Rc<Cell<usize>>,
     draining: Cell<bool>,
+    close_listener: Notify,
     close_idle: Notify,
     /// The time for requests in flight is over.
     aborts_requests: Cell<bool>,
@@ -50,6 +51,7 @@
             open: Rc::default(),
             busy: Rc::default(),
             draining: Cell::new(false),
+            close_listener: Notify::new(),
             close_idle: Notify::new(),
             aborts_requests: Cell::new(false),
             requests_aborted: Notify::new(),
@@ -96,6 +98,16 @@
         self.draining.get()
     }
 
+    /// Has the listener closed, once what waits to be accepted has been.
+    pub fn close_listener(&self) {
+        self.close_listener.notify_one();
+    }
+
+    /// Ready once the listener is to close.
+    pub(super) async fn listener_closes(&self) {
+        self.close_listener.notified().await;
+    }
+
     /// Has idle connections closed.
     pub fn close_idle(&self) {
         self.close_idle.notify_waiters();
--- a/crates/balancer/src/proxy/mod.rs
+++ b/crates/balancer/src/proxy/mod.rs
@@ -5,12 +5,14 @@
 mod connections;
 mod failure;
 mod headers;
+mod listener;
 mod local_response;
 mod request;
 mod request_record;
 
 pub use connections::{log_traffic, ClientConnections};
 pub use failure::Failure;
+pub use listener::listen;
 
 use crate::clock::now;
 use crate::gateway::Gateway;
@@ -24,7 +26,6 @@
 use request_record::RequestRecord;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpListener;
 use tokio::time::sleep;
 
 /// An idle connection of this age makes room where none is left.
@@ -35,30 +36,6 @@
 const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(3_600);
 /// Part of the time within which an unanswered request may lose its connection for which one lingers after its last response.
 const RESPONSE_LINGER_RATIO: f64 = 0.75;
-/// Pause after a connection could not be accepted.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-
-/// Accepts connections of clients, for ever.
-pub async fn listen(gateway: Rc<Gateway>, clients: Rc<ClientConnections>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            gateway.endpoints.pools.prune();
-            sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
-        };
-        if clients.is_full() {
-            // Idle ones make room; this one learns by its close to try another gateway.
-            clients.close_idle();
-            continue;
-        }
-        let counted = clients.count_open();
-        let (gateway, clients) = (gateway.clone(), clients.clone());
-        tokio::task::spawn_local(async move {
-            let _counted = counted;
-            serve(&gateway, &clients, Inbound::new(stream)).await;
-        });
-    }
-}
 
 async fn serve(gateway: &Rc<Gateway>, clients: &ClientConnections, mut inbound: Inbound) {
     while next_request(gateway, clients, &mut inbound).await {
--- a/crates/balancer/src/shutdown.rs
+++ b/crates/balancer/src/shutdown.rs
@@ -30,11 +30,14 @@
     gateway.drain(schedule);
     clients.start_draining();
     sleep_until(schedule.listener_closes_at).await;
+    clients.close_listener();
     if let Some(accepting) = accepting {
-        accepting.abort();
+        // An error is its panic, which the log tells of.
+        let _ = accepting.await;
     }
     clients.close_idle();
-    wait_while(|| clients.busy_count() > 0, schedule.requests_abort_at).await;
+    // All open ones: the request of one that has just come may be on its way, and a response may not have been read yet.
+    wait_while(|| clients.open_count() > 0, schedule.requests_abort_at).await;
     let left = clients.busy_count();
     clients.abort_requests();
     wait_while(|| clients.busy_count() > 0, schedule.final_responses_until(now())).await;
--- a/crates/balancer/tests/shutdown.rs
+++ b/crates/balancer/tests/shutdown.rs
@@ -147,6 +147,41 @@
     assert_eq!(status(under_way), Some(504), "{}", system.log());
 }
 
+/// Connections opened while the gateway, which has got SIGTERM, stands still past the time at which its listener closes.
+fn connect_across_the_close(system: &System, grace: Duration, heads: &[&str]) -> Vec<TcpStream> {
+    let terminated = Instant::now();
+    system.signal(GATEWAY, Signal::TERM);
+    system.until("the shutdown", |system| system.log().contains("shutting down"));
+    system.signal(GATEWAY, Signal::STOP);
+    let streams = heads.iter().map(|head| connect(system, head).expect("a connection")).collect();
+    assert!(terminated.elapsed() < grace / 2, "the listener may have closed already");
+    system.until("the close of the listener", |_| terminated.elapsed() > grace.mul_f64(0.6));
+    system.signal(GATEWAY, Signal::CONT);
+    streams
+}
+
+#[test]
+fn a_request_that_waits_to_be_accepted_when_the_listener_closes_is_answered() {
+    let grace = Duration::from_secs(3);
+    let (system, _) = start(95, grace);
+    let heads = ["one", "two", "three"].map(|id| request(id, 20, ""));
+    let heads: Vec<&str> = heads.iter().map(String::as_str).collect();
+    let streams = connect_across_the_close(&system, grace, &heads);
+    let statuses: Vec<_> = streams.into_iter().map(status).collect();
+    assert!(statuses.iter().all(Option::is_some), "{statuses:?}, {}", system.log());
+}
+
+#[test]
+fn a_request_that_follows_its_connection_after_the_listener_has_closed_is_answered() {
+    let grace = Duration::from_secs(3);
+    let (system, _) = start(96, grace);
+    let mut stream = connect_across_the_close(&system, grace, &[""]).remove(0);
+    // The listener is closed and the connection is not: new ones are refused.
+    system.until("the close", |system| connect(system, "").is_none());
+    let _ = stream.write_all(request("late", 20, "").as_bytes());
+    assert!(status(stream).is_some(), "{}", system.log());
+}
+
 #[test]
 fn a_grace_period_that_is_shortened_by_a_reload_holds_for_the_next_stop() {
     let mut system = System::start(76, 1, 10 * SOON);
