--- a/crates/balancer/tests/startup.rs
+++ b/crates/balancer/tests/startup.rs
@@ -19,6 +19,7 @@
 use rustix::process::{Pid, Signal};
 use std::fs::File;
 use std::io::Write;
+use std::net::SocketAddr;
 use system::{System, GRACE, READY};
 
 const GATEWAY: usize = 3;
@@ -70,7 +71,8 @@
 fn a_settings_file_that_changes_while_it_is_read_is_read_again() {
     let system = System::start(77, 1, GRACE);
     let settings = std::fs::read_to_string(system.settings_path(GATEWAY)).expect("settings");
-    let nobody = settings.replace(&system.seeds(), "127.77.0.250:28383");
+    let seeds: Vec<String> = system.seeds().iter().map(SocketAddr::to_string).collect();
+    let nobody = settings.replace(&seeds.join(","), "127.77.0.250:28383");
     assert_ne!(settings, nobody);
     restart_with_settings_that_change(&system, GATEWAY, &nobody, || {});
     assert_eq!(system.order("config.replace", &config(1, 0, "/x/", r#""k1""#)).0, 200);
--- a/crates/balancer/tests/system/mod.rs
+++ b/crates/balancer/tests/system/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! Every machine has an address of its own in 127.0.0.0/8, as in the system every machine has the same ports.
 
-use std::net::Ipv4Addr;
+use limeway_settings_file::{milliseconds, Role, SettingsFile, Zone};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
@@ -17,6 +18,12 @@
 pub(crate) const READY: u16 = 28384;
 const INNER: u16 = 27460;
 pub(crate) const METRICS: u16 = 28464;
+/// Interval between two heartbeats of a server.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+/// Zones, all of one region.
+const ZONES: [(&str, &str); 2] = [("z1", "r1"), ("z2", "r1")];
+/// The index of each machine's zone.
+const ZONE_OF_MACHINE: [usize; 6] = [0, 0, 1, 0, 0, 1];
 /// Whatever should come about does so within it, on a machine that is busy with other tests too.
 pub(crate) const SOON: Duration = Duration::from_secs(25);
 
@@ -56,38 +63,59 @@
         self.spawn(at);
     }
 
-    /// The addresses of the core machines, as a settings file names them.
-    pub(crate) fn seeds(&self) -> String {
-        let seeds: Vec<String> = self.machines[..3].iter().map(|m| format!("{}:{CONTROL}", m.ip)).collect();
-        seeds.join(",")
+    /// Where the core machines listen for servers and operators.
+    pub(crate) fn seeds(&self) -> Vec<SocketAddr> {
+        self.machines[..3].iter().map(|machine| (machine.ip, CONTROL).into()).collect()
     }
 
     pub(crate) fn settings_path(&self, at: usize) -> PathBuf {
         self.folder.join(format!("settings-{at}"))
     }
 
-    pub(crate) fn write_settings(&self, at: usize, first: bool, seeds: &str) {
-        let (ip, edge) = (self.machines[at].ip, self.machines[at].edge);
-        let zone = ["z1", "z1", "z2", "z1", "z1", "z2"][at];
-        let listens = if edge {
-            format!("listen-addresses.frontend={ip}:{FRONT}\nlisten-addresses.readiness={ip}:{READY}\n")
-        } else {
-            let data = self.folder.join(format!("data-{at}"));
-            let data = data.display();
-            format!(
-                "listen-addresses.control-plane={ip}:{CONTROL}\nlisten-addresses.directory-api={ip}:{DIRECTORY}\n\
-                 data-directory={data}\nloss-counted=true\n"
-            )
+    pub(crate) fn write_settings(&self, at: usize, first: bool, seeds: &[SocketAddr]) {
+        let file = SettingsFile {
+            node_name: format!("m{at}"),
+            ip_address: self.machines[at].ip,
+            zone: ZONES[ZONE_OF_MACHINE[at]].into(),
+            zones: ZONES.into_iter().map(Zone::from).collect(),
+            role: self.role(at),
+            internal_port: INNER,
+            metrics_port: Some(METRICS),
+            seed_nodes: seeds.to_vec(),
+            initial_start: first,
+            machine_losses: 1,
+            heartbeat: HEARTBEAT_INTERVAL,
+            max_file_descriptors: None,
+            bounds: self.bounds(),
         };
-        let text = format!(
-            "node-name=m{at}\nip-address={ip}\nzone={zone}\nregion=r1\nzones.z1=r1\nzones.z2=r1\n{listens}\
-             internal-ports={INNER},{INNER}\nmetrics={METRICS}/metrics\nseed-nodes={}\ninitial-start={first}\n\
-             fault-tolerance.machine-losses=1\nheartbeat=500ms\n\
-             bounds=contact=4s,revoke=5s,revocation-strict=true,grace-period={}ms,quota-window=5s,quota-overshoot=0.1,quota-slack=20,retry-budget-ratio=0.2,retry-slack=50\n",
-            seeds,
-            self.grace.as_millis()
-        );
-        std::fs::write(self.settings_path(at), text).expect("settings");
+        std::fs::write(self.settings_path(at), file.to_string()).expect("settings");
+    }
+
+    fn role(&self, at: usize) -> Role {
+        let ip = self.machines[at].ip;
+        if self.machines[at].edge {
+            let readiness = Some((ip, READY).into());
+            return Role::Gateway { frontend: (ip, FRONT).into(), readiness, directory_api: None };
+        }
+        Role::Core {
+            control_plane: (ip, CONTROL).into(),
+            directory_api: Some((ip, DIRECTORY).into()),
+            data_directory: self.folder.join(format!("data-{at}")),
+        }
+    }
+
+    fn bounds(&self) -> Vec<(&'static str, String)> {
+        vec![
+            ("contact", "4s".into()),
+            ("revoke", "5s".into()),
+            ("revocation-strict", "true".into()),
+            ("grace-period", milliseconds(self.grace)),
+            ("quota-window", "5s".into()),
+            ("quota-overshoot", "0.1".into()),
+            ("quota-slack", "20".into()),
+            ("retry-budget-ratio", "0.2".into()),
+            ("retry-slack", "50".into()),
+        ]
     }
 
     /// Starts a machine's process with the settings that were written last.
--- a/crates/testing/load-generator/src/scale.rs
+++ b/crates/testing/load-generator/src/scale.rs
@@ -8,6 +8,7 @@
 use limeway_balancer::{clock, transport};
 use limeway_http1::conn::Conn;
 use limeway_settings::Settings;
+use limeway_settings_file::{Role, Zone};
 use std::cell::Cell;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -67,8 +68,8 @@
         let ip = Ipv4Addr::new(127, self.net, 2 + (n / 200) as u8, 1 + (n % 200) as u8);
         let zone = n % ZONES;
         // An address for clients makes it a limiter; nobody listens there.
-        let listens = format!("listen-addresses.frontend={ip}:1\n");
-        let text = settings(ip, zone, &self.system.zones, &self.seeds, &listens, false);
+        let role = Role::Gateway { frontend: (ip, 1).into(), readiness: None, directory_api: None };
+        let text = settings(ip, zone, &self.system.zones, &self.seeds, role, false).to_string();
         let settings = Settings::read(&text).map_err(|e| io::Error::other(format!("{e:?}")))?;
         let inner = SocketAddr::from((ip, settings.inner_ports.first));
         let edge = Gateway::new(settings);
@@ -185,7 +186,7 @@
     let folder = std::env::temp_dir().join(format!("limeway-load-scale-{}", std::process::id()));
     let net = 100 + (std::process::id() % 100) as u8;
     clock::seed(u32::from(net));
-    let zones = (0..ZONES).map(|z| (format!("z{z}"), format!("region{}", z % REGIONS))).collect();
+    let zones = (0..ZONES).map(|z| Zone::new(format!("z{z}"), format!("region{}", z % REGIONS))).collect();
     let system = System::of(program, &folder, CORE, 0, 0, net, zones)?;
     let seeds: Vec<Ipv4Addr> = system.machines[..3].iter().map(|m| m.ip).collect();
     let mut run = Run { system, seeds, net, hollow: (0..size.limiters).map(|_| None).collect() };
--- a/crates/testing/load-generator/src/system.rs
+++ b/crates/testing/load-generator/src/system.rs
@@ -4,6 +4,7 @@
 use crate::servers::Server;
 use limeway_http1::conn::Conn;
 use limeway_process_start::SignalBlock;
+use limeway_settings_file::{Role, SettingsFile, Zone};
 use std::cell::Cell;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -24,6 +25,23 @@
 const SERVERS: u16 = 29100;
 /// Pause between two reports of a server.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+/// The interval that settings files state.
+const STATED_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_500);
+/// Bounds of the rules, as settings files state them.
+const BOUNDS: [(&str, &str); 12] = [
+    ("contact", "4s"),
+    ("revoke", "5s"),
+    ("revocation-strict", "true"),
+    ("grace-period", "6s"),
+    ("quota-window", "5s"),
+    ("quota-overshoot", "0.1"),
+    ("quota-slack", "20"),
+    ("retry-budget-ratio", "0.2"),
+    ("retry-slack", "50"),
+    ("cold-overshoot", "1.5"),
+    ("cold-slack", "5"),
+    ("ttl_max", "5s"),
+];
 /// The system is up within it, or something is wrong.
 const UP: Duration = Duration::from_secs(20);
 
@@ -51,39 +69,33 @@
     /// Servers.
     pub servers: Vec<Rc<Server>>,
     /// Zones, with their regions.
-    pub zones: Vec<(String, String)>,
+    pub zones: Vec<Zone>,
 }
 
-/// The lines of a core machine's own.
-fn core_listens(ip: Ipv4Addr, data: &Path) -> String {
-    let data = data.display();
-    format!(
-        "listen-addresses.control-plane={ip}:{CONTROL}\nlisten-addresses.directory-api={ip}:{DIRECTORY}\n\
-         data-directory={data}\nloss-counted=true\n"
-    )
-}
-
-/// A settings file for a machine of a system on loopback.
+/// The settings of a machine of a system on loopback.
 pub fn settings(
     ip: Ipv4Addr,
     zone: usize,
-    zones: &[(String, String)],
+    zones: &[Zone],
     seeds: &[Ipv4Addr],
-    listens: &str,
-    first: bool,
-) -> String {
-    let seeds: Vec<String> = seeds.iter().map(|s| format!("{s}:{CONTROL}")).collect();
-    let regions: Vec<String> = zones.iter().map(|(z, r)| format!("zones.{z}={r}\n")).collect();
-    format!(
-        "node-name=m-{ip}\nip-address={ip}\nzone={}\nregion={}\n{}{listens}internal-ports={INNER},{INNER}\nseed-nodes={}\n\
-         initial-start={first}\nfault-tolerance.machine-losses=1\nheartbeat=1500ms\n\
-         bounds=contact=4s,revoke=5s,revocation-strict=true,grace-period=6s,quota-window=5s,quota-overshoot=0.1,\
-         quota-slack=20,retry-budget-ratio=0.2,retry-slack=50,cold-overshoot=1.5,cold-slack=5,ttl_max=5s\n",
-        zones[zone].0,
-        zones[zone].1,
-        regions.concat(),
-        seeds.join(",")
-    )
+    role: Role,
+    initial_start: bool,
+) -> SettingsFile {
+    SettingsFile {
+        node_name: format!("m-{ip}"),
+        ip_address: ip,
+        zone: zones[zone].clone(),
+        zones: zones.to_vec(),
+        role,
+        internal_port: INNER,
+        metrics_port: None,
+        seed_nodes: seeds.iter().map(|seed| (*seed, CONTROL).into()).collect(),
+        initial_start,
+        machine_losses: 1,
+        heartbeat: STATED_HEARTBEAT_INTERVAL,
+        max_file_descriptors: None,
+        bounds: BOUNDS.map(|(name, value)| (name, value.to_owned())).to_vec(),
+    }
 }
 
 /// Calls a machine; nothing where it does not answer within a second.
@@ -105,7 +117,7 @@
 impl System {
     /// Starts `edges` limiters and three core machines of a program, with their files in `folder`.
     pub fn start(program: &Path, folder: &Path, edges: usize, servers: usize, net: u8) -> io::Result<Self> {
-        let zones = ZONES.iter().map(|(z, r)| ((*z).to_owned(), (*r).to_owned())).collect();
+        let zones = ZONES.into_iter().map(Zone::from).collect();
         Self::of(program, folder, 3, edges, servers, net, zones)
     }
 
@@ -117,7 +129,7 @@
         edges: usize,
         servers: usize,
         net: u8,
-        zones: Vec<(String, String)>,
+        zones: Vec<Zone>,
     ) -> io::Result<Self> {
         std::fs::create_dir_all(folder)?;
         let machine = |n: usize| Machine {
@@ -138,7 +150,7 @@
         }
         for n in 0..servers.min(100) {
             let address = SocketAddr::from((Ipv4Addr::new(127, net, 1, n as u8 + 1), SERVERS));
-            let zone = &zones[n % zones.len()].0;
+            let zone = &zones[n % zones.len()].name;
             let work = Duration::from_millis(40);
             let server = Server::new(format!("i-{n:04}"), "orders", zone, address, 4, work, n as u64);
             system.servers.push(server);
@@ -149,18 +161,15 @@
     /// Starts a machine's process, for the first time or again.
     pub fn run(&mut self, at: usize, first: bool) -> io::Result<()> {
         let Machine { ip, zone, edge, .. } = self.machines[at];
-        let listens = if edge {
-            format!(
-                "listen-addresses.frontend={ip}:{FRONT}\nlisten-addresses.readiness={ip}:{READY}\n\
-                 listen-addresses.directory-api={ip}:{DIRECTORY}\n"
-            )
+        let directory_api = Some((ip, DIRECTORY).into());
+        let role = if edge {
+            Role::Gateway { frontend: (ip, FRONT).into(), readiness: Some((ip, READY).into()), directory_api }
         } else {
-            let data = self.folder.join(format!("data-{at}"));
-            core_listens(ip, &data)
+            let data_directory = self.folder.join(format!("data-{at}"));
+            Role::Core { control_plane: (ip, CONTROL).into(), directory_api, data_directory }
         };
-        let zones: Vec<(String, String)> = self.zones.clone();
         let seeds: Vec<Ipv4Addr> = self.machines[..3].iter().map(|m| m.ip).collect();
-        let text = settings(ip, zone, &zones, &seeds, &listens, first);
+        let text = settings(ip, zone, &self.zones, &seeds, role, first).to_string();
         let path = self.folder.join(format!("settings-{at}"));
         std::fs::write(&path, text)?;
         let log = std::fs::File::options().create(true).append(true).open(self.folder.join("log"))?;
--- a/crates/testing/soak/src/cluster.rs
+++ b/crates/testing/soak/src/cluster.rs
@@ -143,7 +143,7 @@
             initial_start,
             reloads: self.machines[at].reloads.get(),
         };
-        settings.text()
+        settings.file().to_string()
     }
 
     fn settings_path(&self, at: usize) -> PathBuf {
--- a/crates/testing/soak/src/process_settings.rs
+++ b/crates/testing/soak/src/process_settings.rs
@@ -6,9 +6,16 @@
 };
 use crate::bounds;
 use crate::layout::{Layout, CORE};
+use limeway_settings_file::{milliseconds, Role, SettingsFile, Zone};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
 
+/// Interval between two heartbeats of a server.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
+/// Upper bound on open files of a process.
+const MAX_FILE_DESCRIPTORS: usize = 4_096;
+
 /// What the settings of a process depend on.
 pub(crate) struct ProcessSettings<'a> {
     /// The second byte of all addresses.
@@ -26,54 +33,75 @@
 }
 
 impl ProcessSettings<'_> {
-    /// The file's text.
-    pub(crate) fn text(&self) -> String {
-        format!("{}{}{}{}", self.place(), self.listeners(), self.seeds(), bounds_text())
+    /// The file.
+    pub(crate) fn file(&self) -> SettingsFile {
+        SettingsFile {
+            node_name: format!("m{}", self.machine),
+            ip_address: machine_ip(self.net, self.machine),
+            zone: zone_of(self.machine).into(),
+            zones: ZONES.into_iter().map(Zone::from).collect(),
+            role: self.role(),
+            internal_port: self.internal_port(),
+            metrics_port: Some(METRICS),
+            seed_nodes: self.seed_nodes(),
+            initial_start: self.initial_start,
+            machine_losses: 1,
+            heartbeat: HEARTBEAT_INTERVAL,
+            max_file_descriptors: Some(MAX_FILE_DESCRIPTORS),
+            bounds: bounds(),
+        }
     }
 
-    fn place(&self) -> String {
-        let (machine, ip) = (self.machine, machine_ip(self.net, self.machine));
-        let (zone, region) = zone_of(machine);
-        let zones: String = ZONES.iter().map(|(zone, region)| format!("zones.{zone}={region}\n")).collect();
-        format!("node-name=m{machine}\nip-address={ip}\nzone={zone}\nregion={region}\n{zones}")
+    fn role(&self) -> Role {
+        if self.machine < CORE {
+            Role::Core {
+                control_plane: control_address(self.net, self.machine),
+                directory_api: None,
+                data_directory: self.data_directory.to_owned(),
+            }
+        } else {
+            let readiness = (machine_ip(self.net, self.machine), READINESS).into();
+            Role::Gateway {
+                frontend: frontend_address(self.net, self.machine),
+                readiness: Some(readiness),
+                directory_api: None,
+            }
+        }
     }
 
-    fn listeners(&self) -> String {
-        let own = if self.machine < CORE {
-            let control = control_address(self.net, self.machine);
-            let data = self.data_directory.display();
-            format!("listen-addresses.control-plane={control}\ndata-directory={data}\nloss-counted=true\n")
+    fn internal_port(&self) -> u16 {
+        if self.layout.has_links {
+            inner_address(self.net, self.machine).port()
         } else {
-            let frontend = frontend_address(self.net, self.machine);
-            let ip = machine_ip(self.net, self.machine);
-            format!("listen-addresses.frontend={frontend}\nlisten-addresses.readiness={ip}:{READINESS}\n")
-        };
-        let has_links = self.layout.has_links;
-        let inner = if has_links { inner_address(self.net, self.machine).port() } else { FIRST_INNER };
-        format!("{own}internal-ports={inner},{inner}\nmetrics={METRICS}/metrics\n")
+            FIRST_INNER
+        }
     }
 
-    fn seeds(&self) -> String {
+    fn seed_nodes(&self) -> Vec<SocketAddr> {
         let turn = self.reloads as usize;
-        let seed = |core: usize| control_address(self.net, (core + turn) % CORE).to_string();
-        let seeds: Vec<String> = (0..CORE).map(seed).collect();
-        format!("seed-nodes={}\ninitial-start={}\n", seeds.join(","), self.initial_start)
+        (0..CORE).map(|core| control_address(self.net, (core + turn) % CORE)).collect()
     }
 }
 
-fn bounds_text() -> String {
-    let millis = |bound: Duration| format!("{}ms", bound.as_millis());
-    format!(
-        "fault-tolerance.machine-losses=1\nheartbeat=500ms\nlimits.max-file-descriptors=4096\n\
-         bounds=contact={},ack-timeout=6s,catch-up=4s,drain={},grace-period={},config-apply={},revocation-strict=true,revoke={},\
-         evacuation={},quota-window={},quota-overshoot=0.1,quota-slack=20,retry-budget-ratio=0.2,retry-window=10s,retry-slack=50,\
-         cold-overshoot=1.5,cold-slack=5,ttl_max=5s\n",
-        millis(bounds::CONTACT),
-        millis(bounds::DRAIN),
-        millis(bounds::GRACE),
-        millis(bounds::CONFIG_APPLY),
-        millis(bounds::REVOKE),
-        millis(bounds::EVACUATION),
-        millis(bounds::QUOTA_WINDOW),
-    )
+fn bounds() -> Vec<(&'static str, String)> {
+    vec![
+        ("contact", milliseconds(bounds::CONTACT)),
+        ("ack-timeout", "6s".into()),
+        ("catch-up", "4s".into()),
+        ("drain", milliseconds(bounds::DRAIN)),
+        ("grace-period", milliseconds(bounds::GRACE)),
+        ("config-apply", milliseconds(bounds::CONFIG_APPLY)),
+        ("revocation-strict", "true".into()),
+        ("revoke", milliseconds(bounds::REVOKE)),
+        ("evacuation", milliseconds(bounds::EVACUATION)),
+        ("quota-window", milliseconds(bounds::QUOTA_WINDOW)),
+        ("quota-overshoot", "0.1".into()),
+        ("quota-slack", "20".into()),
+        ("retry-budget-ratio", "0.2".into()),
+        ("retry-window", "10s".into()),
+        ("retry-slack", "50".into()),
+        ("cold-overshoot", "1.5".into()),
+        ("cold-slack", "5".into()),
+        ("ttl_max", "5s".into()),
+    ]
 }
