--- a/crates/testing/load-generator/src/lib.rs
+++ b/crates/testing/load-generator/src/lib.rs
@@ -6,7 +6,6 @@
 
 pub mod arrivals;
 pub mod client;
-pub mod scale;
 pub mod servers;
 pub mod slopes;
 pub mod system;
--- a/crates/testing/load-generator/src/main.rs
+++ b/crates/testing/load-generator/src/main.rs
@@ -43,19 +43,6 @@
             }
             /// Measures what one more limiter, server, route or tenant costs, with the state machines of the system itself.
             cmd slopes {}
-            /// Runs real core machines and many hollow limiters and servers on loopback, and measures starts, changes and losses.
-            cmd scale {
-                /// Limiters (670).
-                optional --limiters limiters: usize
-                /// Servers (2700).
-                optional --servers servers: usize
-                /// Routes (500).
-                optional --routes routes: u64
-                /// Tenants (1000).
-                optional --tenants tenants: u64
-                /// The program to start; else it is built.
-                optional --program path: PathBuf
-            }
             /// Puts a load on a system that runs already.
             cmd load {
                 /// Address of its directory.
@@ -80,7 +67,7 @@
         }
     }
 }
-use flags::{Demo, LimewayLoad, LimewayLoadCmd, Load, Scale};
+use flags::{Demo, LimewayLoad, LimewayLoadCmd, Load};
 
 type Accounts = Rc<RefCell<BTreeMap<String, Account>>>;
 
@@ -151,16 +138,6 @@
     Ok(PathBuf::from("target/release/limeway-balancer"))
 }
 
-async fn scale(flags: Scale) -> io::Result<()> {
-    let size = limeway_load_generator::scale::Size {
-        limiters: flags.limiters.unwrap_or(670),
-        servers: flags.servers.unwrap_or(2_700),
-        routes: flags.routes.unwrap_or(500),
-        tenants: flags.tenants.unwrap_or(1_000),
-    };
-    limeway_load_generator::scale::run(&program(flags.program)?, size).await
-}
-
 async fn demo(flags: Demo) -> io::Result<()> {
     let program = program(flags.program)?;
     let (seconds, rate, seed) =
@@ -287,7 +264,6 @@
         match flags.subcommand {
             LimewayLoadCmd::Demo(flags) => demo(flags).await,
             LimewayLoadCmd::Load(flags) => load(flags).await,
-            LimewayLoadCmd::Scale(flags) => scale(flags).await,
             LimewayLoadCmd::Slopes(_) => {
                 limeway_load_generator::slopes::measure().iter().for_each(|row| println!("{row}"));
                 Ok(())
--- a/crates/testing/load-generator/src/slopes.rs
+++ b/crates/testing/load-generator/src/slopes.rs
@@ -187,7 +187,7 @@
 }
 
 /// A configuration of so many routes and tenants, for 170 services.
-pub fn configuration(routes: u64, tenants: u64) -> String {
+fn configuration(routes: u64, tenants: u64) -> String {
     let route = |n: u64| {
         format!("{{\"resource-kind\":\"routes\",\"metadata\":{{\"name\":\"r-{n:07}\"}},\"specification\":{{\"hostname\":\"h{}.example\",\"path-prefix\":\"/p{n}/\",\"route-type\":\"idempotent\",\"timeout\":\"1200ms\",\"target-latency\":\"500ms\",\"priority\":2,\"target-service\":\"s{}\",\"max-attempts\":2,\"public\":false,\"allowed-regions\":[]}}}}", n % 100, n % 170)
     };
--- a/crates/testing/load-generator/src/system.rs
+++ b/crates/testing/load-generator/src/system.rs
@@ -23,6 +23,18 @@
 const READY: u16 = 29384;
 const INNER: u16 = 29460;
 const SERVERS: u16 = 29100;
+/// Core machines.
+const CORE: usize = 3;
+/// Zones with core machines.
+const CORE_ZONES: usize = 2;
+/// Upper bound on limiters: each takes a byte of its address.
+const MAX_LIMITERS: usize = 100;
+/// Upper bound on servers.
+const MAX_SERVERS: usize = 100;
+/// Requests that a server works on at once.
+const SERVER_SLOTS: usize = 4;
+/// How long a server works on a request.
+const SERVER_WORK: Duration = Duration::from_millis(40);
 /// Pause between two reports of a server.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// The interval that settings files state.
@@ -68,38 +80,17 @@
     pub machines: Vec<Machine>,
     /// Servers.
     pub servers: Vec<Rc<Server>>,
-    /// Zones, with their regions.
-    pub zones: Vec<Zone>,
 }
 
-/// The settings of a machine of a system on loopback.
-pub fn settings(
-    ip: Ipv4Addr,
-    zone: usize,
-    zones: &[Zone],
-    seeds: &[Ipv4Addr],
-    role: Role,
-    initial_start: bool,
-) -> SettingsFile {
-    SettingsFile {
-        node_name: format!("m-{ip}"),
-        ip_address: ip,
-        zone: zones[zone].clone(),
-        zones: zones.to_vec(),
-        role,
-        internal_port: INNER,
-        metrics_port: None,
-        seed_nodes: seeds.iter().map(|seed| (*seed, CONTROL).into()).collect(),
-        initial_start,
-        machine_losses: 1,
-        heartbeat: STATED_HEARTBEAT_INTERVAL,
-        max_file_descriptors: None,
-        bounds: BOUNDS.map(|(name, value)| (name, value.to_owned())).to_vec(),
-    }
+/// A stand-in server; the zones take turns.
+fn new_server(n: usize, net: u8) -> Rc<Server> {
+    let address = SocketAddr::from((Ipv4Addr::new(127, net, 1, n as u8 + 1), SERVERS));
+    let (zone, _) = ZONES[n % ZONES.len()];
+    Server::new(format!("i-{n:04}"), "orders", zone, address, SERVER_SLOTS, SERVER_WORK, n as u64)
 }
 
 /// Calls a machine; nothing where it does not answer within a second.
-pub async fn call(to: SocketAddr, path: &str, body: &str) -> Option<(u16, String)> {
+async fn call(to: SocketAddr, path: &str, body: &str) -> Option<(u16, String)> {
     let message = format!(
         "POST {path} HTTP/1.1\r\nHost: c\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{body}",
         body.len()
@@ -116,62 +107,63 @@
 
 impl System {
     /// Starts `edges` limiters and three core machines of a program, with their files in `folder`.
+    ///
+    /// # Errors
+    /// A file cannot be written, or a process cannot be started.
     pub fn start(program: &Path, folder: &Path, edges: usize, servers: usize, net: u8) -> io::Result<Self> {
-        let zones = ZONES.into_iter().map(Zone::from).collect();
-        Self::of(program, folder, 3, edges, servers, net, zones)
-    }
-
-    /// The same with so many core machines, and zones of one's own.
-    pub fn of(
-        program: &Path,
-        folder: &Path,
-        core: usize,
-        edges: usize,
-        servers: usize,
-        net: u8,
-        zones: Vec<Zone>,
-    ) -> io::Result<Self> {
         std::fs::create_dir_all(folder)?;
         let machine = |n: usize| Machine {
             ip: Ipv4Addr::new(127, net, 0, n as u8 + 1),
-            zone: if n < core { n % 2 } else { n % zones.len() },
-            edge: n >= core,
+            zone: if n < CORE { n % CORE_ZONES } else { n % ZONES.len() },
+            edge: n >= CORE,
             child: None,
         };
         let mut system = System {
             program: program.to_owned(),
             folder: folder.to_owned(),
-            machines: (0..core + edges.min(100)).map(machine).collect(),
-            servers: Vec::new(),
-            zones: zones.clone(),
+            machines: (0..CORE + edges.min(MAX_LIMITERS)).map(machine).collect(),
+            servers: (0..servers.min(MAX_SERVERS)).map(|n| new_server(n, net)).collect(),
         };
         for at in 0..system.machines.len() {
             system.run(at, true)?;
         }
-        for n in 0..servers.min(100) {
-            let address = SocketAddr::from((Ipv4Addr::new(127, net, 1, n as u8 + 1), SERVERS));
-            let zone = &zones[n % zones.len()].name;
-            let work = Duration::from_millis(40);
-            let server = Server::new(format!("i-{n:04}"), "orders", zone, address, 4, work, n as u64);
-            system.servers.push(server);
-        }
         Ok(system)
     }
 
-    /// Starts a machine's process, for the first time or again.
-    pub fn run(&mut self, at: usize, first: bool) -> io::Result<()> {
-        let Machine { ip, zone, edge, .. } = self.machines[at];
+    fn settings(&self, at: usize, initial_start: bool) -> SettingsFile {
+        let Machine { ip, zone, .. } = self.machines[at];
+        SettingsFile {
+            node_name: format!("m-{ip}"),
+            ip_address: ip,
+            zone: ZONES[zone].into(),
+            zones: ZONES.into_iter().map(Zone::from).collect(),
+            role: self.role(at),
+            internal_port: INNER,
+            metrics_port: None,
+            seed_nodes: self.control(),
+            initial_start,
+            machine_losses: 1,
+            heartbeat: STATED_HEARTBEAT_INTERVAL,
+            max_file_descriptors: None,
+            bounds: BOUNDS.map(|(name, value)| (name, value.to_owned())).to_vec(),
+        }
+    }
+
+    fn role(&self, at: usize) -> Role {
+        let Machine { ip, edge, .. } = self.machines[at];
         let directory_api = Some((ip, DIRECTORY).into());
-        let role = if edge {
+        if edge {
             Role::Gateway { frontend: (ip, FRONT).into(), readiness: Some((ip, READY).into()), directory_api }
         } else {
             let data_directory = self.folder.join(format!("data-{at}"));
             Role::Core { control_plane: (ip, CONTROL).into(), directory_api, data_directory }
-        };
-        let seeds: Vec<Ipv4Addr> = self.machines[..3].iter().map(|m| m.ip).collect();
-        let text = settings(ip, zone, &self.zones, &seeds, role, first).to_string();
+        }
+    }
+
+    /// Starts a machine's process, for the first time or again.
+    pub fn run(&mut self, at: usize, first: bool) -> io::Result<()> {
         let path = self.folder.join(format!("settings-{at}"));
-        std::fs::write(&path, text)?;
+        std::fs::write(&path, self.settings(at, first).to_string())?;
         let log = std::fs::File::options().create(true).append(true).open(self.folder.join("log"))?;
         let _blocked = SignalBlock::new()?;
         let child = Command::new(&self.program)
