The soak tells where the time of its own standstills went

Change: at each check of the loop its thread's and its runtime's schedstat are read, and calls that may block (files, starts of processes, signals, reads of /proc) are timed by name. The report tells of the 20 longest standstills with the time on the processor, the wait for one, and the calls with the longest by name. No check is changed.

--- a/crates/testing/soak/src/cluster.rs
+++ b/crates/testing/soak/src/cluster.rs
@@ -7,6 +7,7 @@
 use crate::process_age::ProcessAge;
 use crate::process_settings::ProcessSettings;
 use crate::process_status::{ProcessStatus, StartupPhase};
+use crate::sections::timed;
 use crate::starter::{Starter, Starters};
 use limeway_http1::conn::Conn;
 use limeway_process_start::SignalBlock;
@@ -160,9 +161,10 @@
     /// It cannot be started.
     pub fn start(&self, at: usize, first: bool) -> io::Result<()> {
         let path = self.settings_path(at);
-        std::fs::write(&path, self.settings(at, first))?;
+        let settings = self.settings(at, first);
+        timed("writing settings", || std::fs::write(&path, settings))?;
         let log = self.folder.join(format!("log-{at}"));
-        let log = std::fs::File::options().create(true).append(true).open(log)?;
+        let log = timed("opening a log", || std::fs::File::options().create(true).append(true).open(log))?;
         let mut command = Command::new(&self.program);
         command
             .args(["serve", "--log", "info", "--settings"])
@@ -175,9 +177,9 @@
         let child = match starter {
             Starter::Blocking => {
                 let _blocked = SignalBlock::new()?;
-                command.spawn()?
+                timed("starting a process", || command.spawn())?
             }
-            Starter::Plain => command.spawn()?,
+            Starter::Plain => timed("starting a process", || command.spawn())?,
         };
         self.machines[at].starter.set(starter);
         *self.starts.borrow_mut().entry(starter).or_default() += 1;
@@ -211,7 +213,7 @@
     pub fn signal(&self, at: usize, signal: Signal) {
         if let Some(pid) = self.machines[at].pid.get() {
             // It may have ended by itself: that shows elsewhere.
-            let _ = kill_process(pid, signal);
+            let _ = timed("sending a signal", || kill_process(pid, signal));
         }
     }
 
@@ -245,7 +247,8 @@
 
     /// Sends a signal whose handler a process may not have yet, and notes how far the process had come.
     fn signal_noting_phase(&self, at: usize, name: &'static str, signal: Signal) {
-        let status = self.machines[at].pid.get().and_then(ProcessStatus::read);
+        let pid = self.machines[at].pid.get();
+        let status = timed("reading a status", || pid.and_then(ProcessStatus::read));
         self.signal(at, signal);
         if let Some(status) = status {
             let starter = self.machines[at].starter.get();
@@ -300,14 +303,16 @@
     pub fn reload(&self, at: usize) -> io::Result<()> {
         let machine = &self.machines[at];
         machine.reloads.set(machine.reloads.get() + 1);
-        std::fs::write(self.settings_path(at), self.settings(at, false))?;
+        let (path, settings) = (self.settings_path(at), self.settings(at, false));
+        timed("writing settings", || std::fs::write(path, settings))?;
         self.signal_noting_phase(at, "SIGHUP", Signal::HUP);
         Ok(())
     }
 
     /// A machine's disk is lost. Its process must not run.
     pub fn lose_disk(&self, at: usize) {
-        let _ = std::fs::remove_dir_all(self.data_directory(at));
+        let data_directory = self.data_directory(at);
+        let _ = timed("removing a disk", || std::fs::remove_dir_all(data_directory));
     }
 
     /// Looks for an end that would be taken for that of the kill which follows.
@@ -323,7 +328,8 @@
     /// Whether a machine's process has ended though nobody ended it; with how, and how far it had come.
     pub fn ended_by_itself(&self, at: usize) -> Option<String> {
         // Of a process that has ended it can be read until somebody waits for it.
-        let last = self.machines[at].pid.get().and_then(ProcessStatus::read);
+        let pid = self.machines[at].pid.get();
+        let last = timed("reading a status", || pid.and_then(ProcessStatus::read));
         let status = self.machines[at].child.borrow_mut().as_mut()?.try_wait().ok()??;
         self.machines[at].child.take();
         self.process_ended(at);
@@ -357,7 +363,7 @@
     /// Fetches what a process has counted of its invariants.
     pub async fn refresh_counts(&self, at: usize) {
         if let Some(text) = self.figures(at).await {
-            *self.machines[at].counted.borrow_mut() = parse_counts(&text);
+            *self.machines[at].counted.borrow_mut() = timed("reading figures", || parse_counts(&text));
         }
     }
 
--- a/crates/testing/soak/src/lib.rs
+++ b/crates/testing/soak/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`judge`] | the rules on a ledger, and how often each was near to being broken; no I/O |
 //! | [`report`] | what a run shows |
 //! | [`run`] | one run from start to end |
+//! | [`stalls`], [`sections`], [`thread_times`] | standstills of the soak itself, and where their time went |
 //! | [`process_status`], [`startup_trial`] | what a process does with its signals; signals in its first milliseconds |
 //!
 //! Faults have times; checks wait for conditions. Everything is on loopback, and each process is ended by its id.
@@ -39,10 +40,12 @@
 pub mod process_status;
 pub mod report;
 pub mod run;
+pub mod sections;
 pub mod server;
 pub mod stalls;
 pub mod starter;
 pub mod startup_trial;
+pub mod thread_times;
 
 use std::time::Duration;
 
--- a/crates/testing/soak/src/report.rs
+++ b/crates/testing/soak/src/report.rs
@@ -7,10 +7,14 @@
 use crate::process_status::StartupPhase;
 use crate::stalls::Stall;
 use crate::starter::Starter;
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::time::Duration;
 
+/// Standstills that a report tells of, the longest ones.
+const MAX_SHOWN_STALLS: usize = 20;
+
 /// What became of a run.
 #[derive(Debug, Clone, Default)]
 pub struct Report {
@@ -134,9 +138,12 @@
         for ((signal, starter, age), count) in &self.signal_ages {
             let _ = writeln!(text, "{:<46} {count:>6}", format!("  {signal}, {starter}, process {age}"));
         }
-        let longest = self.stalls.iter().max_by_key(|stall| stall.length);
-        let longest = longest.map_or(String::new(), |stall| format!(", the longest {stall}"));
-        let _ = writeln!(text, "the soak itself stood still {} times{longest}", self.stalls.len());
+        let _ = writeln!(text, "the soak itself stood still {} times", self.stalls.len());
+        let mut longest: Vec<&Stall> = self.stalls.iter().collect();
+        longest.sort_by_key(|stall| Reverse(stall.length));
+        for stall in longest.iter().take(MAX_SHOWN_STALLS) {
+            let _ = writeln!(text, "  {stall}");
+        }
         let _ = writeln!(text, "requests {:?}", self.ends);
         let _ = writeln!(text, "{:<30} {:>9} {:>9} {:>7}", "rule", "checked", "near", "broken");
         for finding in &self.findings {
--- a/crates/testing/soak/src/run.rs
+++ b/crates/testing/soak/src/run.rs
@@ -13,8 +13,10 @@
 use crate::operator::Operator;
 use crate::plan::Plan;
 use crate::report::Report;
+use crate::sections::timed;
 use crate::server::Server;
 use crate::stalls;
+use crate::thread_times::Threads;
 use std::fmt;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -89,14 +91,19 @@
 /// # Errors
 /// It could not be made: nothing was tested.
 pub fn run(options: &Options, seed: u64) -> Result<Report, RunError> {
-    let runtime =
-        tokio::runtime::Builder::new_multi_thread().worker_threads(LINK_THREADS).enable_all().build()?;
+    let threads = Threads::new(LINK_THREADS);
+    let joining = threads.clone();
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(LINK_THREADS)
+        .on_thread_start(move || joining.join())
+        .enable_all()
+        .build()?;
     let folder = options.folder.join(format!("seed-{seed}"));
     let _ = std::fs::remove_dir_all(&folder);
     // What is dropped kills its processes.
     let report = LocalSet::new().block_on(&runtime, async {
         tokio::select! {
-            report = play(options, &folder, seed) => report,
+            report = play(options, &folder, seed, threads) => report,
             interrupted = interrupted() => Err(interrupted.map_or_else(RunError::Io, |()| RunError::Interrupted)),
         }
     })?;
@@ -114,7 +121,7 @@
     }
 }
 
-async fn play(options: &Options, folder: &Path, seed: u64) -> Result<Report, RunError> {
+async fn play(options: &Options, folder: &Path, seed: u64, threads: Threads) -> Result<Report, RunError> {
     let plan = match options.gateways {
         Some(gateways) => Plan::draw_large(seed, options.length, gateways),
         None => Plan::draw(seed, options.length),
@@ -139,7 +146,7 @@
     }
     let stage = Rc::new(Stage { cluster: cluster.clone(), network, servers, demand: demand.clone(), ledger });
     let watching = tokio::task::spawn_local(watch(stage.clone()));
-    let watching_stalls = tokio::task::spawn_local(stalls::watch(stage.ledger.clone()));
+    let watching_stalls = tokio::task::spawn_local(stalls::watch(stage.ledger.clone(), threads));
     let mut callers = start_clients(options, layout, seed, &stage);
     callers.push(tokio::task::spawn_local(operator.clone().run()));
     perform(&stage, &plan).await;
@@ -185,7 +192,7 @@
     let lost = stage.ledger.now();
     {
         let mut seen = stage.ledger.seen.borrow_mut();
-        seen.served_before = is_served_so_far(&seen);
+        seen.served_before = timed("judging", || is_served_so_far(&seen));
     }
     stage.cluster.kill_all(stage.cluster.all()).await;
     stage.cluster.lose_disk(plan.closing_wipe);
@@ -214,7 +221,7 @@
         sleep(CHECK_INTERVAL).await;
         let now = stage.ledger.now();
         let mut seen = stage.ledger.seen.borrow_mut();
-        if is_served_since(&seen, now.saturating_sub(SERVICE_WINDOW)) {
+        if timed("judging", || is_served_since(&seen, now.saturating_sub(SERVICE_WINDOW))) {
             seen.served_again = Some(now);
             return;
         }
