The soak writes settings and removes disks off its event loop

Cause: settings files were written, logs opened and disks removed by synchronous calls on the event loop that also notes when clients' requests end. Writing over a file (open with O_TRUNC, then close) waits for the disk on ext4; starts of all machines one after the other add up.

Change: these calls are made on threads of the runtime for blocking calls. A lock for each machine keeps what one call was before: whoever kills, stops, pauses or reloads a machine waits until a start of it, or the writing of its settings, has ended; a kill of all waits for all, and kills at one moment. Starting the process itself stays on the loop: its id must be known at once, so that signals reach its first millisecond.

--- a/crates/testing/soak/src/cluster.rs
+++ b/crates/testing/soak/src/cluster.rs
@@ -21,6 +21,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::process::{Child, Command};
+use tokio::sync::Mutex;
+use tokio::task::spawn_blocking;
 use tokio::time::{sleep, timeout};
 
 /// How long a process may take to answer.
@@ -51,6 +53,8 @@
     counted: RefCell<BTreeMap<String, InvariantCounts>>,
     /// What its earlier processes had counted.
     earlier: RefCell<BTreeMap<String, InvariantCounts>>,
+    /// Held while its files are written and its process is started, off the event loop: one after the other.
+    starting: Mutex<()>,
     /// Its process has a part of the processor only.
     throttled: Cell<bool>,
     /// Fewer seeds than all: another settings file.
@@ -66,6 +70,7 @@
             child: RefCell::default(),
             pid: Cell::default(),
             started: Cell::default(),
+            starting: Mutex::default(),
             counted: RefCell::default(),
             earlier: RefCell::default(),
             throttled: Cell::default(),
@@ -155,16 +160,22 @@
         self.folder.join(format!("data-{at}"))
     }
 
-    /// Starts a machine's process; `first` only when the whole system starts on empty disks.
+    /// Starts a machine's process; `first` only when the whole system starts on empty disks. Until it is started, whoever kills, stops,
+    /// pauses or reloads it waits.
     ///
     /// # Errors
     /// It cannot be started.
-    pub fn start(&self, at: usize, first: bool) -> io::Result<()> {
+    pub async fn start(&self, at: usize, first: bool) -> io::Result<()> {
+        let _starting = self.machines[at].starting.lock().await;
         let path = self.settings_path(at);
         let settings = self.settings(at, first);
-        timed("writing settings", || std::fs::write(&path, settings))?;
         let log = self.folder.join(format!("log-{at}"));
-        let log = timed("opening a log", || std::fs::File::options().create(true).append(true).open(log))?;
+        let settings_path = path.clone();
+        let log = off_the_event_loop(move || {
+            std::fs::write(settings_path, settings)?;
+            std::fs::File::options().create(true).append(true).open(log)
+        })
+        .await?;
         let mut command = Command::new(&self.program);
         command
             .args(["serve", "--log", "info", "--settings"])
@@ -217,9 +228,21 @@
         }
     }
 
+    /// Waits until a start of a machine's process that is under way has ended.
+    async fn start_ended(&self, at: usize) {
+        drop(self.machines[at].starting.lock().await);
+    }
+
+    /// Stops a machine's process, until SIGCONT.
+    pub async fn pause(&self, at: usize) {
+        self.start_ended(at).await;
+        self.signal(at, Signal::STOP);
+    }
+
     /// Kills a machine's process, and waits until it is gone.
     pub async fn kill(&self, at: usize) {
         self.refresh_counts(at).await;
+        self.start_ended(at).await;
         self.note_end_before_kill(at);
         let child = self.machines[at].child.borrow_mut().take();
         if let Some(mut child) = child {
@@ -229,7 +252,12 @@
     }
 
     /// Kills these processes at one moment, stopped ones too.
-    pub async fn kill_all(&self, machines: impl Iterator<Item = usize>) {
+    pub async fn kill_all(&self, machines: impl Iterator<Item = usize> + Clone) {
+        // None of them is being started, and none begins to be, at that moment.
+        let mut starts_held = Vec::new();
+        for at in machines.clone() {
+            starts_held.push(self.machines[at].starting.lock().await);
+        }
         let mut children = Vec::new();
         for at in machines {
             self.note_end_before_kill(at);
@@ -237,6 +265,7 @@
             // Whoever watches over processes must not take this end for their own.
             children.push((at, self.machines[at].child.borrow_mut().take()));
         }
+        drop(starts_held);
         for (at, child) in children {
             if let Some(mut child) = child {
                 let _ = child.wait().await;
@@ -276,6 +305,7 @@
     /// Sends a process SIGTERM, and waits for its end.
     pub async fn terminate(&self, at: usize) -> Termination {
         self.refresh_counts(at).await;
+        self.start_ended(at).await;
         self.signal_noting_phase(at, "SIGTERM", Signal::TERM);
         let child = self.machines[at].child.borrow_mut().take();
         let Some(mut child) = child else { return Termination::Orderly };
@@ -300,19 +330,21 @@
     ///
     /// # Errors
     /// The file cannot be written.
-    pub fn reload(&self, at: usize) -> io::Result<()> {
+    pub async fn reload(&self, at: usize) -> io::Result<()> {
         let machine = &self.machines[at];
+        let _starting = machine.starting.lock().await;
         machine.reloads.set(machine.reloads.get() + 1);
         let (path, settings) = (self.settings_path(at), self.settings(at, false));
-        timed("writing settings", || std::fs::write(path, settings))?;
+        off_the_event_loop(move || std::fs::write(path, settings)).await?;
         self.signal_noting_phase(at, "SIGHUP", Signal::HUP);
         Ok(())
     }
 
     /// A machine's disk is lost. Its process must not run.
-    pub fn lose_disk(&self, at: usize) {
+    pub async fn lose_disk(&self, at: usize) {
         let data_directory = self.data_directory(at);
-        let _ = timed("removing a disk", || std::fs::remove_dir_all(data_directory));
+        // There may be none yet.
+        let _ = off_the_event_loop(move || std::fs::remove_dir_all(data_directory)).await;
     }
 
     /// Looks for an end that would be taken for that of the kill which follows.
@@ -406,6 +438,13 @@
     }
 }
 
+/// Makes a call that waits for a disk, on a thread of its own: meanwhile the event loop goes on.
+async fn off_the_event_loop<T: Send + 'static>(
+    call: impl FnOnce() -> io::Result<T> + Send + 'static,
+) -> io::Result<T> {
+    spawn_blocking(call).await.unwrap_or_else(|e| Err(io::Error::other(e)))
+}
+
 async fn get(to: SocketAddr, path: &str) -> Option<(u16, String)> {
     let message = format!("GET {path} HTTP/1.1\r\nHost: s\r\nConnection: close\r\n\r\n");
     call(to, &message, CALL_TIMEOUT).await
--- a/crates/testing/soak/src/faults.rs
+++ b/crates/testing/soak/src/faults.rs
@@ -42,7 +42,7 @@
         let cluster = &self.cluster;
         match fault {
             Fault::Kill(machine) => cluster.kill(machine).await,
-            Fault::Pause(machine) => cluster.signal(machine, Signal::STOP),
+            Fault::Pause(machine) => cluster.pause(machine).await,
             Fault::Throttle(machine) => cluster.throttle(machine),
             Fault::Terminate(machine) => match cluster.terminate(machine).await {
                 Termination::Orderly => {}
@@ -54,13 +54,13 @@
                 }
             },
             Fault::Reload(machine) => {
-                if let Err(e) = cluster.reload(machine) {
+                if let Err(e) = cluster.reload(machine).await {
                     self.note(format!("settings of machine {machine}: {e}"));
                 }
             }
             Fault::LoseDisk(machine) => {
                 cluster.kill(machine).await;
-                cluster.lose_disk(machine);
+                cluster.lose_disk(machine).await;
             }
             Fault::KillCore => cluster.kill_all(0..CORE).await,
             Fault::CutPair(one, other) => self.network.partition(one, &[other], true),
@@ -86,9 +86,13 @@
         let cluster = &self.cluster;
         match fault {
             Fault::Kill(machine) | Fault::Terminate(machine) | Fault::LoseDisk(machine) => {
-                self.start(machine);
+                self.start(machine).await;
+            }
+            Fault::KillCore => {
+                for machine in 0..CORE {
+                    self.start(machine).await;
+                }
             }
-            Fault::KillCore => (0..CORE).for_each(|machine| self.start(machine)),
             Fault::Pause(machine) => cluster.signal(machine, Signal::CONT),
             Fault::Throttle(machine) => cluster.end_throttle(machine),
             Fault::CutPair(one, other) => self.network.partition(one, &[other], false),
@@ -111,8 +115,8 @@
         }
     }
 
-    fn start(&self, machine: usize) {
-        if let Err(e) = self.cluster.start(machine, false) {
+    async fn start(&self, machine: usize) {
+        if let Err(e) = self.cluster.start(machine, false).await {
             self.note(format!("machine {machine} was not started: {e}"));
         }
     }
--- a/crates/testing/soak/src/run.rs
+++ b/crates/testing/soak/src/run.rs
@@ -131,7 +131,7 @@
     let (ledger, demand) = (Ledger::new(), Rc::new(Demand::default()));
     let network = Network::start(layout, options.net, seed)?;
     for at in cluster.all() {
-        cluster.start(at, true)?;
+        cluster.start(at, true).await?;
     }
     let mut servers = Vec::new();
     for at in 0..layout.servers {
@@ -195,10 +195,10 @@
         seen.served_before = timed("judging", || is_served_so_far(&seen));
     }
     stage.cluster.kill_all(stage.cluster.all()).await;
-    stage.cluster.lose_disk(plan.closing_wipe);
+    stage.cluster.lose_disk(plan.closing_wipe).await;
     for at in stage.cluster.all() {
         // One that cannot be started shows as not ready.
-        let _ = stage.cluster.start(at, false);
+        let _ = stage.cluster.start(at, false).await;
     }
     let restarted = stage.ledger.now();
     stage.ledger.seen.borrow_mut().power_loss = Some((lost, restarted));
@@ -248,7 +248,7 @@
         for at in stage.cluster.all() {
             if let Some(end) = stage.cluster.ended_by_itself(at) {
                 stage.ledger.seen.borrow_mut().own_ends.push(end);
-                let _ = stage.cluster.start(at, false);
+                let _ = stage.cluster.start(at, false).await;
             }
             stage.cluster.refresh_counts(at).await;
             if stage.cluster.gateways().contains(&at) {
