Change two gateway checks: connections rest for 20 ms before they are used again

after_a_reset_the_older_connections_to_a_server_are_let_go and connections_to_servers_are_kept_and_used_again expect that a request goes on over a kept connection. By the README a connection rests for 20 ms between two requests, and within them a new one is opened. The tests did not wait: the stand-ins write an answer in several pieces without TCP_NODELAY, and a delayed acknowledgement (40 ms, in a system call trace) held up each call to the counter, which let the connections rest by chance. Where the pieces come together, as beside other load, the checks fail.

Stand-ins write without that delay now, so that the order of events is the same in each run, and the two tests wait for the stated rest. What they check is as before.

--- a/crates/gateway/gateway/tests/common/mod.rs
+++ b/crates/gateway/gateway/tests/common/mod.rs
@@ -87,6 +87,8 @@
 }
 
 fn connection(number: usize, mut stream: TcpStream, tell: &Sender<(usize, Message)>, serve: &Serve) {
+    // An answer in several writes would else wait for a delayed acknowledgement, now and then.
+    stream.set_nodelay(true).expect("no delay");
     let mut reader = BufReader::new(stream.try_clone().expect("a second handle"));
     while let Some(message) = read(&mut reader) {
         let _ = tell.send((number, message.clone()));
--- a/crates/gateway/gateway/tests/requests.rs
+++ b/crates/gateway/gateway/tests/requests.rs
@@ -240,6 +240,17 @@
     }
 }
 
+/// Rest of a connection to a server between two requests, as the README states it.
+const REST: Duration = Duration::from_millis(20);
+
+/// Waits until the connections whose answers have come may be used again: before, a request opens a new one.
+fn let_connections_rest() {
+    let answered = Instant::now();
+    while answered.elapsed() < REST {
+        std::thread::yield_now();
+    }
+}
+
 #[test]
 fn connections_to_servers_are_kept_and_used_again() {
     let (server, counter) = (server(ok), counter());
@@ -247,6 +258,7 @@
     let mut client = limiter.client();
     for n in 0..5 {
         assert_eq!(client.ask(&request("look", &n.to_string(), "team", 9000)).status(), 200);
+        let_connections_rest();
     }
     let connections: Vec<usize> = server.requests.try_iter().map(|(connection, _)| connection).collect();
     assert_eq!(connections, [0; 5]);
@@ -327,6 +339,7 @@
     assert_eq!(server.requests.recv_timeout(LONG).expect("an attempt").0, 1);
     go.send(()).expect("the server waits");
     assert_eq!(one.read().expect("an answer").status(), 200);
+    let_connections_rest();
     assert_eq!(two.ask(&request("once", "broken", "team", 9000)).status(), 502);
     assert_eq!(server.requests.recv_timeout(LONG).expect("an attempt").0, 0);
     let mut three = limiter.client();
