Tests of catching up: one function for the set-up that stood twice

Cause: the first two tests of catching_up.rs built the same cluster (three replicas, a delay, 1 and 3 cut from each other, an update at 1, run until the fetch at 2) in the same lines.

Change: behind_and_fetching() does it for both. What the tests check is unchanged.

--- a/crates/control/control-plane/tests/replica/catching_up.rs
+++ b/crates/control/control-plane/tests/replica/catching_up.rs
@@ -29,16 +29,22 @@
     }
 }
 
-/// Seed 1622 of the simulation: the answer to the fetch is lost with its sender, and another acceptor answers that the slot is decided.
-/// The replica proposed again with each such answer, thousands of times a second.
-#[rstest]
-fn a_replica_that_is_behind_proposes_nothing_until_it_has_caught_up() {
+/// Three replicas, of which 3 does not reach 1: it has missed the update at 1, and asks 2 for it.
+fn behind_and_fetching() -> Cluster {
     let mut cluster = Cluster::start(3);
     cluster.run(SECOND);
     cluster.set_delay(DELAY);
     cluster.cut_pair(1, 3);
     cluster.call_api(1, ApiRequest::UpdateConfig(update(1, 0)));
     run_until_fetch(&mut cluster, 2);
+    cluster
+}
+
+/// Seed 1622 of the simulation: the answer to the fetch is lost with its sender, and another acceptor answers that the slot is decided.
+/// The replica proposed again with each such answer, thousands of times a second.
+#[rstest]
+fn a_replica_that_is_behind_proposes_nothing_until_it_has_caught_up() {
+    let mut cluster = behind_and_fetching();
     cluster.cut_pair(2, 3);
     let before = cluster.sent(3, 1, is_prepare);
     let caller = cluster.call_api(3, ApiRequest::UpdateConfig(update(2, 0)));
@@ -53,12 +59,7 @@
 /// The one that it waits for is silent: another one that shows itself ahead is asked before the call times out.
 #[rstest]
 fn a_silent_replica_holds_up_no_fetch_from_another() {
-    let mut cluster = Cluster::start(3);
-    cluster.run(SECOND);
-    cluster.set_delay(DELAY);
-    cluster.cut_pair(1, 3);
-    cluster.call_api(1, ApiRequest::UpdateConfig(update(1, 0)));
-    run_until_fetch(&mut cluster, 2);
+    let mut cluster = behind_and_fetching();
     let asked = cluster.now;
     cluster.cut_pair(2, 3);
     run_until_fetch(&mut cluster, 1);
