A replica whose proposal timed out proposes again only once it hears a majority

Change: after a proposal whose replies timed out, the next one waits until a majority has answered a heartbeat round that began no earlier than the phase that timed out. Where a majority answers, that has mostly come before the time-out, and nothing waits.

--- a/crates/control/control-plane/src/control_plane/agreement.rs
+++ b/crates/control/control-plane/src/control_plane/agreement.rs
@@ -49,6 +49,8 @@
     /// The last slot that an acceptor has said to be decided. A proposal before it is applied here comes to nothing.
     catches_up_to: Slot,
     losses: u32,
+    /// When the phase began whose replies timed out last.
+    timed_out_phase: Timestamp,
 }
 
 impl Agreement {
@@ -59,7 +61,7 @@
         expires.or((wanted && free_from > now).then_some(free_from))
     }
 
-    /// Whether a proposal may be begun.
+    /// Whether nothing is waited for that ends by itself.
     pub(crate) fn is_free(&self, now: Timestamp) -> bool {
         self.free_from().is_some_and(|free_from| now >= free_from)
     }
@@ -81,6 +83,13 @@
 }
 
 impl ControlPlane {
+    /// Whether a proposal may be begun. After one whose replies have timed out a majority has to show itself first, by its answers to a
+    /// heartbeat: a replica whose proposals arrive and that hears nobody would only preempt others.
+    pub(crate) fn may_propose(&self) -> bool {
+        self.agreement.is_free(self.now)
+            && self.quorum.has_heard_majority_since(self.agreement.timed_out_phase)
+    }
+
     pub(crate) fn handle_prepare(&mut self, caller: CallerId, slot: Slot, number: ProposalNumber) {
         let reply = self.vote(slot, |acceptor| acceptor.prepare(slot, number));
         self.reply_as_acceptor(caller, number, reply);
@@ -214,11 +223,11 @@
         true
     }
 
-    /// One reply fewer may still come. A proposal that cannot succeed any more is not waited for.
+    /// One reply fewer may still come. A proposal that cannot succeed any more is not waited for; one whose time is over expires.
     pub(crate) fn reply_counted(&mut self, ballot: u64) {
         let Some(current) = self.agreement.ballot.as_mut().filter(|b| b.number == ballot) else { return };
         current.outstanding = current.outstanding.saturating_sub(1);
-        if current.outstanding == 0 {
+        if current.outstanding == 0 && self.now < current.deadline {
             self.proposal_lost();
         }
     }
@@ -278,7 +287,9 @@
 
     /// Gives up a proposal whose replies have timed out.
     pub(crate) fn expire_ballot(&mut self) {
-        if self.agreement.ballot.as_ref().is_some_and(|ballot| self.now >= ballot.deadline) {
+        let deadline = self.agreement.ballot.as_ref().map(|ballot| ballot.deadline);
+        if let Some(deadline) = deadline.filter(|deadline| self.now >= *deadline) {
+            self.agreement.timed_out_phase = deadline - ACCEPTOR_TIMEOUT;
             self.proposal_lost();
         }
     }
--- a/crates/control/control-plane/src/control_plane/proposals.rs
+++ b/crates/control/control-plane/src/control_plane/proposals.rs
@@ -158,10 +158,10 @@
 
     /// Proposes what nobody has requested: completing an accepted value, changes of voters and gateways.
     fn propose_internal(&mut self) {
-        if self.agreement.is_free(self.now) {
+        if self.may_propose() {
             self.complete_accepted();
         }
-        if !self.agreement.is_free(self.now) || !std::mem::take(&mut self.voter_changes.review) {
+        if !self.may_propose() || !std::mem::take(&mut self.voter_changes.review) {
             return;
         }
         let operation = match self.next_voter_change() {
@@ -185,7 +185,7 @@
 
     /// Answers requests. Returns the operation to propose for the first that needs one.
     fn answer_requests(&mut self) -> Option<Operation> {
-        let may_propose = self.agreement.is_free(self.now) && !self.is_forming();
+        let may_propose = self.may_propose() && !self.is_forming();
         let held_until = self.evacuations_precede_until();
         let mut operation = None;
         for mut request in std::mem::take(&mut self.proposals.pending) {
--- a/crates/control/control-plane/src/control_plane/quorum.rs
+++ b/crates/control/control-plane/src/control_plane/quorum.rs
@@ -97,6 +97,11 @@
         }
     }
 
+    /// Whether a majority has answered a round that began at this time or later.
+    pub(crate) fn has_heard_majority_since(&self, since: Timestamp) -> bool {
+        self.last_concluded >= since
+    }
+
     /// Whether a round has begun since, or has and waits for this replica to catch up.
     fn has_round_since(&self, since: Timestamp) -> bool {
         self.rounds.values().any(|round| round.started >= since && !round.concluded)
--- a/crates/control/control-plane/tests/replica/cluster.rs
+++ b/crates/control/control-plane/tests/replica/cluster.rs
@@ -84,6 +84,8 @@
     callers: BTreeMap<(NodeId, CallerId), (NodeId, RequestId)>,
     next_caller: CallerId,
     cut: BTreeSet<NodeId>,
+    /// Replicas that no message reaches, while theirs arrive.
+    deaf: BTreeSet<NodeId>,
     /// Two replicas that do not reach each other, the lower one first.
     cut_pair: Option<(NodeId, NodeId)>,
     responses: BTreeMap<CallerId, ApiResponse>,
@@ -105,6 +107,7 @@
             callers: BTreeMap::new(),
             next_caller: 0,
             cut: BTreeSet::new(),
+            deaf: BTreeSet::new(),
             cut_pair: None,
             responses: BTreeMap::new(),
             updates: Vec::new(),
@@ -142,6 +145,11 @@
         }
     }
 
+    /// Cuts a replica off in one direction: from now on no message reaches it, while its own arrive.
+    pub(crate) fn set_deaf(&mut self, node: NodeId) {
+        self.deaf.insert(node);
+    }
+
     /// Two replicas do not reach each other any more, while all others reach both.
     pub(crate) fn cut_pair(&mut self, lower: NodeId, higher: NodeId) {
         self.cut_pair = Some((lower, higher));
@@ -279,7 +287,7 @@
     fn deliver(&mut self, message: Message) {
         match message {
             Message::Call { from, request, to, call } => {
-                if !self.reaches(from, to) || !self.nodes.contains_key(&to) {
+                if !self.reaches(from, to) || self.deaf.contains(&to) || !self.nodes.contains_key(&to) {
                     return;
                 }
                 self.next_caller += 1;
@@ -288,7 +296,7 @@
                 self.handle(to, Event::Call(caller, call));
             }
             Message::Reply { to, request, reply } => {
-                let lost = reply.is_some() && self.cut.contains(&to);
+                let lost = reply.is_some() && (self.cut.contains(&to) || self.deaf.contains(&to));
                 if lost || !self.nodes.contains_key(&to) {
                     return;
                 }
--- a/crates/control/control-plane/tests/replica/quorum.rs
+++ b/crates/control/control-plane/tests/replica/quorum.rs
@@ -1,6 +1,7 @@
 //! Quorum contact: without it a replica confirms nothing, rejects nothing for good, and says so at once.
 
 use crate::cluster::{update, Cluster, MS, SECOND};
+use limeway_control_plane::messages::Call;
 use limeway_control_plane::{ApiRequest, ApiResponse, QUORUM_LEASE};
 use rstest::rstest;
 
@@ -9,6 +10,10 @@
 /// How long before the reply to a heartbeat its connection is reset.
 const RESET_BEFORE_REPLY: u64 = 10 * MS;
 
+fn is_prepare(call: &Call) -> bool {
+    matches!(call, Call::Prepare(..))
+}
+
 #[rstest]
 fn replicas_of_an_initial_start_get_quorum_contact() {
     let mut cluster = Cluster::start(3);
@@ -110,6 +115,36 @@
     assert_eq!(cluster.replica(2).state().version, 1);
 }
 
+/// Seed 59433 of the simulation: a proposer is cut off in one direction once its value is on its way to the others, who accept it.
+/// It hears of that no more. Its next proposal would preempt the one by which another voter completes the value.
+#[rstest]
+fn a_proposer_that_hears_nobody_preempts_nobody(#[values(0, 50, 100, 150, 200)] proposed_before_round: u64) {
+    let mut cluster = Cluster::start(3);
+    cluster.run(4 * SECOND);
+    cluster.set_delay(DELAY);
+    cluster.run(2 * SECOND);
+    let round = cluster.replica(1).next_tick() + 250 * MS;
+    cluster.run(round - proposed_before_round * MS - 3 * DELAY - cluster.now);
+    cluster.call_api(3, ApiRequest::UpdateConfig(update(1, 0)));
+    cluster.run(2 * DELAY);
+    cluster.set_deaf(3);
+    let (deaf, proposals) = (cluster.now, cluster.sent(3, 2, is_prepare));
+    cluster.run(DELAY);
+    for node in [1, 2] {
+        let acceptor = cluster.replica(node).acceptor();
+        assert!(acceptor.slot_state.accepted.is_some(), "replica {node}");
+    }
+    while cluster.now < deaf + 2 * SECOND {
+        cluster.run(5 * MS);
+        for node in [1, 2] {
+            let after = (cluster.now - deaf) / MS;
+            assert!(cluster.replica(node).has_quorum(cluster.now), "replica {node}, after {after} ms");
+        }
+    }
+    assert_eq!(cluster.sent(3, 2, is_prepare), proposals, "no proposal that nobody can answer");
+    assert_eq!(cluster.replica(1).state().version, 1);
+}
+
 /// A replica that is behind must not reject by its old state: what it takes for a conflict may be the newest.
 #[rstest]
 fn a_stale_replica_rejects_nothing() {
