Shutdown tests: a trial that the test was too late for is repeated, not judged (check changed)

Cause: two tests that stop a gateway across the close of its listener bet on their own speed. That the connections were open within half of the grace period (1.5 s) was asserted; a request had to be written within the 300 ms for which a draining gateway keeps an idle connection, and that was not looked at; and the gateway was let go on at a time counted from before SIGTERM, so that one which took the signal 150 ms late went on before its listener's time, and nothing was tested.

What the gateway does in a trial in time is asserted as before, and an answer to a late request counts as one.

--- a/crates/balancer/tests/shutdown.rs
+++ b/crates/balancer/tests/shutdown.rs
@@ -149,41 +149,81 @@
     assert_eq!(status(under_way), Some(504), "{}", system.log());
 }
 
-/// Connections opened while the gateway, which has got SIGTERM, stands still past the time at which its listener closes.
-fn connect_across_the_close(system: &System, grace: Duration, heads: &[&str]) -> Vec<TcpStream> {
-    let terminated = Instant::now();
-    system.signal(GATEWAY, Signal::TERM);
-    system.until("the shutdown", |system| system.log().contains("shutting down"));
-    system.signal(GATEWAY, Signal::STOP);
-    let streams = heads.iter().map(|head| connect(system, head).expect("a connection")).collect();
-    assert!(terminated.elapsed() < grace / 2, "the listener may have closed already");
-    system.until("the close of the listener", |_| terminated.elapsed() > grace.mul_f64(0.6));
-    system.signal(GATEWAY, Signal::CONT);
-    streams
+/// Part of the grace period by which connections are open: the listener closes later.
+const OPEN_BY: f64 = 0.5;
+/// Part of it after whose begin the listener has closed.
+const CLOSED_AFTER: f64 = 0.6;
+/// Part of it by which the gateway goes on: requests are aborted later.
+const RESUMED_BY: f64 = 0.8;
+/// A draining gateway keeps a connection for so long on which nothing has come.
+const DRAINING_IDLE_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Connections that the gateway finds in its backlog when it goes on, after its listener's time.
+struct AcrossTheClose {
+    streams: Vec<TcpStream>,
+    /// It has not gone on before.
+    resumed: Instant,
+}
+
+impl AcrossTheClose {
+    /// Opens connections while the gateway, which has got SIGTERM, stands still past the time at which its listener closes. None if this
+    /// test was too late for that.
+    fn open(system: &System, heads: &[&str]) -> Option<Self> {
+        // The grace period begins between these two times.
+        let terminated = Instant::now();
+        system.signal(GATEWAY, Signal::TERM);
+        system.until("the shutdown", |system| system.log().contains("shutting down"));
+        let begun = Instant::now();
+        system.signal(GATEWAY, Signal::STOP);
+        let streams = heads.iter().map(|head| connect(system, head).expect("a connection")).collect();
+        if terminated.elapsed() > GRACE.mul_f64(OPEN_BY) {
+            return None;
+        }
+        system.until("the close of the listener", |_| begun.elapsed() > GRACE.mul_f64(CLOSED_AFTER));
+        let resumed = Instant::now();
+        system.signal(GATEWAY, Signal::CONT);
+        (terminated.elapsed() < GRACE.mul_f64(RESUMED_BY)).then_some(AcrossTheClose { streams, resumed })
+    }
+}
+
+/// Runs a trial on one network after the other until this test was in time in one. A machine that is busy with other tests may have it
+/// come too late, which says nothing of the gateway; a gateway that fails in a trial fails the test.
+fn try_until_in_time(nets: [u8; 3], trial: impl Fn(u8) -> Option<()>) {
+    nets.into_iter().find_map(trial).expect("a trial in time");
 }
 
 #[test]
 fn a_request_that_waits_to_be_accepted_when_the_listener_closes_is_answered() {
-    let grace = Duration::from_secs(3);
-    let (system, _) = start(95, grace);
     let heads = ["one", "two", "three"].map(|id| request(id, 20, ""));
     let heads: Vec<&str> = heads.iter().map(String::as_str).collect();
-    let streams = connect_across_the_close(&system, grace, &heads);
-    let statuses: Vec<_> = streams.into_iter().map(status).collect();
-    assert!(statuses.iter().all(Option::is_some), "{statuses:?}, {}", system.log());
+    try_until_in_time([95, 97, 98], |net| {
+        let (system, _) = start(net, GRACE);
+        let across = AcrossTheClose::open(&system, &heads)?;
+        let statuses: Vec<_> = across.streams.into_iter().map(status).collect();
+        assert!(statuses.iter().all(Option::is_some), "{statuses:?}, {}", system.log());
+        Some(())
+    });
 }
 
 #[test]
 fn a_request_that_follows_its_connection_after_the_listener_has_closed_is_answered() {
-    let grace = Duration::from_secs(3);
-    let (system, _) = start(96, grace);
-    assert!(is_listening(system.machines[GATEWAY].ip, FRONT));
-    let mut stream = connect_across_the_close(&system, grace, &[""]).remove(0);
-    // A look that opened connections could fill the backlog, and then wait a second for the kernel.
-    system.until("the close", |system| !is_listening(system.machines[GATEWAY].ip, FRONT));
-    let _ = stream.write_all(request("late", 20, "").as_bytes());
-    assert!(status(stream).is_some(), "{}", system.log());
-    assert!(connect(&system, "").is_none(), "new connections are refused");
+    try_until_in_time([96, 99, 100], |net| {
+        let (system, _) = start(net, GRACE);
+        assert!(is_listening(system.machines[GATEWAY].ip, FRONT));
+        let AcrossTheClose { mut streams, resumed } = AcrossTheClose::open(&system, &[""])?;
+        let mut stream = streams.remove(0);
+        // A look that opened connections could fill the backlog, and then wait a second for the kernel.
+        system.until("the close", |system| !is_listening(system.machines[GATEWAY].ip, FRONT));
+        let _ = stream.write_all(request("late", 20, "").as_bytes());
+        let is_in_time = resumed.elapsed() < DRAINING_IDLE_TIMEOUT;
+        let status = status(stream);
+        if status.is_none() && !is_in_time {
+            return None;
+        }
+        assert!(status.is_some(), "{}", system.log());
+        assert!(connect(&system, "").is_none(), "new connections are refused");
+        Some(())
+    });
 }
 
 #[test]
