Tests of the balancer: a wait gives up the processor between two looks

Cause: `until` looked as fast as it could, one core for each test at a time. On a machine of two to four cores the processes that are waited for wait for it.

Change: the thread yields after each look that has not seen it yet. What is waited for, and for how long, is as before.

--- a/crates/balancer/tests/waiting/mod.rs
+++ b/crates/balancer/tests/waiting/mod.rs
@@ -8,6 +8,8 @@
         let begun = Instant::now();
         while !so(self) {
             assert!(begun.elapsed() < SOON, "{what} did not come about: {}", self.log());
+            // On a machine with few cores, what is waited for may wait for this thread.
+            std::thread::yield_now();
         }
     }
 }
