Change the balancer tests' addresses: another copy of a test beside them fails neither

System tests listen on 127.NET.0.HOST with fixed ports, where NET is written in the test, or drawn by process id in whole.rs.

The third octet comes from the process id now. What the tests check is as before.

--- a/crates/balancer/tests/client_gone.rs
+++ b/crates/balancer/tests/client_gone.rs
@@ -14,7 +14,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread;
-use system::{System, FRONT, GRACE};
+use system::{address, System, FRONT, GRACE};
 
 const GATEWAY: usize = 3;
 const SERVER_PORT: u16 = 28100;
@@ -51,7 +51,7 @@
     let system = System::start(79, 1, GRACE);
     let patient = config(1, 0, "/x/", r#""k1""#).replace("\"2s\"", "\"600s\"");
     assert_eq!(system.order("config.replace", &patient).0, 200);
-    let ip = Ipv4Addr::new(127, 79, 0, 99);
+    let ip = address(79, 99);
     let seen = silent_server(ip);
     assert_eq!(heartbeat(&system, "i-1", (ip, SERVER_PORT), "ready", 1), 200);
     let request = "GET /x/1 HTTP/1.1\r\nHost: a.example\r\nLimeway-Request-Id: id-1\r\n\
--- a/crates/balancer/tests/evacuations.rs
+++ b/crates/balancer/tests/evacuations.rs
@@ -17,7 +17,7 @@
 use std::io::{BufRead, BufReader, Write};
 use std::net::{Ipv4Addr, TcpStream};
 use std::time::Duration;
-use system::{System, CONTROL, GRACE};
+use system::{address, System, CONTROL, GRACE};
 use tenant_request::TenantRequest;
 
 const CORE: std::ops::Range<usize> = 0..3;
@@ -74,7 +74,7 @@
     #[case] meanwhile: fn(&System),
 ) {
     let system = System::start(net, 1, GRACE);
-    let server = Ipv4Addr::new(127, net, 0, 99);
+    let server = address(net, 99);
     let stand_in = StandIn::start(server, OK, &Gate::new(true));
     assert_eq!(system.order("config.replace", &config(1, 0, "/x/", r#""k1""#)).0, 200);
     let mut reports = 0;
--- a/crates/balancer/tests/hedging.rs
+++ b/crates/balancer/tests/hedging.rs
@@ -16,7 +16,7 @@
 use stand_in::{Gate, StandIn, OK, SERVER_PORT};
 use std::net::Ipv4Addr;
 use std::thread;
-use system::{System, GRACE, METRICS};
+use system::{address, System, GRACE, METRICS};
 use tenant_request::TenantRequest;
 
 const GATEWAY: usize = 3;
@@ -50,7 +50,7 @@
         let system = System::start(net, 1, GRACE);
         let config = change(config(1, 0, "/x/", r#""k1""#));
         assert_eq!(system.order("config.replace", &config).0, 200);
-        let (first, second) = (Ipv4Addr::new(127, net, 0, 98), Ipv4Addr::new(127, net, 0, 99));
+        let (first, second) = (address(net, 98), address(net, 99));
         let at_first = StandIn::start(first, OK, gate);
         let at_second = StandIn::start(second, second_response, &Gate::new(true));
         TwoServers { system, first, second, at_first, at_second }
--- a/crates/balancer/tests/retries.rs
+++ b/crates/balancer/tests/retries.rs
@@ -13,7 +13,7 @@
 use servers::heartbeat;
 use stand_in::{Gate, StandIn, SERVER_PORT};
 use std::net::Ipv4Addr;
-use system::{System, GRACE};
+use system::{address, System, GRACE};
 use tenant_request::TenantRequest;
 
 const GATEWAY: usize = 3;
@@ -42,7 +42,7 @@
     /// Starts them, and sends each its first request.
     fn start(system: &System, net: u8) -> Self {
         let start = |n: u8| {
-            let ip = Ipv4Addr::new(127, net, 0, 90 + n);
+            let ip = address(net, 90 + n);
             (ip, StandIn::start(ip, NOT_EXECUTED, &Gate::new(true)))
         };
         let servers = FullServers((0..SERVERS).map(start).collect());
--- a/crates/balancer/tests/shutdown.rs
+++ b/crates/balancer/tests/shutdown.rs
@@ -17,11 +17,11 @@
 use servers::heartbeat;
 use stand_in::{Gate, StandIn, OK, SERVER_PORT};
 use std::io::{Read, Write};
-use std::net::{Ipv4Addr, TcpStream};
+use std::net::TcpStream;
 use std::sync::Mutex;
 use std::thread;
 use std::time::{Duration, Instant};
-use system::{System, FRONT, GRACE, SOON};
+use system::{address, System, FRONT, GRACE, SOON};
 
 const GATEWAY: usize = 3;
 /// Clients whose long requests begin one after the other, this far apart.
@@ -33,7 +33,7 @@
 /// A system with one gateway and one server that never answers, which has got a request already.
 fn start(net: u8, grace: Duration) -> (System, StandIn) {
     let system = System::start(net, 1, grace);
-    let ip = Ipv4Addr::new(127, net, 0, 99);
+    let ip = address(net, 99);
     let server = StandIn::start(ip, OK, &Gate::new(false));
     assert_eq!(system.order("config.replace", &config(1, 0, "/x/", r#""k1""#)).0, 200);
     assert_eq!(heartbeat(&system, "i-1", (ip, SERVER_PORT), "ready", 1), 200);
@@ -267,7 +267,7 @@
     assert_eq!(system.order("config.replace", &config(1, 0, "/x/", r#""k1""#)).0, 200);
     let gate = Gate::new(true);
     let servers = [98, 99].map(|last| {
-        let ip = Ipv4Addr::new(127, 77, 0, last);
+        let ip = address(77, last);
         assert_eq!(heartbeat(&system, &format!("i-{last}"), (ip, SERVER_PORT), "ready", 1), 200);
         StandIn::start(ip, OK, &gate)
     });
--- a/crates/balancer/tests/silent_servers.rs
+++ b/crates/balancer/tests/silent_servers.rs
@@ -17,7 +17,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread;
-use system::{System, GRACE};
+use system::{address, System, GRACE};
 use tenant_request::TenantRequest;
 
 const GATEWAY: usize = 3;
@@ -47,7 +47,7 @@
 /// A system with one gateway and one silent server, and a configuration that was changed like this.
 fn start(net: u8, change: impl Fn(String) -> String) -> (System, Arc<AtomicUsize>) {
     let system = System::start(net, 1, GRACE);
-    let ip = Ipv4Addr::new(127, net, 0, 99);
+    let ip = address(net, 99);
     let reached = silent_server(ip);
     assert_eq!(system.order("config.replace", &change(config(1, 0, "/x/", r#""k1""#))).0, 200);
     assert_eq!(heartbeat(&system, "i-1", (ip, SERVER_PORT), "ready", 1), 200);
--- a/crates/balancer/tests/startup.rs
+++ b/crates/balancer/tests/startup.rs
@@ -20,7 +20,7 @@
 use std::fs::File;
 use std::io::Write;
 use std::net::SocketAddr;
-use system::{System, GRACE, READY};
+use system::{address, System, CONTROL, GRACE, READY};
 
 const GATEWAY: usize = 3;
 const CORE_MACHINE: usize = 0;
@@ -72,7 +72,7 @@
     let system = System::start(77, 1, GRACE);
     let settings = std::fs::read_to_string(system.settings_path(GATEWAY)).expect("settings");
     let seeds: Vec<String> = system.seeds().iter().map(SocketAddr::to_string).collect();
-    let nobody = settings.replace(&seeds.join(","), "127.77.0.250:28383");
+    let nobody = settings.replace(&seeds.join(","), &format!("{}:{CONTROL}", address(77, 250)));
     assert_ne!(settings, nobody);
     restart_with_settings_that_change(&system, GATEWAY, &nobody, || {});
     assert_eq!(system.order("config.replace", &config(1, 0, "/x/", r#""k1""#)).0, 200);
--- a/crates/balancer/tests/system/mod.rs
+++ b/crates/balancer/tests/system/mod.rs
@@ -44,14 +44,20 @@
     pub grace: Duration,
 }
 
+/// The address of a machine in a test's own network. It depends on the process too, so that another copy of a test that runs on the same
+/// machine gets addresses of its own.
+pub(crate) fn address(net: u8, host: u8) -> Ipv4Addr {
+    let [.., process] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, net, process, host)
+}
+
 impl System {
-    /// Addresses 127.`net`.0.1 and up: three core machines, then limiters.
+    /// The addresses 1 and up of a network: three core machines, then limiters.
     pub(crate) fn start(net: u8, limiters: u8, grace: Duration) -> Self {
         let folder = std::env::temp_dir().join(format!("limeway-whole-{}-{net}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder).expect("a folder");
-        let machine =
-            |n: u8| Machine { ip: Ipv4Addr::new(127, net, 0, n), edge: n > 3, child: Mutex::default() };
+        let machine = |n: u8| Machine { ip: address(net, n), edge: n > 3, child: Mutex::default() };
         let machines = (1..=3 + limiters).map(machine).collect();
         let system = System { folder, machines, grace };
         (0..system.machines.len()).for_each(|at| system.run(at, true));
--- a/crates/balancer/tests/whole.rs
+++ b/crates/balancer/tests/whole.rs
@@ -77,7 +77,7 @@
 fn the_whole_path_serves_and_outlives_a_kill_of_each() {
     let net = 80 + (std::process::id() % 100) as u8;
     let system = System::start(net, 3, GRACE);
-    let address = (Ipv4Addr::new(127, net, 0, 99), 28100);
+    let address = (system::address(net, 99), 28100);
     let ran = server(address.0, address.1, "i-1");
     let mut beats = 0;
     let mut alive = |system: &System| {
