Client-gone test: one request at a time, and it is the one whose connection is watched (check changed)

Cause: until the server had a request, the test opened a connection in each turn of a busy loop, sent a request on it, dropped the one before and waited for nothing: a crowd that can fill the backlog of a gateway that is late, and that spends the tenant's quota. A gateway that did not listen yet, or had no room, failed the test. The end that the server saw could be that of an earlier connection, whose client had been dropped before its request was written. Found by reading, not seen to fail.

Change: the next request is sent once the last one has been answered, and a gateway that does not listen yet is asked again. That the client still waits, and that its connection to the server is open, is asserted before the client leaves.

--- a/crates/balancer/tests/client_gone.rs
+++ b/crates/balancer/tests/client_gone.rs
@@ -9,7 +9,7 @@
 
 use operations::config;
 use servers::heartbeat;
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -46,6 +46,19 @@
     seen.closed.store(true, Ordering::SeqCst);
 }
 
+/// Sends a request, and leaves its answer to be read; none as long as nobody listens.
+fn send(system: &System, request: &str) -> Option<TcpStream> {
+    let mut stream = TcpStream::connect((system.machines[GATEWAY].ip, FRONT)).ok()?;
+    stream.write_all(request.as_bytes()).ok()?;
+    stream.set_nonblocking(true).expect("a setting");
+    Some(stream)
+}
+
+/// Whether there is neither an answer nor the end of the connection yet.
+fn is_waiting(client: &TcpStream) -> bool {
+    matches!(client.peek(&mut [0]), Err(error) if error.kind() == ErrorKind::WouldBlock)
+}
+
 #[test]
 fn work_for_a_client_that_has_left_is_broken_off() {
     let system = System::start(79, 1, GRACE);
@@ -56,16 +69,16 @@
     assert_eq!(heartbeat(&system, "i-1", (ip, SERVER_PORT), "ready", 1), 200);
     let request = "GET /x/1 HTTP/1.1\r\nHost: a.example\r\nLimeway-Request-Id: id-1\r\n\
                    Limeway-Deadline-Ms: 600000\r\nAuthorization: Bearer k1\r\n\r\n";
-    let mut client = None;
+    let mut client: Option<TcpStream> = None;
     system.until("the request at the server", |system| {
-        if client.is_none() || !seen.received.load(Ordering::SeqCst) {
-            // Until the gateway knows the server it refuses.
-            let mut stream = TcpStream::connect((system.machines[GATEWAY].ip, FRONT)).expect("a connection");
-            stream.write_all(request.as_bytes()).expect("sent");
-            client = Some(stream);
+        // Until the gateway knows the server it refuses. One request at a time: a crowd of connections would fill its backlog.
+        if !client.as_ref().is_some_and(is_waiting) {
+            client = send(system, request);
         }
         seen.received.load(Ordering::SeqCst)
     });
+    assert!(client.as_ref().is_some_and(is_waiting), "{}", system.log());
+    assert!(!seen.closed.load(Ordering::SeqCst), "its client still waits: {}", system.log());
     drop(client);
     system.until("the end of the server's connection", |_| seen.closed.load(Ordering::SeqCst));
 }
