Add a failing check: a late 200 to evacuations.start is taken for lost

A core machine answers an evacuation call with 200 for up to 0.9 s (REQUEST_TIMEOUT), while the control API holds an answer that is not seen to arrive within 0.85 s of its call (CALLER_PATIENCE) to be lost, and operators wait for 1 s. So an answer between the two is 200 to its caller, the call is struck all the same, and the next start counts as its retry: the first finish ends both.

The test lets the agreement wait by two core machines that stand still. Not acknowledged passes; acknowledged must hold.

No product code is changed; to be mended or listed by the lead.

--- a/crates/balancer/tests/evacuations.rs
+++ b/crates/balancer/tests/evacuations.rs
@@ -5,6 +5,7 @@
 mod operations;
 mod raw_http;
 mod servers;
+mod signals;
 mod stand_in;
 mod system;
 mod tenant_request;
@@ -12,11 +13,12 @@
 
 use operations::config;
 use rstest::rstest;
+use rustix::process::Signal;
 use servers::heartbeat;
 use stand_in::{Gate, StandIn, OK, SERVER_PORT};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{Ipv4Addr, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use system::{address, System, CONTROL, GRACE};
 use tenant_request::TenantRequest;
 
@@ -136,3 +138,56 @@
     });
     assert_eq!(statuses, vec![Some(503); CONCURRENT_REQUESTS]);
 }
+
+/// Core machines that stand still while the third one has a call, and that one.
+const STANDING: [usize; 2] = [0, 1];
+const CALLED: usize = 2;
+/// A wait after which an answer comes long before its caller gives up, and one after which it comes right before that.
+const EARLY: Duration = Duration::from_millis(600);
+const LATE: Duration = Duration::from_millis(851);
+
+/// Starts an evacuation by a call whose agreement has to wait for so long. The status, and after which time it came.
+fn start_slowly(system: &System, wait: Duration) -> (Option<u16>, Duration) {
+    let request = "POST /-/rpc?call=evacuations.start&of=z1 HTTP/1.1\r\nHost: c\r\nContent-Length: 0\r\n\r\n";
+    STANDING.iter().for_each(|at| system.signal(*at, Signal::STOP));
+    let sent = Instant::now();
+    std::thread::scope(|scope| {
+        let call = scope.spawn(|| {
+            let status = status_of_answer((system.machines[CALLED].ip, CONTROL), request);
+            (status, sent.elapsed())
+        });
+        system.until("the time to go on", |_| sent.elapsed() > wait);
+        STANDING.iter().for_each(|at| system.signal(*at, Signal::CONT));
+        call.join().expect("an answer")
+    })
+}
+
+/// Guards against an acknowledged evacuation that is ended by another one's end, as its answer came late: an operator waits for 1 s.
+#[rstest]
+#[case::early(94, EARLY)]
+#[case::late(97, LATE)]
+fn an_evacuation_that_was_acknowledged_after_a_wait_lasts(#[case] net: u8, #[case] wait: Duration) {
+    let server = address(net, 99);
+    let stand_in = StandIn::start(server, OK, &Gate::new(true));
+    let system = System::start(net, 1, GRACE);
+    system.until("agreement by the called machine", |system| {
+        let answer = system.control(CALLED, "config.replace", &config(1, 0, "/x/", r#""k1""#));
+        answer.is_some_and(|(status, _)| status == 200)
+    });
+    let (answer, took) = start_slowly(&system, wait);
+    if answer != Some(200) {
+        // It promises nothing: beside a slow disk no answer comes in time.
+        return assert!(matches!(answer, None | Some(503)), "{answer:?} after {took:?}");
+    }
+    assert_eq!(order(&system, "evacuations.start&of=z1"), 200);
+    assert_eq!(order(&system, "evacuations.finish&of=z1"), 200);
+    assert_eq!(system.order("config.replace", &config(2, 1, "/y/", r#""k1""#)).0, 200);
+    let mut reports = 0;
+    system.until("the second configuration and the server at the gateway", |system| {
+        reports += 1;
+        assert_eq!(heartbeat(system, "i-1", (server, SERVER_PORT), "ready", reports), 200);
+        status(system, "/x/2") == Some(404) && status(system, "/y/0").is_some_and(|status| status != 429)
+    });
+    assert_eq!(status(&system, "/y/1"), Some(503), "answered after {took:?}: {}", system.log());
+    assert!(!stand_in.received().contains("/y/1"));
+}
