An evacuation that is agreed on too late for its caller is answered 503, not 200

What callers saw: an acknowledged evacuation that the end of another one ended. Cause: a replica answers evacuations.start for up to 0.9 s, the control API holds an answer that is not taken within 0.85 s to be lost and strikes the call, and an operator waits for 1 s. A 200 in between was an acknowledgement to its caller, and the next start counted as its retry. Change: from 0.85 s on the answer is 503, which promises nothing; its call is struck as before.

--- a/crates/balancer/src/control_api/mod.rs
+++ b/crates/balancer/src/control_api/mod.rs
@@ -80,7 +80,12 @@
         };
         let received = now();
         let unanswered = replica.count_unanswered();
-        let (response, evacuation) = answer(&replica, &message).await;
+        let (mut response, mut evacuation) = answer(&replica, &message).await;
+        if let Some(call_id) = evacuation.take_if(|_| now() >= received + CALLER_PATIENCE) {
+            // It would count as lost: its caller must not take it for an acknowledgement.
+            replica.handle(Event::ResponseLost(call_id));
+            response = HttpResponse::error(503, "agreed too late for its caller");
+        }
         let close = !message.head.keep_alive;
         let headers = b"Content-Type: application/json\r\n";
         http::write_answer(&mut out, response.status, headers, close, response.body.as_bytes());
