Replica tests: set-up and the look at quorum contact stood twice and three times (checks kept)

Found by reading the whole change: two tests of quorum.rs began alike on the longest links, three looked at contact for two seconds by the same loop, and is_prepare stood in two files. One function each; times, replicas and assertions are as they were (the message of one names the fault no more).

--- a/crates/control/control-plane/tests/replica/catching_up.rs
+++ b/crates/control/control-plane/tests/replica/catching_up.rs
@@ -1,6 +1,6 @@
 //! A replica that is behind, and whose requests for what it lacks are lost.
 
-use crate::cluster::{update, Cluster, MS, SECOND};
+use crate::cluster::{is_prepare, update, Cluster, MS, SECOND};
 use limeway_control_plane::messages::Call;
 use limeway_control_plane::{ApiRequest, ApiResponse};
 use rstest::rstest;
@@ -16,10 +16,6 @@
     matches!(call, Call::Fetch(_))
 }
 
-fn is_prepare(call: &Call) -> bool {
-    matches!(call, Call::Prepare(..))
-}
-
 /// Runs until replica 3 asks another one for what it lacks.
 fn run_until_fetch(cluster: &mut Cluster, from: u32) {
     let end = cluster.now + SECOND;
--- a/crates/control/control-plane/tests/replica/cluster.rs
+++ b/crates/control/control-plane/tests/replica/cluster.rs
@@ -46,6 +46,11 @@
     StartOptions { incarnation: 2_000 + u64::from(node), initial_start: false, ..options(node, seeds) }
 }
 
+/// Whether a call begins a proposal.
+pub(crate) fn is_prepare(call: &Call) -> bool {
+    matches!(call, Call::Prepare(..))
+}
+
 /// An update of the configuration to a version with one tenant, built on another version.
 pub(crate) fn update(version: u32, base_version: u32) -> ConfigUpdate {
     let text = format!(
--- a/crates/control/control-plane/tests/replica/quorum.rs
+++ b/crates/control/control-plane/tests/replica/quorum.rs
@@ -1,7 +1,7 @@
 //! Quorum contact: without it a replica confirms nothing, rejects nothing for good, and says so at once.
 
-use crate::cluster::{update, Cluster, MS, SECOND};
-use limeway_control_plane::messages::Call;
+use crate::cluster::{is_prepare, update, Cluster, MS, SECOND};
+use limeway_consensus::NodeId;
 use limeway_control_plane::{ApiRequest, ApiResponse, QUORUM_LEASE};
 use rstest::rstest;
 
@@ -10,8 +10,27 @@
 /// How long before the reply to a heartbeat its connection is reset.
 const RESET_BEFORE_REPLY: u64 = 10 * MS;
 
-fn is_prepare(call: &Call) -> bool {
-    matches!(call, Call::Prepare(..))
+/// Three replicas on the longest links, at the time at which a proposal has to begin for the others to accept its value so long before a
+/// round of one of them.
+fn on_longest_links(round_of: NodeId, accepted_before_round: u64) -> Cluster {
+    let mut cluster = Cluster::start(3);
+    cluster.run(4 * SECOND);
+    cluster.set_delay(DELAY);
+    cluster.run(2 * SECOND);
+    let round = cluster.replica(round_of).next_tick() + 250 * MS;
+    cluster.run(round - accepted_before_round - 3 * DELAY - cluster.now);
+    cluster
+}
+
+/// Runs until two seconds after a fault: these replicas have quorum contact all the while.
+fn expect_quorum_contact(cluster: &mut Cluster, nodes: &[NodeId], fault: u64) {
+    while cluster.now < fault + 2 * SECOND {
+        cluster.run(5 * MS);
+        for node in nodes {
+            let after = (cluster.now - fault) / MS;
+            assert!(cluster.replica(*node).has_quorum(cluster.now), "replica {node}, after {after} ms");
+        }
+    }
 }
 
 #[rstest]
@@ -71,16 +90,7 @@
     cluster.reset(1, 4);
     assert_eq!(cluster.replica(1).state().slot, slot, "not chosen yet");
     let reset = cluster.now;
-    while cluster.now < reset + 2 * SECOND {
-        cluster.run(5 * MS);
-        for node in [1, 3, 4] {
-            let after = (cluster.now - reset) / MS;
-            assert!(
-                cluster.replica(node).has_quorum(cluster.now),
-                "replica {node}, {after} ms after the reset"
-            );
-        }
-    }
+    expect_quorum_contact(&mut cluster, &[1, 3, 4], reset);
     assert_eq!(cluster.response(caller), Some(&ApiResponse::Done));
 }
 
@@ -90,12 +100,7 @@
 fn an_accepted_value_whose_proposer_is_gone_costs_no_quorum_contact(
     #[values(0, 50, 100, 150, 200)] accepted_before_round: u64,
 ) {
-    let mut cluster = Cluster::start(3);
-    cluster.run(4 * SECOND);
-    cluster.set_delay(DELAY);
-    cluster.run(2 * SECOND);
-    let round = cluster.replica(2).next_tick() + 250 * MS;
-    cluster.run(round - accepted_before_round * MS - 3 * DELAY - cluster.now);
+    let mut cluster = on_longest_links(2, accepted_before_round * MS);
     let slot = cluster.replica(2).state().slot;
     cluster.call_api(1, ApiRequest::UpdateConfig(update(1, 0)));
     cluster.run(3 * DELAY);
@@ -105,13 +110,7 @@
         assert!(acceptor.slot_state.accepted.is_some() && acceptor.applied == slot, "replica {node}");
     }
     let cut = cluster.now;
-    while cluster.now < cut + 2 * SECOND {
-        cluster.run(5 * MS);
-        for node in [2, 3] {
-            let after = (cluster.now - cut) / MS;
-            assert!(cluster.replica(node).has_quorum(cluster.now), "replica {node}, after {after} ms");
-        }
-    }
+    expect_quorum_contact(&mut cluster, &[2, 3], cut);
     assert_eq!(cluster.replica(2).state().version, 1);
 }
 
@@ -119,12 +118,7 @@
 /// It hears of that no more. Its next proposal would preempt the one by which another voter completes the value.
 #[rstest]
 fn a_proposer_that_hears_nobody_preempts_nobody(#[values(0, 50, 100, 150, 200)] proposed_before_round: u64) {
-    let mut cluster = Cluster::start(3);
-    cluster.run(4 * SECOND);
-    cluster.set_delay(DELAY);
-    cluster.run(2 * SECOND);
-    let round = cluster.replica(1).next_tick() + 250 * MS;
-    cluster.run(round - proposed_before_round * MS - 3 * DELAY - cluster.now);
+    let mut cluster = on_longest_links(1, proposed_before_round * MS);
     cluster.call_api(3, ApiRequest::UpdateConfig(update(1, 0)));
     cluster.run(2 * DELAY);
     cluster.set_deaf(3);
@@ -134,13 +128,7 @@
         let acceptor = cluster.replica(node).acceptor();
         assert!(acceptor.slot_state.accepted.is_some(), "replica {node}");
     }
-    while cluster.now < deaf + 2 * SECOND {
-        cluster.run(5 * MS);
-        for node in [1, 2] {
-            let after = (cluster.now - deaf) / MS;
-            assert!(cluster.replica(node).has_quorum(cluster.now), "replica {node}, after {after} ms");
-        }
-    }
+    expect_quorum_contact(&mut cluster, &[1, 2], deaf);
     assert_eq!(cluster.sent(3, 2, is_prepare), proposals, "no proposal that nobody can answer");
     assert_eq!(cluster.replica(1).state().version, 1);
 }
