--- a/review/standins/agreement.rs
+++ b/review/standins/agreement.rs
@@ -59,7 +59,8 @@
         }
         let usual = measure(&system, &core[3], &mut version);
         let (before, acknowledged) = (version, play_round(&system, &core, version, usual, trouble)?);
-        let read = read_version(&system, &core).ok_or_else(|| io::Error::other("no configuration is read"))?;
+        let read =
+            read_version(&system, &core).ok_or_else(|| io::Error::other("no configuration is read"))?;
         record.say(&format!(
             "round {round}: built on {before:08x}, newest acknowledged {acknowledged:08x}, read back {read:08x}"
         ));
@@ -134,9 +135,17 @@
     }
     let answer = connection.read(true).map_or(0, |answer| answer.status());
     if trouble {
-        record.note(&format!("{} us after the first change was sent, two core processes were killed, and a third {} ms later", under_way.as_micros(), KILL_SPREAD.as_millis()));
+        record.note(&format!(
+            "{} us after the first change was sent, two core processes were killed, and a third {} ms later",
+            under_way.as_micros(),
+            KILL_SPREAD.as_millis()
+        ));
     }
-    record.note(&format!("first operator, change {:08x}: {answer} after {} ms, 0 for no answer", version + 1, sent.elapsed().as_millis()));
+    record.note(&format!(
+        "first operator, change {:08x}: {answer} after {} ms, 0 for no answer",
+        version + 1,
+        sent.elapsed().as_millis()
+    ));
     if trouble {
         sleep(BACK_AFTER.saturating_sub(sent.elapsed()));
         system.run(b, false)?;
--- a/review/standins/memory.rs
+++ b/review/standins/memory.rs
@@ -117,9 +117,15 @@
     let machines: BTreeSet<&String> = ends.iter().map(|(name, _)| name).collect();
     let peaks = shared.peaks.lock().map(|peaks| peaks.clone()).unwrap_or_default();
     record.say(&format!("posts: {outcomes:?}"));
-    record.say(&format!("posts that a server ran and whose client's connection was cut without an answer: {lost}"));
+    record.say(&format!(
+        "posts that a server ran and whose client's connection was cut without an answer: {lost}"
+    ));
     record.say(&format!("peak memory of processes, in MiB, with {EDGE_MEMORY_MB} allowed: {peaks:?}"));
-    record.say(&format!("processes that ended over their memory: {} on {} machines", ends.len(), machines.len()));
+    record.say(&format!(
+        "processes that ended over their memory: {} on {} machines",
+        ends.len(),
+        machines.len()
+    ));
     ends.len() >= ENDS && machines.len() >= MACHINES
 }
 
@@ -164,7 +170,8 @@
         };
         // A connection that is kept, until it fails.
         if let Ok(mut connection) = Connection::open(*frontend, CLIENT_TIMEOUT) {
-            while !shared.stop.load(Ordering::Relaxed) && exchange(system, shared, *frontend, &mut connection) {
+            while !shared.stop.load(Ordering::Relaxed) && exchange(system, shared, *frontend, &mut connection)
+            {
                 sleep(PAUSE);
             }
         }
--- a/review/standins/quota.rs
+++ b/review/standins/quota.rs
@@ -58,7 +58,9 @@
     system.order("config.replace", &items::configuration(1, 0, &configuration))?;
     system.wait_ready()?;
     sleep(SETTLING);
-    record.say(&format!("{GATEWAYS} gateways are ready; the tenant asks for {ASKED_PER_SECOND:.0} requests a second"));
+    record.say(&format!(
+        "{GATEWAYS} gateways are ready; the tenant asks for {ASKED_PER_SECOND:.0} requests a second"
+    ));
     let shared =
         Arc::new(Shared { stop: AtomicBool::new(false), sent: Mutex::default(), answers: Mutex::default() });
     let clients: Vec<_> = (0..CLIENTS)
@@ -112,7 +114,9 @@
     let mut answers: Vec<_> = answers.into_iter().collect();
     answers.sort_unstable();
     record.say(&format!("answers by status, 0 for a connection that failed: {answers:?}"));
-    record.say(&format!("requests of the tenant that were sent and run in one span of 5 s: {most}; allowed: {allowed:.1}"));
+    record.say(&format!(
+        "requests of the tenant that were sent and run in one span of 5 s: {most}; allowed: {allowed:.1}"
+    ));
     most as f64 > allowed
 }
 
--- a/review/standins/system.rs
+++ b/review/standins/system.rs
@@ -77,7 +77,6 @@
         let Ok(mut process) = self.process.lock() else { return false };
         process.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
     }
-
 }
 
 pub struct System {
@@ -159,7 +158,8 @@
         let address = machine.address;
         let seeds: Vec<String> =
             self.core().take(CORE_MACHINES).map(|core| core.control().to_string()).collect();
-        let mut text = format!("node-name={}\nip-address={address}\nzone={zone}\nregion={region}\n", machine.name);
+        let mut text =
+            format!("node-name={}\nip-address={address}\nzone={zone}\nregion={region}\n", machine.name);
         for (zone, region) in ZONES {
             text.push_str(&format!("zones.{zone}={region}\n"));
         }
@@ -267,7 +267,8 @@
         let network = (20 + (seed >> 33) as u8 % 200, 2 * ((seed >> 45) as u8 % 120));
         let ports = [CONTROL, READINESS, DIRECTORY, FRONTEND, INTERNAL, METRICS];
         let addresses = (1..=machines as u8).map(|host| Ipv4Addr::new(127, network.0, network.1, host));
-        let is_free = |address: Ipv4Addr| ports.iter().all(|port| TcpListener::bind((address, *port)).is_ok());
+        let is_free =
+            |address: Ipv4Addr| ports.iter().all(|port| TcpListener::bind((address, *port)).is_ok());
         if addresses.map(is_free).all(|free| free) {
             return Ok(network);
         }
@@ -315,7 +316,9 @@
     }
 
     pub fn configuration(version: u32, base: u32, items: &[String]) -> String {
-        format!("{{\"config-version\":\"{version:08x}\",\"base-version\":\"{base:08x}\",\"resource-list\":[{}]}}", items.join(","))
+        format!(
+            "{{\"config-version\":\"{version:08x}\",\"base-version\":\"{base:08x}\",\"resource-list\":[{}]}}",
+            items.join(",")
+        )
     }
 }
-
