A proposer that does not vote no longer uses a proposal number for two values

Cause: `propose` took the next round from the own acceptor's promise and from what had preempted this replica. Both stand still while the own acceptor abstains (no voter, or a disk that takes no writes), so that the next value for the same slot went out under the number of the last one.

The test `a_replica_that_is_no_voter_uses_a_proposal_number_for_one_value_only` fails without the line that remembers the round: slot 2, round 1 of replica 4, with versions 2 and 3.

Fix: `RoundAllocator` (consensus) remembers the last round of the slot, in the process that proposes; a restarted process has another incarnation. Disks of earlier releases may hold a double, and old proposers go on during a rolling upgrade: an acceptor abstains from a second value under a number, and a proposer that is promised two values under one number waits until a majority is known to hold one of them, in place of the first reply's. Both are counted as the invariant `one-value-per-number`.

--- a/crates/control/consensus/src/acceptor.rs
+++ b/crates/control/consensus/src/acceptor.rs
@@ -38,7 +38,7 @@
     Decided(Slot),
     /// It has not applied all slots before this one; the last slot that it has.
     Behind(Slot),
-    /// It may not vote: it is no voter, or its disk takes no writes.
+    /// It may not vote: it is no voter, its disk takes no writes, or it has accepted another value under the number.
     #[serde(rename = "Abstains")]
     Abstained,
 }
@@ -58,20 +58,27 @@
 }
 
 impl Acceptor {
-    /// Handles phase 1: a proposer asks for a promise.
+    /// Handles phase 1: a proposer asks for a promise. It abstains from a number under which it has accepted a value: its proposer
+    /// has left phase 1, or uses the number a second time.
     pub fn prepare(&mut self, slot: Slot, number: ProposalNumber) -> AcceptorReply {
         if let Some(reply) = self.refusal(slot, number) {
             return reply;
         }
+        if self.accepted_under(number).is_some() {
+            return AcceptorReply::Abstained;
+        }
         self.slot_state.promised = number;
         AcceptorReply::Promised { disk: self.disk, accepted: self.slot_state.accepted.clone() }
     }
 
-    /// Handles phase 2: a proposer asks to have its value accepted.
+    /// Handles phase 2: a proposer asks to have its value accepted. It abstains from a second value under one number.
     pub fn accept(&mut self, slot: Slot, number: ProposalNumber, value: ByteBuf) -> AcceptorReply {
         if let Some(reply) = self.refusal(slot, number) {
             return reply;
         }
+        if self.accepted_under(number).is_some_and(|accepted| *accepted != value) {
+            return AcceptorReply::Abstained;
+        }
         self.slot_state = SlotState { promised: number, accepted: Some((number, value)) };
         AcceptorReply::Accepted { disk: self.disk }
     }
@@ -84,6 +91,12 @@
         }
     }
 
+    /// The value that was accepted under this number.
+    fn accepted_under(&self, number: ProposalNumber) -> Option<&ByteBuf> {
+        let accepted = self.slot_state.accepted.as_ref();
+        accepted.filter(|(accepted, _)| *accepted == number).map(|(_, value)| value)
+    }
+
     /// Why a proposal cannot be voted on: another slot is open here, or a higher number was promised.
     fn refusal(&self, slot: Slot, number: ProposalNumber) -> Option<AcceptorReply> {
         if slot <= self.applied {
--- a/crates/control/consensus/src/lib.rs
+++ b/crates/control/consensus/src/lib.rs
@@ -11,7 +11,11 @@
 //! has, or the voter is gone for good.
 //!
 //! **Proposal numbers** carry the incarnation of the proposer's process. A process that ends before its own disk knew of its
-//! proposal would otherwise use the same number again for another value.
+//! proposal would otherwise use the same number again for another value. Within a process a [`RoundAllocator`] gives each
+//! proposal for a slot a round of its own.
+//!
+//! **Two values under one number** may still be on disks that earlier releases have written. An acceptor abstains from a second
+//! value, and a proposer that is promised both waits until it knows which one a majority can have accepted.
 //!
 //! Free of I/O and clock. No reply of an [`Acceptor`] may leave the machine before [`Acceptor::slot_state`] is on disk.
 #![forbid(unsafe_code)]
@@ -19,10 +23,12 @@
 mod acceptor;
 mod proposer;
 mod record;
+mod rounds;
 mod voter;
 
 pub use acceptor::{Acceptor, AcceptorReply, SlotState};
 pub use limeway_types::{NodeId, ProcessIncarnation};
 pub use proposer::{Proposer, ProposerStep};
 pub use record::LogRecord;
+pub use rounds::RoundAllocator;
 pub use voter::{DiskIncarnation, ProposalNumber, Slot, Voter};
--- a/crates/control/consensus/src/proposer.rs
+++ b/crates/control/consensus/src/proposer.rs
@@ -24,6 +24,30 @@
     Preempted(ProposalNumber),
 }
 
+/// What acceptors have accepted under the highest proposal number among their promises.
+#[derive(Debug, Clone, Default)]
+struct Recovery {
+    number: ProposalNumber,
+    /// Each value, and how many acceptors hold it. More than one only where a number was used twice.
+    values: Vec<(ByteBuf, usize)>,
+}
+
+impl Recovery {
+    fn add(&mut self, accepted: Option<(ProposalNumber, ByteBuf)>) {
+        let Some((number, value)) = accepted else { return };
+        if number > self.number {
+            (self.number, self.values) = (number, Vec::new());
+        }
+        if number < self.number {
+            return;
+        }
+        match self.values.iter_mut().find(|(known, _)| *known == value) {
+            Some((_, count)) => *count += 1,
+            None => self.values.push((value, 1)),
+        }
+    }
+}
+
 /// A proposal for one slot, under way.
 #[derive(Debug, Clone)]
 pub struct Proposer {
@@ -34,7 +58,7 @@
     voters: Vec<Voter>,
     value: ByteBuf,
     promises: BTreeSet<NodeId>,
-    highest_accepted: Option<(ProposalNumber, ByteBuf)>,
+    recovery: Recovery,
     accepting: bool,
     accepts: BTreeSet<NodeId>,
 }
@@ -48,7 +72,7 @@
             voters,
             value,
             promises: BTreeSet::new(),
-            highest_accepted: None,
+            recovery: Recovery::default(),
             accepting: false,
             accepts: BTreeSet::new(),
         }
@@ -76,18 +100,16 @@
     }
 
     fn handle_promise(&mut self, from: NodeId, accepted: Option<(ProposalNumber, ByteBuf)>) -> ProposerStep {
-        self.promises.insert(from);
-        if let Some(accepted) = accepted {
-            if self.highest_accepted.as_ref().is_none_or(|highest| highest.0 < accepted.0) {
-                self.highest_accepted = Some(accepted);
-            }
+        if self.promises.insert(from) {
+            self.recovery.add(accepted);
         }
         if self.promises.len() < self.majority() {
             return ProposerStep::Wait;
         }
         // A value that an acceptor has accepted may be chosen already: only it may be proposed from here on.
-        let recovered = self.highest_accepted.is_some();
-        let value = self.highest_accepted.take().map_or_else(|| self.value.clone(), |(_, value)| value);
+        let recovered = self.has_recovered();
+        let value = if recovered { self.recovered_value() } else { Some(self.value.clone()) };
+        let Some(value) = value else { return ProposerStep::Wait };
         if value.is_empty() {
             return ProposerStep::Chosen;
         }
@@ -95,6 +117,25 @@
         ProposerStep::Accept { value, recovered }
     }
 
+    /// Whether an acceptor has accepted a value before.
+    pub fn has_recovered(&self) -> bool {
+        !self.recovery.values.is_empty()
+    }
+
+    /// Whether acceptors hold different values under one number.
+    pub fn has_conflict(&self) -> bool {
+        self.recovery.values.len() > 1
+    }
+
+    /// The value that may be chosen already. None while more than one may be: until a majority is known to hold one of them, or every
+    /// voter has promised and no majority does.
+    fn recovered_value(&self) -> Option<ByteBuf> {
+        let most = self.recovery.values.iter().max_by_key(|(_, count)| *count)?;
+        let is_decided =
+            !self.has_conflict() || most.1 >= self.majority() || self.promises.len() == self.voters.len();
+        is_decided.then(|| most.0.clone())
+    }
+
     fn majority(&self) -> usize {
         self.voters.len() / 2 + 1
     }
--- a/crates/control/control-plane/src/control_plane/agreement.rs
+++ b/crates/control/control-plane/src/control_plane/agreement.rs
@@ -4,7 +4,10 @@
 use super::{ControlPlane, SentRequest};
 use crate::api::{Action, CallerId};
 use crate::messages::{Call, Reply};
-use limeway_consensus::{AcceptorReply, NodeId, ProposalNumber, Proposer, ProposerStep, Slot};
+use limeway_consensus::{
+    AcceptorReply, NodeId, ProposalNumber, Proposer, ProposerStep, RoundAllocator, Slot,
+};
+use limeway_invariants::{check, Invariant};
 use limeway_types::{Micros, Timestamp};
 use serde_bytes::ByteBuf;
 use std::collections::BTreeSet;
@@ -41,8 +44,7 @@
 pub(crate) struct Agreement {
     ballot: Option<Ballot>,
     last_ballot: u64,
-    /// The highest round that preempted this replica.
-    highest_round: u64,
+    rounds: RoundAllocator,
     backoff_until: Timestamp,
     /// Until when another replica's proposal on this slot may go on: preempting one that is merely slow would end both.
     yields_until: Timestamp,
@@ -102,10 +104,22 @@
         number: ProposalNumber,
         value: ByteBuf,
     ) {
+        self.check_single_value(slot, number, &value);
         let reply = self.vote(slot, |acceptor| acceptor.accept(slot, number, value));
         self.reply_as_acceptor(caller, number, reply);
     }
 
+    /// A value that comes under a proposal number must be the one that was accepted under it.
+    fn check_single_value(&self, slot: Slot, number: ProposalNumber, value: &ByteBuf) {
+        let accepted = self.acceptor.slot_state.accepted.as_ref();
+        let is_open = slot == self.acceptor.applied + 1;
+        let same_number = accepted.filter(|(accepted, _)| is_open && *accepted == number);
+        let holds = same_number.is_none_or(|(_, accepted)| accepted == value);
+        check(Invariant::OneValuePerNumber, same_number.is_some(), holds, || {
+            format!("slot {slot}, {number:?}: another value was accepted")
+        });
+    }
+
     /// The acceptor's reply. It abstains on the open slot if this replica is no voter, or could not keep its promise.
     fn vote(
         &mut self,
@@ -134,7 +148,8 @@
     /// Proposes a value for the next slot.
     pub(crate) fn propose(&mut self, value: ByteBuf) {
         let slot = self.acceptor.applied + 1;
-        let round = self.acceptor.slot_state.promised.round.max(self.agreement.highest_round) + 1;
+        let promised = self.acceptor.slot_state.promised;
+        let round = self.agreement.rounds.next(slot, promised);
         let proposer = self.options.node;
         let number = ProposalNumber { round, proposer, incarnation: self.options.incarnation };
         let proposer = Proposer::new(slot, number, self.voters().to_vec(), value);
@@ -236,7 +251,12 @@
     pub(crate) fn handle_vote(&mut self, ballot: u64, from: NodeId, reply: AcceptorReply) {
         let Some(current) = self.agreement.ballot.as_mut().filter(|b| b.number == ballot) else { return };
         let (slot, number) = (current.proposer.slot, current.proposer.number);
-        match current.proposer.handle_reply(from, reply) {
+        let step = current.proposer.handle_reply(from, reply);
+        let (has_recovered, conflicts) = (current.proposer.has_recovered(), current.proposer.has_conflict());
+        check(Invariant::OneValuePerNumber, has_recovered, !conflicts, || {
+            format!("slot {slot}: voters hold different values under one number")
+        });
+        match step {
             ProposerStep::Wait => {}
             ProposerStep::Accept { value, .. } => self.propose_accept(slot, number, value),
             ProposerStep::Chosen => {
@@ -260,7 +280,7 @@
     }
 
     fn proposal_preempted(&mut self, other: ProposalNumber) {
-        self.agreement.highest_round = self.agreement.highest_round.max(other.round);
+        self.agreement.rounds.preempted_by(other);
         self.proposal_lost();
         if other.proposer != self.options.node {
             // The other proposal goes on; a replica that is no voter hears of it only so.
--- a/crates/control/control-plane/tests/replica/cluster.rs
+++ b/crates/control/control-plane/tests/replica/cluster.rs
@@ -1,6 +1,6 @@
 //! A few replicas whose messages and writes are performed by the test, step by step: events in, actions out, without the simulator.
 
-use limeway_consensus::{Acceptor, NodeId};
+use limeway_consensus::{Acceptor, NodeId, ProposalNumber, Slot};
 use limeway_control_plane::messages::{Call, Reply};
 use limeway_control_plane::{
     Action, ApiRequest, ApiResponse, CallerId, ControlPlane, Event, LogRecord, RequestId, StartOptions,
@@ -184,6 +184,20 @@
         self.sent.iter().filter(|(f, t, call)| (*f, *t) == (from, to) && is_kind(call)).count()
     }
 
+    /// The running replicas.
+    pub(crate) fn nodes(&self) -> impl Iterator<Item = NodeId> + '_ {
+        self.nodes.keys().copied()
+    }
+
+    /// The values that a replica has asked others to accept, with their slots and proposal numbers.
+    pub(crate) fn accepts_of(&self, from: NodeId) -> Vec<(Slot, ProposalNumber, Vec<u8>)> {
+        let accept = |(sender, _, call): &(NodeId, NodeId, Call)| match call {
+            Call::Accept(slot, number, value) if *sender == from => Some((*slot, *number, value.to_vec())),
+            _ => None,
+        };
+        self.sent.iter().filter_map(accept).collect()
+    }
+
     fn post(&mut self, delay: u64, message: Message) {
         self.last_message += 1;
         self.network.insert((self.now + delay, self.last_message), message);
--- a/crates/control/control-plane/tests/replica/proposals.rs
+++ b/crates/control/control-plane/tests/replica/proposals.rs
@@ -2,8 +2,11 @@
 
 use crate::cluster::{update, Cluster, MS, SECOND};
 use crate::snapshots::restore;
+use crate::voters::newcomer;
+use limeway_control_plane::messages::Call;
 use limeway_control_plane::{ApiRequest, ApiResponse};
 use rstest::rstest;
+use std::collections::BTreeMap;
 
 #[rstest]
 fn a_confirmed_update_is_on_disk_at_a_majority() {
@@ -130,3 +133,56 @@
     assert!(matches!(cluster.ask(2, start()), ApiResponse::EvacuationDone(_)));
     assert!(cluster.now - sent < 300 * MS, "the retry waits for nobody");
 }
+
+/// Guards against review/1: a replica that is no voter gave two values one proposal number, and an acknowledged update was lost.
+#[rstest]
+fn a_replica_that_is_no_voter_uses_a_proposal_number_for_one_value_only() {
+    let mut cluster = Cluster::start(3);
+    cluster.run(4 * SECOND);
+    assert_eq!(cluster.ask(1, ApiRequest::UpdateConfig(update(1, 0))), ApiResponse::Done);
+    cluster.add(newcomer(4, 88));
+    cluster.run(2 * SECOND);
+    cluster.set_delay(10 * MS);
+    let lost = cluster.call_api(4, ApiRequest::UpdateConfig(update(2, 1)));
+    for _ in 0..100 {
+        if cluster.sent(4, 1, is_accept) > 0 {
+            break;
+        }
+        cluster.run(5 * MS);
+    }
+    assert_eq!(cluster.sent(4, 1, is_accept), 1);
+    // One voter accepts the value, and nobody hears of it.
+    cluster.set_cut(2, true);
+    cluster.set_cut(3, true);
+    cluster.run(15 * MS);
+    cluster.set_cut(1, true);
+    cluster.run(950 * MS);
+    assert_eq!(cluster.response(lost), Some(&ApiResponse::Indeterminate));
+    cluster.set_cut(2, false);
+    cluster.set_cut(3, false);
+    cluster.run(300 * MS);
+    assert_eq!(cluster.ask(4, ApiRequest::UpdateConfig(update(3, 1))), ApiResponse::Done);
+    assert_one_value_per_number(&cluster);
+    // Only the voter with the lost value and one with the acknowledged one are left.
+    cluster.set_cut(3, true);
+    cluster.set_cut(4, true);
+    cluster.set_cut(1, false);
+    cluster.run(3 * SECOND);
+    for node in [1, 2] {
+        assert_eq!(cluster.replica(node).state().version, 3, "replica {node}");
+    }
+}
+
+fn is_accept(call: &Call) -> bool {
+    matches!(call, Call::Accept(..))
+}
+
+fn assert_one_value_per_number(cluster: &Cluster) {
+    for node in cluster.nodes() {
+        let mut values = BTreeMap::new();
+        for (slot, number, value) in cluster.accepts_of(node) {
+            let known = values.entry((slot, number)).or_insert_with(|| value.clone());
+            assert_eq!(*known, value, "slot {slot}, {number:?}");
+        }
+    }
+}
--- a/crates/control/control-plane/tests/replica/voters.rs
+++ b/crates/control/control-plane/tests/replica/voters.rs
@@ -14,7 +14,7 @@
 }
 
 /// A replica that comes later, with an empty disk of this incarnation.
-fn newcomer(node: u32, disk: u64) -> StartOptions {
+pub(crate) fn newcomer(node: u32, disk: u64) -> StartOptions {
     let acceptor = Acceptor { disk, ..Acceptor::default() };
     StartOptions { initial_start: false, acceptor, incarnation: 5_000 + disk, ..options(node, &[1, 2, 3]) }
 }
--- a/crates/data/invariants/src/lib.rs
+++ b/crates/data/invariants/src/lib.rs
@@ -39,11 +39,13 @@
     CleanShutdown,
     /// What a replica has pending stays within its bounds. Near: half of them.
     BoundedQueues,
+    /// Under one proposal number all voters hold one value. Near: a value was accepted under the number before.
+    OneValuePerNumber,
 }
 
 impl Invariant {
     /// All of them.
-    pub const ALL: [Invariant; 13] = [
+    pub const ALL: [Invariant; 14] = [
         Invariant::NoPromiseAfterExecution,
         Invariant::SingleExecution,
         Invariant::ResponseIdentity,
@@ -57,6 +59,7 @@
         Invariant::LeasedCounter,
         Invariant::CleanShutdown,
         Invariant::BoundedQueues,
+        Invariant::OneValuePerNumber,
     ];
 
     /// Its name in logs and metrics.
@@ -75,6 +78,7 @@
             Invariant::LeasedCounter => "leased-counter",
             Invariant::CleanShutdown => "clean-shutdown",
             Invariant::BoundedQueues => "bounded-queues",
+            Invariant::OneValuePerNumber => "one-value-per-number",
         }
     }
 }
