--- a/crates/control/consensus/tests/schedules.rs
+++ b/crates/control/consensus/tests/schedules.rs
@@ -2,7 +2,7 @@
 //! that end before their own disk knew of a ballot, and sets of voters that change. Whatever happens, one slot has one value.
 
 use limeway_consensus::{
-    Acceptor, AcceptorReply, NodeId, ProposalNumber, Proposer, ProposerStep, Slot, Voter,
+    Acceptor, AcceptorReply, NodeId, ProposalNumber, Proposer, ProposerStep, RoundAllocator, Slot, Voter,
 };
 use rstest::rstest;
 use serde_bytes::ByteBuf;
@@ -16,6 +16,8 @@
     Lives,
     /// Ballots do not tell the processes apart that hold them.
     Boots,
+    /// A proposer takes its rounds from its own acceptor alone.
+    Rounds,
     /// A newcomer is given a voter before it has the state, and votes without it.
     Learning,
 }
@@ -45,8 +47,8 @@
     disk: Acceptor,
     /// The values of the slots that it has applied.
     log: Vec<ByteBuf>,
-    /// The highest round that its process has used: forgotten when it ends.
-    used: u64,
+    /// The rounds that its process has used: forgotten when it ends.
+    rounds: RoundAllocator,
     incarnation: u64,
     round: Option<Proposer>,
     accepting: ByteBuf,
@@ -87,7 +89,7 @@
         let machine = |n: usize| Machine {
             disk: Acceptor { disk: if n < machines { 0 } else { 100 + n as u64 }, ..Acceptor::default() },
             log: Vec::new(),
-            used: 0,
+            rounds: RoundAllocator::default(),
             incarnation: 1 + n as u64,
             round: None,
             accepting: ByteBuf::new(),
@@ -131,11 +133,14 @@
             _ => Vec::new(),
         };
         let machine = &mut self.machines[at];
-        let round = machine.disk.slot_state.promised.round.max(machine.used) + 1;
-        machine.used = round;
+        let slot = machine.disk.applied + 1;
+        // A machine without a voter promises nothing itself.
+        let round = match self.off {
+            Off::Rounds => machine.disk.slot_state.promised.round + 1,
+            _ => machine.rounds.next(slot, machine.disk.slot_state.promised),
+        };
         let incarnation = if self.off == Off::Boots { 0 } else { machine.incarnation };
         let ballot = ProposalNumber { round, proposer: at as NodeId, incarnation };
-        let slot = machine.disk.applied + 1;
         machine.round = Some(Proposer::new(slot, ballot, voters, value(self.next, &change)));
         self.send_all(at, &Message::Prepare(slot, ballot));
     }
@@ -150,7 +155,9 @@
     fn restart(&mut self, at: usize) {
         self.next += 1;
         let machine = &mut self.machines[at];
-        (machine.round, machine.used, machine.incarnation) = (None, 0, self.next);
+        machine.round = None;
+        machine.rounds = RoundAllocator::default();
+        machine.incarnation = self.next;
     }
 
     /// A machine comes back with an empty disk.
@@ -278,8 +285,14 @@
         }
     }
 
+    /// A slot has two values, or a proposal number has: a cause is seen before its effect.
     fn broken(&self) -> bool {
-        self.chosen.values().any(|v| v.len() > 1)
+        self.chosen.values().any(|v| v.len() > 1) || self.has_double_number()
+    }
+
+    fn has_double_number(&self) -> bool {
+        let numbers = self.accepted.keys().map(|(slot, number, _)| (slot, number));
+        numbers.clone().zip(numbers.skip(1)).any(|(one, next)| one == next)
     }
 }
 
@@ -314,6 +327,7 @@
 #[rstest]
 #[case(Off::Lives, 3, 0)]
 #[case(Off::Boots, 3, 0)]
+#[case(Off::Rounds, 3, 1)]
 #[case(Off::Learning, 3, 1)]
 fn a_guard_that_is_off_is_found(#[case] off: Off, #[case] machines: usize, #[case] spare: usize) {
     let (broken, _) = play(machines, spare, off, 20_000, 500);
--- a/crates/testing/simulation/src/disabled_guard.rs
+++ b/crates/testing/simulation/src/disabled_guard.rs
@@ -1,6 +1,7 @@
 //! Guards that can be disabled. The state machines have no switches: their inputs and outputs are tampered with.
 
 use crate::cluster::{node, Cluster};
+use limeway_consensus::ProposalNumber;
 use limeway_control_plane::messages::{Call, HeartbeatReply, PeerStatus, Reply};
 
 /// The guard that is disabled.
@@ -26,10 +27,12 @@
     CandidateCatchUp,
     /// Gateways take a response to be as old as its arrival.
     ResponseAges,
+    /// A replica that is no voter uses one round for all proposals.
+    UniqueRounds,
 }
 
 /// All guards.
-pub const ALL: [DisabledGuard; 9] = [
+pub const ALL: [DisabledGuard; 10] = [
     DisabledGuard::RepliesBeforeWrites,
     DisabledGuard::FailedWrites,
     DisabledGuard::OldDiskIncarnation,
@@ -39,6 +42,7 @@
     DisabledGuard::AcceptedValues,
     DisabledGuard::CandidateCatchUp,
     DisabledGuard::ResponseAges,
+    DisabledGuard::UniqueRounds,
 ];
 
 impl Cluster {
@@ -97,8 +101,20 @@
         }
     }
 
-    pub(crate) fn tamper_call(&self, _at: usize, call: Call) -> Call {
+    fn is_voter(&self, at: usize) -> bool {
+        let disk = self.machines[at].disk.acceptor.disk;
+        self.invariants.voters().iter().any(|voter| voter.node == node(at) && voter.disk == disk)
+    }
+
+    pub(crate) fn tamper_call(&self, at: usize, call: Call) -> Call {
+        let reuses_rounds = self.disabled == DisabledGuard::UniqueRounds && !self.is_voter(at);
         match call {
+            Call::Prepare(slot, number) if reuses_rounds => {
+                Call::Prepare(slot, ProposalNumber { round: 1, ..number })
+            }
+            Call::Accept(slot, number, value) if reuses_rounds => {
+                Call::Accept(slot, ProposalNumber { round: 1, ..number }, value)
+            }
             Call::Heartbeat(mut ping) if self.disabled == DisabledGuard::CandidateCatchUp => {
                 self.ahead(&mut ping.status);
                 Call::Heartbeat(ping)
--- a/crates/testing/simulation/src/invariants.rs
+++ b/crates/testing/simulation/src/invariants.rs
@@ -3,10 +3,11 @@
 use crate::clients::{Limiter, OperatorRequest, PendingRequest};
 use crate::machine::Machine;
 use crate::{DisabledGuard, Micros, SECOND};
-use limeway_consensus::{Slot, Voter};
+use limeway_consensus::{Acceptor, ProposalNumber, Slot, Voter};
 use limeway_control_plane::ApiResponse;
 use limeway_routing_config::ConfigUpdate;
 use limeway_routing_config::State;
+use serde_bytes::ByteBuf;
 use std::collections::BTreeMap;
 
 /// Upper bound on the events that a process handles in a second.
@@ -29,6 +30,8 @@
     /// The shards that each machine's process held when it was last seen, and the slot that it had.
     held: BTreeMap<usize, (Vec<usize>, Slot)>,
     boards: BTreeMap<usize, (Slot, Micros)>,
+    /// The value that was accepted under each proposal number.
+    accepted: BTreeMap<(Slot, ProposalNumber), ByteBuf>,
     pub(crate) asked_back: bool,
     /// Updates answered as done, updates rejected, and reads.
     pub tally: [usize; 3],
@@ -51,6 +54,7 @@
             refused: Vec::new(),
             held: BTreeMap::new(),
             boards: BTreeMap::new(),
+            accepted: BTreeMap::new(),
             asked_back: false,
             tally: [0; 3],
         }
@@ -99,6 +103,16 @@
         }
     }
 
+    /// Acceptors hold one value under one proposal number.
+    fn check_accepted(&mut self, at: usize, acceptor: &Acceptor) {
+        let Some((number, value)) = &acceptor.slot_state.accepted else { return };
+        let key = (acceptor.applied + 1, *number);
+        let known = self.accepted.entry(key).or_insert_with(|| value.clone());
+        if known != value {
+            self.fail(format!("machine {at} accepts a second value for slot {} under {number:?}", key.0));
+        }
+    }
+
     /// A machine has handled an event.
     pub fn after(&mut self, t: Micros, at: usize, machines: &mut [Machine]) {
         let machine = &mut machines[at];
@@ -116,6 +130,7 @@
             return self
                 .fail(format!("machine {at} has {} entries pending", process.replica.pending_count()));
         }
+        self.check_accepted(at, process.replica.acceptor());
         let state = process.replica.state();
         let before = self.held.get(&at).map_or(0, |(_, slot)| *slot);
         let (slot, held) = (state.slot, process.replica.held_shards(now));
--- a/crates/testing/simulation/src/main.rs
+++ b/crates/testing/simulation/src/main.rs
@@ -25,6 +25,8 @@
                 optional --jobs jobs: usize
                 /// Three machines with slow disks that are killed again and again.
                 optional --harsh
+                /// Three voters whose kills overlap, beside spares.
+                optional --overlapping
                 /// A guard to disable, by its name.
                 optional --without guard: String
             }
@@ -34,6 +36,8 @@
                 optional --seeds seeds: u64
                 /// Three machines with slow disks that are killed again and again.
                 optional --harsh
+                /// Three voters whose kills overlap, beside spares.
+                optional --overlapping
             }
             /// Runs one schedule again, and shows it.
             cmd replay {
@@ -43,6 +47,8 @@
                 optional --without guard: String
                 /// It is one of `play --harsh`.
                 optional --harsh
+                /// It is one of `play --overlapping`.
+                optional --overlapping
                 /// Do not shrink it.
                 optional --whole
             }
@@ -60,11 +66,11 @@
     found
 }
 
-fn draw(harsh: bool) -> fn(u64) -> Schedule {
-    if harsh {
-        Schedule::harsh
-    } else {
-        Schedule::draw
+fn draw(harsh: bool, overlapping: bool) -> fn(u64) -> Schedule {
+    match (harsh, overlapping) {
+        (true, _) => Schedule::harsh,
+        (_, true) => Schedule::overlapping,
+        _ => Schedule::draw,
     }
 }
 
@@ -99,7 +105,7 @@
             let seeds = from..from.saturating_add(flags.seeds.unwrap_or(1_000));
             let outcome = runner::play(
                 seeds,
-                draw(flags.harsh),
+                draw(flags.harsh, flags.overlapping),
                 disabled,
                 flags.jobs.unwrap_or(2),
                 flags.most.unwrap_or(1),
@@ -113,18 +119,18 @@
                 println!("seed {seed}: {broken}");
             }
             match outcome.broken.first() {
-                Some((seed, _)) => show(draw(flags.harsh)(*seed), disabled, false),
+                Some((seed, _)) => show(draw(flags.harsh, flags.overlapping)(*seed), disabled, false),
                 None => ExitCode::SUCCESS,
             }
         }
         LimewaySimulationCmd::Digest(flags) => {
             let seeds = flags.seeds.unwrap_or(DIGEST_SEEDS);
-            let digest = runner::digest(0..seeds, draw(flags.harsh));
+            let digest = runner::digest(0..seeds, draw(flags.harsh, flags.overlapping));
             println!("{seeds} seeds, digest {digest:016x}");
             ExitCode::SUCCESS
         }
         LimewaySimulationCmd::Replay(flags) => match guard(flags.without) {
-            Some(disabled) => show(draw(flags.harsh)(flags.seed), disabled, flags.whole),
+            Some(disabled) => show(draw(flags.harsh, flags.overlapping)(flags.seed), disabled, flags.whole),
             None => ExitCode::FAILURE,
         },
     }
--- a/crates/testing/simulation/src/schedule.rs
+++ b/crates/testing/simulation/src/schedule.rs
@@ -3,6 +3,11 @@
 use crate::rng::Rng;
 use crate::{Micros, CATCH_UP, SECOND};
 
+/// Time between two rounds of overlapping kills: at least, and at most.
+const OVERLAP_INTERVAL: (Micros, Micros) = (13 * SECOND / 5, 4 * SECOND);
+/// The last machine of a round is killed up to this much later than the others.
+const MAX_KILL_STAGGER: Micros = 40_000;
+
 /// A fault. Machines are numbered from 0; each fault lasts for `long`.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Fault {
@@ -177,6 +182,30 @@
         schedule
     }
 
+    /// Draws kills of all three voters that overlap, again and again, while spares that are no voters go on serving operators: two voters
+    /// are back within a second, the third later. No disk is lost, so nothing acknowledged may be.
+    pub fn overlapping(seed: u64) -> Self {
+        let mut rng = Rng(seed ^ 0x0f0e_1a99);
+        let (machines, losses, heal) = (3, 1, 30 * SECOND);
+        let (spares, disks) = (rng.between(1, 3) as usize, if rng.with_permille(500) { 8 } else { 1 });
+        let mut schedule = Schedule { seed, machines, spares, losses, faults: Vec::new(), heal, disks };
+        let mut t = rng.between(4 * SECOND, 8 * SECOND);
+        while t + OVERLAP_INTERVAL.1 + CATCH_UP < heal {
+            let last = rng.below(machines as u64) as usize;
+            for who in 0..machines {
+                let (later, long) = if who == last {
+                    (rng.below(MAX_KILL_STAGGER), rng.between(SECOND, 13 * SECOND / 5))
+                } else {
+                    (0, rng.between(100_000, SECOND))
+                };
+                let fault = Fault::Down { who, wipe: false, power: false };
+                schedule.faults.push(TimedFault { at: t + later, long, fault });
+            }
+            t += rng.between(OVERLAP_INTERVAL.0, OVERLAP_INTERVAL.1);
+        }
+        schedule
+    }
+
     fn single(&self, who: usize, rng: &mut Rng, replace: bool) -> Fault {
         match rng.below(20) {
             0..=2 => Fault::Down { who, wipe: false, power: rng.with_permille(500) },
