Simulation: an answer is judged by the time of its own attempt (check corrected)

The check took the time of the newest attempt for the answer to any attempt of a request. Trace of: read 78 was sent at 13.22 s to a machine that stood still and at 14.22 s to another; the first one's answer came at 14.23 s, from a state confirmed after 13.22 s, and was judged as of 14.22 s. A linearizable read must show what was acknowledged before it was sent, no more. Each attempt keeps its own time now; every answer, early or late, is still judged.

--- a/crates/testing/simulation/src/clients.rs
+++ b/crates/testing/simulation/src/clients.rs
@@ -34,11 +34,20 @@
     pub request: OperatorRequest,
     /// When it was first sent.
     pub begun: Micros,
-    /// When it was last sent.
-    pub sent: Micros,
+    /// When each attempt was sent: the first one's time comes first.
+    pub(crate) sent: Vec<Micros>,
     pub(crate) attempts: u64,
 }
 
+/// An attempt of a pending request.
+#[derive(Debug, Clone, Copy)]
+pub struct Attempt<'a> {
+    /// What is asked for.
+    pub request: &'a OperatorRequest,
+    /// When this attempt was sent.
+    pub sent: Micros,
+}
+
 /// A gateway.
 #[derive(Debug)]
 pub struct Limiter {
@@ -116,11 +125,11 @@
         operators.chain((0..LIMITERS).map(Actor::Limiter)).chain((0..SERVERS).map(Actor::Server)).collect()
     }
 
-    /// The pending request that a client sends, if it is one.
-    pub fn asked_of(&self, who: Actor) -> Option<&PendingRequest> {
-        match who {
-            Actor::PendingRequest(number, _) => self.pending_requests.get(&number),
-            _ => None,
-        }
+    /// The attempt that a client has sent, if it is one of a pending request. Its answer may come after a later attempt was sent.
+    pub fn asked_of(&self, who: Actor) -> Option<Attempt<'_>> {
+        let Actor::PendingRequest(number, attempt) = who else { return None };
+        let pending = self.pending_requests.get(&number)?;
+        let sent = *pending.sent.get(attempt.checked_sub(1)? as usize)?;
+        Some(Attempt { request: &pending.request, sent })
     }
 }
--- a/crates/testing/simulation/src/invariants.rs
+++ b/crates/testing/simulation/src/invariants.rs
@@ -1,6 +1,6 @@
 //! What must hold after every event.
 
-use crate::clients::{Limiter, OperatorRequest, PendingRequest};
+use crate::clients::{Attempt, Limiter, OperatorRequest};
 use crate::machine::Machine;
 use crate::{DisabledGuard, Micros, SECOND};
 use limeway_consensus::{Acceptor, ProposalNumber, Slot, Voter};
@@ -164,12 +164,12 @@
         t: Micros,
         at: usize,
         machines: &[Machine],
-        pending: Option<&PendingRequest>,
+        attempt: Option<Attempt<'_>>,
         told: &ApiResponse,
     ) {
         let Some(process) = &machines[at].process else { return };
         let (slot, newest) = (process.replica.state().slot, process.replica.state().version);
-        match (pending.map(|f| (&f.request, f.sent)), told) {
+        match (attempt.map(|attempt| (attempt.request, attempt.sent)), told) {
             (Some((OperatorRequest::Order(order), _)), ApiResponse::Done) => {
                 if !process.replica.state().has_applied(order) {
                     self.fail(format!("machine {at} acknowledges version {} that it has not", order.version));
--- a/crates/testing/simulation/src/workload.rs
+++ b/crates/testing/simulation/src/workload.rs
@@ -112,7 +112,7 @@
         };
         self.workload.last += 1;
         let number = self.workload.last;
-        let pending = PendingRequest { operator, request, begun: self.t, sent: self.t, attempts: 0 };
+        let pending = PendingRequest { operator, request, begun: self.t, sent: Vec::new(), attempts: 0 };
         self.workload.pending_requests.insert(number, pending);
         self.send_request(number);
     }
@@ -128,7 +128,7 @@
             return;
         }
         pending.attempts += 1;
-        pending.sent = self.t;
+        pending.sent.push(self.t);
         let who = Actor::PendingRequest(number, pending.attempts);
         let ask = match &pending.request {
             OperatorRequest::Order(order) => ApiRequest::UpdateConfig(order.clone()),
@@ -168,7 +168,7 @@
                 let (request, begun) = (OperatorRequest::Read, self.t);
                 self.workload.pending_requests.remove(&number);
                 self.workload.last += 1;
-                let pending = PendingRequest { operator, request, begun, sent: begun, attempts: 0 };
+                let pending = PendingRequest { operator, request, begun, sent: Vec::new(), attempts: 0 };
                 self.workload.pending_requests.insert(self.workload.last, pending);
                 return self.send_request(self.workload.last);
             }
