--- a/crates/balancer/src/gateway/mod.rs
+++ b/crates/balancer/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 use crate::directory;
 use crate::drain_schedule::DrainSchedule;
 use crate::metrics::GatewayMetrics;
+use crate::proxy::BodyBudget;
 use crate::replica::quota_rule;
 use crate::transport::{self, Channels};
 
@@ -47,6 +48,8 @@
     pub endpoints: Endpoints,
     /// The retry budget.
     pub retries: RefCell<RetryBudget>,
+    /// The room for bodies of requests.
+    pub bodies: BodyBudget,
     /// Its figures.
     pub metrics: GatewayMetrics,
     node: NodeId,
@@ -66,6 +69,7 @@
         Rc::new(Gateway {
             endpoints: Endpoints::new(settings.max_file_descriptors),
             retries: RefCell::new(RetryBudget::new(bounds.retry_ratio, bounds.retry_window)),
+            bodies: BodyBudget::new(settings.max_memory_bytes),
             metrics: GatewayMetrics::default(),
             node: NodeId::from(settings.ip),
             channels: Channels::new(settings.inner_ports.first),
--- a/crates/balancer/src/metrics/gateway.rs
+++ b/crates/balancer/src/metrics/gateway.rs
@@ -37,6 +37,8 @@
     servers: Gauge,
     connections: Gauge,
     busy: Gauge,
+    body_bytes: Gauge,
+    body_waits: Gauge,
     draining: Gauge,
 }
 
@@ -56,6 +58,8 @@
         gauge("limeway_servers", "Servers known that take requests", &self.servers);
         gauge("limeway_client_connections", "Connections of clients", &self.connections);
         gauge("limeway_busy_connections", "Those with a request in flight", &self.busy);
+        gauge("limeway_body_bytes", "Bytes of memory taken by bodies of requests", &self.body_bytes);
+        gauge("limeway_body_waits", "Requests that wait for room for their body", &self.body_waits);
         gauge("limeway_draining", "1 while the process shuts down", &self.draining);
     }
 }
@@ -127,6 +131,8 @@
         gauges.servers.set(servers as i64);
         gauges.connections.set(clients.open_count() as i64);
         gauges.busy.set(clients.busy_count() as i64);
+        gauges.body_bytes.set(gateway.bodies.held_bytes() as i64);
+        gauges.body_waits.set(gateway.bodies.waiting_count() as i64);
         gauges.draining.set(i64::from(gateway.is_draining()));
         self.invariants.refresh();
         render(&self.registry)
--- a/crates/balancer/src/proxy/attempt.rs
+++ b/crates/balancer/src/proxy/attempt.rs
@@ -3,7 +3,7 @@
 use super::request_record::{AttemptRecord, RequestRecord};
 use crate::clock::now;
 use crate::gateway::Gateway;
-use crate::upstream::{UpstreamRequest, UpstreamResult};
+use crate::upstream::{ServerResponse, UpstreamRequest, UpstreamResult};
 use limeway_http1::conn::Reply;
 use limeway_load_balancing::attempts::{AttemptResult, ResponseHead};
 use limeway_load_balancing::Outcome;
@@ -104,7 +104,7 @@
     }
 
     /// It has ended, or its time is over if there is no result: what it teaches, and the response, if there is one.
-    pub(super) fn finish(self, result: Option<UpstreamResult>) -> (AttemptResult, Option<Reply>) {
+    pub(super) fn finish(self, result: Option<UpstreamResult>) -> (AttemptResult, Option<ServerResponse>) {
         let took = now() - self.started;
         let (attempt_result, reply, outcome) = assess(result, took, self.sent.get());
         self.end(attempt_result, outcome, took);
@@ -150,17 +150,17 @@
     result: Option<UpstreamResult>,
     took: Micros,
     sent: bool,
-) -> (AttemptResult, Option<Reply>, Outcome) {
+) -> (AttemptResult, Option<ServerResponse>, Outcome) {
     match result {
-        Some(UpstreamResult::Response(reply)) => {
-            let attempt_result = response_head(&reply).result();
+        Some(UpstreamResult::Response(response)) => {
+            let attempt_result = response_head(&response.reply).result();
             let outcome = match attempt_result {
                 AttemptResult::Final | AttemptResult::Failed => Outcome::Answered(took),
                 AttemptResult::NotExecuted => Outcome::Full,
                 AttemptResult::Moved => Outcome::Moved,
                 AttemptResult::NotSent | AttemptResult::Unknown => Outcome::Broken,
             };
-            (attempt_result, Some(reply), outcome)
+            (attempt_result, Some(response), outcome)
         }
         Some(UpstreamResult::NotSent) => (AttemptResult::NotSent, None, Outcome::Broken),
         Some(UpstreamResult::Broken) => (AttemptResult::Unknown, None, Outcome::Broken),
--- a/crates/balancer/src/proxy/attempts.rs
+++ b/crates/balancer/src/proxy/attempts.rs
@@ -8,8 +8,7 @@
 use super::request_record::RequestRecord;
 use crate::clock::now;
 use crate::gateway::Gateway;
-use crate::upstream::UpstreamResult;
-use limeway_http1::conn::Reply;
+use crate::upstream::{ServerResponse, UpstreamResult};
 use limeway_http1::inbound::Message;
 use limeway_invariants::{check, Invariant};
 use limeway_load_balancing::attempts::{
@@ -37,7 +36,7 @@
     gateway: &Rc<Gateway>,
     message: &Message,
     record: &RequestRecord,
-) -> Result<Reply, LocalResponse> {
+) -> Result<ServerResponse, LocalResponse> {
     let started = now();
     let RoutedRequest { route, tenant, upstream, time_left } = route(gateway, message, record)?;
     let deadline = started + time_left;
@@ -102,7 +101,7 @@
         &mut self,
         mut request_attempts: RequestAttempts,
         capacity_deadline: Timestamp,
-    ) -> Result<Reply, LocalResponse> {
+    ) -> Result<ServerResponse, LocalResponse> {
         let mut in_flight: Vec<InFlightAttempt<'a>> = Vec::with_capacity(MAX_IN_FLIGHT);
         let mut failure = None;
         loop {
@@ -124,21 +123,21 @@
             };
             let attempt = in_flight.swap_remove(index);
             let started = attempt.started();
-            let (attempt_result, reply) = attempt.finish(Some(result));
-            match (request_attempts.record(attempt_result), reply) {
-                (NextStep::Forward, Some(reply)) => {
+            let (attempt_result, response) = attempt.finish(Some(result));
+            match (request_attempts.record(attempt_result), response) {
+                (NextStep::Forward, Some(response)) => {
                     // If it took more than one attempt, the other time is not ours alone.
                     let server_time = if self.tried.len() == 1 { now() - started } else { 0 };
                     self.context.record.server_time.set(server_time);
                     in_flight.into_iter().for_each(InFlightAttempt::supersede);
-                    return Ok(reply);
+                    return Ok(response);
                 }
-                (_, Some(reply)) if attempt_result == AttemptResult::Failed => failure = Some(reply),
+                (_, Some(response)) if attempt_result == AttemptResult::Failed => failure = Some(response),
                 _ => {}
             }
         }
         match (request_attempts.conclude(now() >= self.context.deadline), failure) {
-            (Conclusion::Failure, Some(reply)) => Ok(reply),
+            (Conclusion::Failure, Some(response)) => Ok(response),
             (conclusion, _) => Err(self.local_response(&request_attempts, conclusion)),
         }
     }
--- a/crates/balancer/src/proxy/failure.rs
+++ b/crates/balancer/src/proxy/failure.rs
@@ -35,11 +35,13 @@
     NotTaken,
     /// The process shuts down: it could not be ended in time, or was not begun as it might not have been.
     ShuttingDown,
+    /// There is no room for its body.
+    NoRoom,
 }
 
 impl Failure {
     /// All of them.
-    pub const ALL: [Failure; 16] = [
+    pub const ALL: [Failure; 17] = [
         Failure::Malformed,
         Failure::ReadTimedOut,
         Failure::NoConfig,
@@ -56,6 +58,7 @@
         Failure::ClientGone,
         Failure::NotTaken,
         Failure::ShuttingDown,
+        Failure::NoRoom,
     ];
 
     /// Its name in logs and metrics.
@@ -77,6 +80,7 @@
             Failure::ClientGone => "client-gone",
             Failure::NotTaken => "not-taken",
             Failure::ShuttingDown => "shutting-down",
+            Failure::NoRoom => "no-room",
         }
     }
 }
--- a/crates/balancer/src/proxy/mod.rs
+++ b/crates/balancer/src/proxy/mod.rs
@@ -2,27 +2,30 @@
 
 mod attempt;
 mod attempts;
+mod body_budget;
 mod connections;
 mod failure;
 mod headers;
 mod listener;
 mod local_response;
 mod request;
+mod request_reader;
 mod request_record;
 
+pub use body_budget::BodyBudget;
 pub use connections::{log_traffic, ClientConnections};
 pub use failure::Failure;
 pub use listener::listen;
 
 use crate::clock::now;
 use crate::gateway::Gateway;
-use crate::upstream::MAX_BODY_BYTES;
-use limeway_http1::conn::Reply;
-use limeway_http1::inbound::{Bounds, Inbound, Message, Stop, ERROR_LINGER};
+use crate::upstream::ServerResponse;
+use limeway_http1::inbound::{Bounds, Inbound, ERROR_LINGER};
 use limeway_routing_config::routing::Limits;
 use limeway_settings::RuleBounds;
 use limeway_types::Timestamp;
 use local_response::LocalResponse;
+use request_reader::{read_request, NoRequest, ReadRequest};
 use request_record::RequestRecord;
 use std::rc::Rc;
 use std::time::Duration;
@@ -43,8 +46,9 @@
         let _busy = clients.count_busy();
         let limits = gateway.routing().limits.clone();
         inbound.limit_head(limits.max_header_bytes);
-        let message = match read_request(clients, &mut inbound, bounds(&limits)).await {
-            Ok(message) => message,
+        let bounds = request_bounds(gateway);
+        let request = match read_request(gateway, clients, &mut inbound, bounds).await {
+            Ok(request) => request,
             Err(NoRequest::Closed) => return,
             Err(NoRequest::Refused(response)) => {
                 gateway.metrics.count_request(Some(response.failure));
@@ -52,7 +56,7 @@
                 return inbound.linger(ERROR_LINGER).await;
             }
         };
-        match respond(gateway, clients, &mut inbound, &message).await {
+        match respond(gateway, clients, &mut inbound, request).await {
             AfterResponse::Continue => {}
             AfterResponse::Linger => {
                 return inbound.linger(response_linger(&gateway.settings.bounds)).await;
@@ -62,37 +66,6 @@
     }
 }
 
-/// Why no whole request was read.
-enum NoRequest {
-    /// The client has closed its connection.
-    Closed,
-    /// What has come is answered, and the connection ends.
-    Refused(LocalResponse),
-}
-
-/// Reads a request. One that is still coming when the process is about to exit is refused: it has not been executed.
-async fn read_request(
-    clients: &ClientConnections,
-    inbound: &mut Inbound,
-    bounds: Bounds,
-) -> Result<Message, NoRequest> {
-    let stop = tokio::select! {
-        biased;
-        read = inbound.read(bounds) => match read {
-            Ok(message) => return Ok(message),
-            Err(stop) => stop,
-        },
-        () = clients.requests_aborted() => {
-            return Err(NoRequest::Refused(LocalResponse::shutting_down()));
-        }
-    };
-    Err(match stop {
-        Stop::Closed => NoRequest::Closed,
-        Stop::Status(408) => NoRequest::Refused(LocalResponse::new(408, Failure::ReadTimedOut)),
-        Stop::Status(status) => NoRequest::Refused(LocalResponse::new(status, Failure::Malformed)),
-    })
-}
-
 /// What becomes of a connection after a response.
 enum AfterResponse {
     /// It takes the next request.
@@ -108,11 +81,13 @@
     gateway: &Rc<Gateway>,
     clients: &ClientConnections,
     inbound: &mut Inbound,
-    message: &Message,
+    request: ReadRequest,
 ) -> AfterResponse {
+    let ReadRequest { message, room } = request;
+    let keep_alive = message.head.keep_alive;
     let (started, record) = (now(), RequestRecord::default());
     let response = {
-        let handling = attempts::handle(gateway, message, &record);
+        let handling = attempts::handle(gateway, &message, &record);
         tokio::pin!(handling);
         tokio::select! {
             biased;
@@ -126,13 +101,15 @@
         note_end(gateway, &record, 0, Some(Failure::ClientGone), started);
         return AfterResponse::Closed;
     };
+    // The body is not needed any more, however long the client takes to read the response.
+    drop((message, room));
     // What has been read of a next request is owed a response, too.
-    let close = !message.head.keep_alive || (clients.is_draining() && !inbound.begun());
+    let close = !keep_alive || (clients.is_draining() && !inbound.begun());
     let (status, failure) = result_of(&response);
     clients.count_response(response.as_ref().err().map(|local| local.status));
-    let taken = inbound.write(&to_bytes(response, close)).await;
-    note_end(gateway, &record, status, failure.or((!taken).then_some(Failure::NotTaken)), started);
-    if !taken {
+    let written = write_response(inbound, response, close).await;
+    note_end(gateway, &record, status, failure.or(written.err()), started);
+    if written.is_err() {
         return AfterResponse::Closed;
     }
     if record.server_time.get() > 0 {
@@ -158,9 +135,12 @@
 }
 
 /// The status of a response, and why it is no success of a server's.
-fn result_of(response: &Result<Reply, LocalResponse>) -> (u16, Option<Failure>) {
+fn result_of(response: &Result<ServerResponse, LocalResponse>) -> (u16, Option<Failure>) {
     match response {
-        Ok(reply) => (reply.head.status, (reply.head.status >= 500).then_some(Failure::ServerFailed)),
+        Ok(response) => {
+            let status = response.reply.head.status;
+            (status, (status >= 500).then_some(Failure::ServerFailed))
+        }
         Err(local) => (local.status, Some(local.failure)),
     }
 }
@@ -179,11 +159,34 @@
     }
 }
 
-fn to_bytes(response: Result<Reply, LocalResponse>, close: bool) -> Vec<u8> {
-    match response {
-        Ok(reply) => headers::forward_response(reply, close),
-        Err(local) => local.to_bytes(close),
+/// Writes a response. A long body of a server's goes on as it comes, and ends with its connection if the server breaks off: the client
+/// sees that it is not whole.
+///
+/// # Errors
+/// Why the connection is of no further use.
+async fn write_response(
+    inbound: &mut Inbound,
+    response: Result<ServerResponse, LocalResponse>,
+    close: bool,
+) -> Result<(), Failure> {
+    let ServerResponse { reply, rest } = match response {
+        Ok(response) => response,
+        Err(local) => return taken(inbound.write(&local.to_bytes(close)).await),
+    };
+    taken(inbound.write(&headers::forward_response(&reply, close)).await)?;
+    if !headers::is_copied(&reply) {
+        taken(inbound.write(&reply.body).await)?;
+    }
+    drop(reply);
+    let Some(mut rest) = rest else { return Ok(()) };
+    while let Some(part) = rest.next_part().await.map_err(|_| Failure::Unknown)? {
+        taken(inbound.write(&part).await)?;
     }
+    Ok(())
+}
+
+fn taken(is_taken: bool) -> Result<(), Failure> {
+    is_taken.then_some(()).ok_or(Failure::NotTaken)
 }
 
 /// Waits for the first byte of the next request, as long as the configuration in force at the end of the wait allows. False if the
@@ -198,7 +201,7 @@
             if draining { DRAINING_IDLE_TIMEOUT } else { idle_timeout.saturating_sub(inbound.rested()) };
         tokio::select! {
             biased;
-            ready = inbound.ready(bounds(&routing.limits)) => return ready.is_ok(),
+            ready = inbound.ready(request_bounds(gateway)) => return ready.is_ok(),
             () = close_idle, if !draining => {
                 if clients.is_draining() || inbound.rested() < EVICTABLE_IDLE_TIME {
                     continue;
@@ -213,7 +216,7 @@
             }
         }
         // What has come at this very moment is still served.
-        return !inbound.quiet() && inbound.ready(bounds(&routing.limits)).await.is_ok();
+        return !inbound.quiet() && inbound.ready(request_bounds(gateway)).await.is_ok();
     }
     true
 }
@@ -228,10 +231,12 @@
     Duration::from_micros(limits.idle_timeout).min(MAX_IDLE_TIMEOUT)
 }
 
-fn bounds(limits: &Limits) -> Bounds {
+/// What a request may be by the configuration in force. Without one nothing is known of bodies: none is too long.
+fn request_bounds(gateway: &Gateway) -> Bounds {
+    let routing = gateway.routing();
     Bounds {
-        body: limits.max_body_bytes.min(MAX_BODY_BYTES),
-        read_timeout: Duration::from_micros(limits.header_timeout),
+        body: if routing.version == 0 { usize::MAX } else { routing.limits.max_body_bytes },
+        read_timeout: Duration::from_micros(routing.limits.header_timeout),
         // The idle timeout may change while a connection is idle: `next_request` watches it.
         idle: MAX_IDLE_TIMEOUT,
     }
--- a/crates/balancer/src/proxy/request.rs
+++ b/crates/balancer/src/proxy/request.rs
@@ -110,7 +110,11 @@
     Ok(host.rsplit_once(':').map_or(host, |(name, _)| name))
 }
 
-fn deadline(head: &Head, bytes: &[u8]) -> Result<Micros, LocalResponse> {
+/// How long a client waits.
+///
+/// # Errors
+/// What it states is malformed.
+pub(super) fn deadline(head: &Head, bytes: &[u8]) -> Result<Micros, LocalResponse> {
     let Some(text) = single(head, bytes, "limeway-deadline-ms")? else { return Ok(DEFAULT_DEADLINE) };
     let ms = std::str::from_utf8(text).ok().and_then(|text| text.parse::<u64>().ok());
     let ms = ms.filter(|ms| (1..=MAX_DEADLINE_MS).contains(ms)).ok_or_else(bad_request)?;
--- /dev/null
+++ b/crates/balancer/src/proxy/request_reader.rs
@@ -0,0 +1,99 @@
+//! Reading a client's request, within the room for its body.
+
+use super::body_budget::{BodyRoom, NoRoom, MAX_SHORT_BODY_BYTES};
+use super::failure::Failure;
+use super::local_response::LocalResponse;
+use super::request;
+use super::ClientConnections;
+use crate::gateway::Gateway;
+use limeway_http1::http::Framing;
+use limeway_http1::inbound::{Bounds, Inbound, IncomingRequest, Message, Stop};
+use std::time::Duration;
+
+/// How long a request waits for room for its body: clients give a try up that has not been read after a second,
+const MAX_ROOM_WAIT: Duration = Duration::from_millis(800);
+/// or after a third of their time.
+const ROOM_WAIT_DIVISOR: u32 = 4;
+/// A body of unknown length gets this many times the room that it has filled.
+const CHUNKED_GROWTH_FACTOR: usize = 2;
+
+/// A whole request, and the room that its body takes.
+pub(super) struct ReadRequest {
+    /// The request.
+    pub message: Message,
+    /// Held until the request is answered.
+    pub room: BodyRoom,
+}
+
+/// Why no whole request was read.
+pub(super) enum NoRequest {
+    /// The client has closed its connection.
+    Closed,
+    /// What has come is answered, and the connection ends.
+    Refused(LocalResponse),
+}
+
+impl From<Stop> for NoRequest {
+    fn from(stop: Stop) -> Self {
+        match stop {
+            Stop::Closed => NoRequest::Closed,
+            Stop::Status(408) => NoRequest::Refused(LocalResponse::new(408, Failure::ReadTimedOut)),
+            Stop::Status(status) => NoRequest::Refused(LocalResponse::new(status, Failure::Malformed)),
+        }
+    }
+}
+
+impl From<NoRoom> for NoRequest {
+    fn from(_: NoRoom) -> Self {
+        NoRequest::Refused(LocalResponse::unavailable(Failure::NoRoom))
+    }
+}
+
+/// Reads a request. One that is still coming when the process is about to exit is refused: it has not been executed.
+pub(super) async fn read_request(
+    gateway: &Gateway,
+    clients: &ClientConnections,
+    inbound: &mut Inbound,
+    bounds: Bounds,
+) -> Result<ReadRequest, NoRequest> {
+    tokio::select! {
+        biased;
+        read = read_whole(gateway, inbound, bounds) => read,
+        () = clients.requests_aborted() => Err(NoRequest::Refused(LocalResponse::shutting_down())),
+    }
+}
+
+async fn read_whole(
+    gateway: &Gateway,
+    inbound: &mut Inbound,
+    bounds: Bounds,
+) -> Result<ReadRequest, NoRequest> {
+    let mut request = inbound.read_head(bounds).await?;
+    let mut room = BodyRoom::default();
+    let mut needed = match request.head.framing {
+        Framing::Length(length) => length,
+        Framing::Chunked | Framing::UntilClose => MAX_SHORT_BODY_BYTES.min(bounds.body),
+    };
+    while needed > 0 {
+        if needed > MAX_SHORT_BODY_BYTES && gateway.routing().version == 0 {
+            // How long a body may be is not known yet.
+            return Err(NoRequest::Refused(LocalResponse::unavailable(Failure::NoConfig)));
+        }
+        room = gateway.bodies.grow(room, needed, patience(&request)).await?;
+        request.restart_read_timeout();
+        let limit = if needed < bounds.body { needed } else { usize::MAX };
+        if inbound.read_body(&mut request, limit).await? {
+            break;
+        }
+        needed = request.received_bytes().saturating_mul(CHUNKED_GROWTH_FACTOR).min(bounds.body);
+    }
+    room.shrink_to(request.received_bytes());
+    Ok(ReadRequest { message: request.into_message(), room })
+}
+
+/// How long a request waits for room. Its client's deadline goes on meanwhile.
+fn patience(request: &IncomingRequest) -> Duration {
+    let deadline = request::deadline(&request.head, &request.bytes).ok();
+    let part = deadline.map(|deadline| Duration::from_micros(deadline) / ROOM_WAIT_DIVISOR);
+    part.map_or(MAX_ROOM_WAIT, |part| part.min(MAX_ROOM_WAIT))
+}
--- a/crates/balancer/src/upstream.rs
+++ b/crates/balancer/src/upstream.rs
@@ -1,12 +1,14 @@
 //! Connections to servers, and one attempt at one server.
 
 use crate::clock::now;
+use bytes::{Bytes, BytesMut};
 use limeway_http1::conn::{Broken, Conn, Reply};
 use limeway_invariants::{check, Invariant};
 use limeway_types::{Micros, Timestamp};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hasher};
+use std::io;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
@@ -25,8 +27,14 @@
 /// A request up to this size, in bytes, fits the window of a server that reads nothing for now. The system counts what does not fit as
 /// unacknowledged, so that a larger one would be given up although the server's machine is there.
 const MAX_UNREAD_REQUEST_BYTES: usize = 8 * 1024;
-/// Upper bound on the body of a request, whatever a configuration allows, and on that of a response, in bytes: both are held whole.
-pub(crate) const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+/// A body up to this size, in bytes, is written together with its head.
+const MAX_COPIED_BODY_BYTES: usize = 16 * 1024;
+/// Longest body of a response that is held whole, in bytes: a longer one with a length is passed on as it comes.
+const MAX_HELD_BODY_BYTES: usize = 512 * 1024;
+/// Longest pause of a server in a response's body once the request's time is over.
+const MAX_LATE_PAUSE: Duration = Duration::from_millis(250);
+/// Upper bound on the body of a response without a length, in bytes: it is held whole.
+const MAX_RESPONSE_BODY_BYTES: usize = 16 * 1024 * 1024;
 /// Request ids that are remembered of a connection: a surplus response to one of them may still come.
 const REMEMBERED_IDS: usize = 4;
 /// Upper bound on the surplus responses that are skipped on one connection.
@@ -49,18 +57,60 @@
 pub struct UpstreamRequest {
     /// Request line and headers, without what depends on the attempt and the last empty line.
     pub head: Vec<u8>,
-    /// The body.
-    pub body: Vec<u8>,
+    /// The body; shared by all attempts.
+    pub body: Bytes,
     /// Its id.
     pub id: Vec<u8>,
     /// It may be executed more than once.
     pub idempotent: bool,
 }
 
+/// A server's response. A long body is passed on as it comes.
+pub struct ServerResponse {
+    /// Its head, and its body or the first part of that.
+    pub reply: Reply,
+    /// Where the rest of the body comes from, if there is one.
+    pub rest: Option<Box<ResponseRest>>,
+}
+
+/// The part of a response's body that the server is still sending.
+pub struct ResponseRest {
+    /// None once all has been read.
+    connection: Option<ActiveConnection>,
+    unread: usize,
+    deadline: Timestamp,
+    /// None if the connection may not be used again.
+    reuse: Option<Reuse>,
+}
+
+impl ResponseRest {
+    /// The next part; nothing at the end. Until the request's deadline the server may pause, after it for a moment at most.
+    ///
+    /// # Errors
+    /// The server broke off, or paused for too long.
+    pub async fn next_part(&mut self) -> Result<Option<BytesMut>, Broken> {
+        let Some(active) = &mut self.connection else { return Ok(None) };
+        let left = Duration::from_micros(self.deadline.saturating_sub(now()));
+        active.conn.patient(left.max(MAX_LATE_PAUSE));
+        let part = active.conn.read_part(self.unread).await?;
+        self.unread -= part.len();
+        if self.unread == 0 {
+            self.end();
+        }
+        Ok(Some(part))
+    }
+
+    fn end(&mut self) {
+        if let (Some(active), Some(reuse)) = (self.connection.take(), self.reuse.take()) {
+            reuse.keep(active);
+        }
+    }
+}
+
 /// The result of an attempt.
 pub enum UpstreamResult {
-    /// A complete response to this request.
-    Response(Reply),
+    /// A response to this request.
+    Response(ServerResponse),
     /// No connection: the server has not seen the request.
     NotSent,
     /// The request was sent, and no usable response came.
@@ -104,9 +154,12 @@
     }
 }
 
+/// The idle connections of each server.
+type IdleConnections = Rc<RefCell<HashMap<Rc<str>, Vec<IdleConnection>>>>;
+
 /// Idle connections by server.
 pub struct ConnectionPools {
-    idle: RefCell<HashMap<Rc<str>, Vec<IdleConnection>>>,
+    idle: IdleConnections,
     count: Rc<Cell<usize>>,
     max_connections: usize,
 }
@@ -115,7 +168,7 @@
     /// At most so many connections.
     pub fn new(max_connections: usize) -> Self {
         ConnectionPools {
-            idle: RefCell::default(),
+            idle: Rc::default(),
             count: Rc::default(),
             max_connections: max_connections.max(MIN_CONNECTIONS),
         }
@@ -152,16 +205,16 @@
         }
         // Silence is no reason to end a response sooner than the request ends.
         active.conn.patient(Duration::from_micros(left));
-        let message = attempt_message(request, id, left);
-        if message.len() > MAX_UNREAD_REQUEST_BYTES {
+        let head = attempt_head(request, id, left);
+        if request.body.len() + head.len() > MAX_UNREAD_REQUEST_BYTES {
             active.bound_unacknowledged(id, Duration::from_micros(left));
         }
         sent.set(true);
-        if active.conn.write(&message, &Cell::new(false)).await.is_err() {
+        if write_request(&mut active.conn, head, &request.body).await.is_err() {
             self.idle.borrow_mut().remove(id);
             return UpstreamResult::Broken;
         }
-        self.read_response(id, target, request, active).await
+        self.read_response(id, target, request, active, deadline).await
     }
 
     /// An idle connection, or a new one.
@@ -187,7 +240,8 @@
         let connected = timeout(CONNECT_TIMEOUT, Conn::open(target.address.into(), &self.count)).await;
         let mut conn = connected.ok()?.ok()?;
         conn.strict();
-        conn.limit_body(MAX_BODY_BYTES);
+        conn.leave_bodies_beyond(MAX_HELD_BODY_BYTES);
+        conn.limit_body(MAX_RESPONSE_BODY_BYTES);
         let mut active = ActiveConnection { conn, ids: [0; REMEMBERED_IDS], unacknowledged_timeout: None };
         active.bound_unacknowledged(id, UNACKNOWLEDGED_TIMEOUT);
         Some(active)
@@ -219,6 +273,7 @@
         target: ConnectTarget,
         request: &UpstreamRequest,
         mut active: ActiveConnection,
+        deadline: Timestamp,
     ) -> UpstreamResult {
         let mut had_surplus = false;
         for _ in 0..=MAX_SURPLUS_RESPONSES {
@@ -233,6 +288,10 @@
                     return UpstreamResult::Broken;
                 }
             };
+            if !is_response_to(request, &reply) && reply.unread > 0 {
+                // Too long to be skipped.
+                return UpstreamResult::Broken;
+            }
             if !is_response_to(request, &reply) {
                 // A surplus response to an earlier request: ours is still to come.
                 had_surplus = true;
@@ -241,38 +300,58 @@
             let was_used = active.ids.iter().any(|id| *id != 0);
             let is_own = is_response_to(request, &reply);
             check(Invariant::ResponseIdentity, was_used, is_own, || format!("from {id}"));
-            if reply.keep && !had_surplus {
-                self.keep(id, target, request, active, &reply);
+            let reuse = (reply.keep && !had_surplus).then(|| Reuse {
+                idle: self.idle.clone(),
+                server: id.clone(),
+                max_connections: target.max_connections as usize,
+                max_idle_time: max_idle_time(&reply),
+                request: hash(&request.id),
+            });
+            if reply.unread > 0 {
+                let connection = Some(active);
+                let rest = ResponseRest { connection, unread: reply.unread, deadline, reuse };
+                return UpstreamResult::Response(ServerResponse { reply, rest: Some(Box::new(rest)) });
+            }
+            if let Some(reuse) = reuse {
+                reuse.keep(active);
             }
-            return UpstreamResult::Response(reply);
+            return UpstreamResult::Response(ServerResponse { reply, rest: None });
         }
         UpstreamResult::Broken
     }
+}
 
-    /// Keeps a connection for later requests.
-    fn keep(
-        &self,
-        id: &Rc<str>,
-        target: ConnectTarget,
-        request: &UpstreamRequest,
-        mut active: ActiveConnection,
-        reply: &Reply,
-    ) {
-        let stated = reply.head.keep_alive_seconds(&reply.bytes).map(Duration::from_secs);
-        let max_idle_time =
-            stated.map_or(MAX_IDLE_TIME, |stated| stated.saturating_sub(CLOSE_MARGIN).min(MAX_IDLE_TIME));
-        active.bound_unacknowledged(id, UNACKNOWLEDGED_TIMEOUT);
+/// How a connection is kept for later requests once its response has been read.
+struct Reuse {
+    idle: IdleConnections,
+    server: Rc<str>,
+    max_connections: usize,
+    max_idle_time: Duration,
+    /// Hash of the id of the request that it has carried.
+    request: u64,
+}
+
+impl Reuse {
+    fn keep(&self, mut active: ActiveConnection) {
+        active.bound_unacknowledged(&self.server, UNACKNOWLEDGED_TIMEOUT);
         active.conn.rest();
         active.ids.rotate_right(1);
-        active.ids[0] = hash(&request.id);
+        active.ids[0] = self.request;
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.entry(id.clone()).or_default();
-        if connections.len() < target.max_connections as usize {
-            connections.push(IdleConnection { conn: active.conn, max_idle_time, ids: active.ids });
+        let connections = idle.entry(self.server.clone()).or_default();
+        if connections.len() < self.max_connections {
+            let (conn, max_idle_time, ids) = (active.conn, self.max_idle_time, active.ids);
+            connections.push(IdleConnection { conn, max_idle_time, ids });
         }
     }
 }
 
+/// How long a connection may stay idle after a response.
+fn max_idle_time(reply: &Reply) -> Duration {
+    let stated = reply.head.keep_alive_seconds(&reply.bytes).map(Duration::from_secs);
+    stated.map_or(MAX_IDLE_TIME, |stated| stated.saturating_sub(CLOSE_MARGIN).min(MAX_IDLE_TIME))
+}
+
 fn is_response_to(request: &UpstreamRequest, reply: &Reply) -> bool {
     matches!(reply.head.only(&reply.bytes, "limeway-request-id"), Ok(Some(id)) if id == request.id)
 }
@@ -284,10 +363,22 @@
     hasher.finish() | 1
 }
 
-/// The request with what depends on the attempt.
-fn attempt_message(request: &UpstreamRequest, instance: &str, left: Micros) -> Vec<u8> {
+/// Writes a request. Only a short body is copied behind its head: a long one may be in several attempts at once.
+async fn write_request(conn: &mut Conn, mut head: Vec<u8>, body: &Bytes) -> io::Result<()> {
+    let written = Cell::new(false);
+    if body.len() <= MAX_COPIED_BODY_BYTES {
+        head.extend_from_slice(body);
+        return conn.write(&head, &written).await;
+    }
+    conn.write(&head, &written).await?;
+    conn.write(body, &written).await
+}
+
+/// The head of a request with what depends on the attempt.
+fn attempt_head(request: &UpstreamRequest, instance: &str, left: Micros) -> Vec<u8> {
     let mut digits = itoa::Buffer::new();
-    let mut out = Vec::with_capacity(request.head.len() + request.body.len() + ATTEMPT_HEADER_BYTES);
+    let copied = request.body.len().min(MAX_COPIED_BODY_BYTES);
+    let mut out = Vec::with_capacity(request.head.len() + copied + ATTEMPT_HEADER_BYTES);
     out.extend_from_slice(&request.head);
     out.extend_from_slice(b"Limeway-Deadline-Ms: ");
     out.extend_from_slice(digits.format((left / 1_000).max(1)).as_bytes());
@@ -298,6 +389,5 @@
         out.extend_from_slice(digits.format(request.body.len()).as_bytes());
     }
     out.extend_from_slice(b"\r\n\r\n");
-    out.extend_from_slice(&request.body);
     out
 }
--- a/crates/balancer/tests/soak.rs
+++ b/crates/balancer/tests/soak.rs
@@ -12,15 +12,18 @@
 const LENGTH: Duration = Duration::from_secs(6);
 /// Few, so that a machine that is busy with other tests keeps up.
 const CLIENTS: usize = 8;
+/// Enough for several long bodies at one gateway.
+const CLIENTS_WITH_LONG_BODIES: usize = 24;
 
-fn play(seed: u64, net: u8) -> Report {
+fn play(seed: u64, net: u8, long_bodies: bool) -> Report {
     let options = Options {
         program: PathBuf::from(env!("CARGO_BIN_EXE_limeway-balancer")),
         folder: std::env::temp_dir().join(format!("limeway-soak-{}", std::process::id())),
         net,
         length: LENGTH,
-        clients: CLIENTS,
+        clients: if long_bodies { CLIENTS_WITH_LONG_BODIES } else { CLIENTS },
         gateways: None,
+        long_bodies,
     };
     let report = run(&options, seed).expect("it can be run");
     if report.holds() {
@@ -39,7 +42,7 @@
 #[case::all_faults(1, 197)]
 #[case::series_of_stops(2, 198)]
 fn overlapping_faults_break_no_rule(#[case] seed: u64, #[case] net: u8) {
-    let report = play(seed, net);
+    let report = play(seed, net, false);
     assert!(report.holds(), "{}", report.to_text());
     let planned = Plan::draw(seed, LENGTH).faults.len() as u64;
     assert_eq!(report.faults.values().sum::<u64>(), planned, "all fired: {}", report.to_text());
@@ -50,3 +53,12 @@
         assert!(finding.near > 0, "{rule}: {}", report.to_text());
     }
 }
+
+/// Guards against review/2: processes end over their memory while clients send long bodies.
+#[test]
+fn long_bodies_beside_planned_work_break_no_rule() {
+    let report = play(6, 199, true);
+    assert!(report.holds(), "{}", report.to_text());
+    let memory = report.findings.iter().find(|finding| finding.rule == "memory").expect("judged");
+    assert!(memory.near > 0, "{}", report.to_text());
+}
--- a/crates/balancer/tests/system/mod.rs
+++ b/crates/balancer/tests/system/mod.rs
@@ -18,6 +18,8 @@
 pub(crate) const READY: u16 = 28384;
 const INNER: u16 = 27460;
 pub(crate) const METRICS: u16 = 28464;
+/// Memory that each process may use, in megabytes.
+pub(crate) const MEMORY_MB: usize = 160;
 /// Interval between two heartbeats of a server.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// Zones, all of one region.
@@ -92,6 +94,7 @@
             machine_losses: 1,
             heartbeat: HEARTBEAT_INTERVAL,
             max_file_descriptors: None,
+            memory_mb: Some(MEMORY_MB),
             bounds: self.bounds(),
         };
         std::fs::write(self.settings_path(at), file.to_string()).expect("settings");
--- a/crates/balancer/tests/upstream.rs
+++ b/crates/balancer/tests/upstream.rs
@@ -1,7 +1,10 @@
 //! One attempt at a server that answers as it should not: no answer of another request is ever taken for its own.
 
+use bytes::Bytes;
 use limeway_balancer::clock::now;
-use limeway_balancer::upstream::{ConnectTarget, ConnectionPools, UpstreamRequest, UpstreamResult};
+use limeway_balancer::upstream::{
+    ConnectTarget, ConnectionPools, ServerResponse, UpstreamRequest, UpstreamResult,
+};
 use rstest::rstest;
 use std::cell::Cell;
 use std::io::{Read, Write};
@@ -77,6 +80,17 @@
     }
 }
 
+/// The body of a response, whether it was held whole or comes in parts.
+async fn whole_body(response: ServerResponse) -> Result<String, &'static str> {
+    let mut body = response.reply.body;
+    if let Some(mut rest) = response.rest {
+        while let Some(part) = rest.next_part().await.map_err(|_| "broke off")? {
+            body.extend_from_slice(&part);
+        }
+    }
+    Ok(String::from_utf8_lossy(&body).into_owned())
+}
+
 /// Sends requests one after the other: what came of each (the body of an answer), and on which connection.
 fn play(acts: &[Act], ids: &[&str]) -> Vec<(Result<String, &'static str>, usize)> {
     let (address, told) = server(acts.to_vec());
@@ -87,7 +101,7 @@
         let head = format!("GET /a HTTP/1.1\r\nHost: h\r\nLimeway-Request-Id: {id}\r\n");
         let request = UpstreamRequest {
             head: head.into_bytes(),
-            body: Vec::new(),
+            body: Bytes::new(),
             id: id.as_bytes().to_vec(),
             idempotent: true,
         };
@@ -96,7 +110,7 @@
         let came = pools.exchange(&server, target, &request, now() + 20_000_000, &sent);
         let came = match runtime.block_on(async { tokio::time::timeout(SOON, came).await }) {
             Err(_) => Err("late"),
-            Ok(UpstreamResult::Response(reply)) => Ok(String::from_utf8_lossy(&reply.body).into_owned()),
+            Ok(UpstreamResult::Response(response)) => runtime.block_on(whole_body(response)),
             Ok(UpstreamResult::NotSent) => Err("not sent"),
             Ok(UpstreamResult::Broken) => Err("broke"),
         };
@@ -165,7 +179,7 @@
     drop(closed);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     let request =
-        UpstreamRequest { head: Vec::new(), body: Vec::new(), id: b"a".to_vec(), idempotent: false };
+        UpstreamRequest { head: Vec::new(), body: Bytes::new(), id: b"a".to_vec(), idempotent: false };
     let (pools, sent) = (ConnectionPools::new(16), Cell::new(false));
     let came = runtime.block_on(pools.exchange(
         &Rc::from("i-1"),
@@ -205,7 +219,7 @@
     let head = "POST /a HTTP/1.1\r\nHost: h\r\nLimeway-Request-Id: a\r\n";
     let request = UpstreamRequest {
         head: head.as_bytes().to_vec(),
-        body: vec![b'x'; LARGE_BODY_BYTES],
+        body: vec![b'x'; LARGE_BODY_BYTES].into(),
         id: b"a".to_vec(),
         idempotent: false,
     };
--- a/crates/data/http1/src/conn.rs
+++ b/crates/data/http1/src/conn.rs
@@ -17,6 +17,8 @@
 const STALL: Duration = Duration::from_millis(250);
 /// Answers of the kind 1xx ahead of the real one, at most.
 const MAX_INTERIM: u32 = 8;
+/// Most bytes of a body that are read at once where it is passed on in parts.
+const MAX_PART_BYTES: usize = 64 * 1024;
 /// Largest buffer that an idle connection keeps, in bytes.
 const MAX_IDLE_BUFFER_BYTES: usize = 4 * 1024;
 
@@ -75,8 +77,10 @@
     pub head: http::Head,
     /// What the head was read from.
     pub bytes: BytesMut,
-    /// Its body.
+    /// Its body, or the first part of it.
     pub body: Vec<u8>,
+    /// Bytes of the body that are still to be read, by [`Conn::read_part`]; 0 unless [`Conn::leave_bodies_beyond`] was called.
+    pub unread: usize,
     /// The connection may be used again.
     pub keep: bool,
 }
@@ -97,6 +101,8 @@
     stall: Duration,
     strict: bool,
     body_most: usize,
+    /// Bodies whose length is beyond this are left in the connection.
+    left_beyond: usize,
     _counted: Counted,
 }
 
@@ -114,6 +120,7 @@
             stall: STALL,
             strict: false,
             body_most: http::MAX_ANSWER_BODY,
+            left_beyond: usize::MAX,
             _counted,
         })
     }
@@ -133,6 +140,11 @@
         self.body_most = most;
     }
 
+    /// Leaves bodies with a length beyond this in the connection from now on, however long they are: [`Reply::unread`] says how much.
+    pub fn leave_bodies_beyond(&mut self, bytes: usize) {
+        self.left_beyond = bytes;
+    }
+
     /// Ends it with an error once bytes have not been acknowledged by the other machine for so long: it is without power or
     /// cut off. Silence of the program there does not count.
     pub fn reach(&self, most: Duration) -> io::Result<()> {
@@ -183,6 +195,15 @@
         Err(Broken::Spoilt("too many interim answers"))
     }
 
+    /// Reads the next part of a body that was left in the connection, of which so many bytes are unread.
+    pub async fn read_part(&mut self, unread: usize) -> Result<BytesMut, Broken> {
+        if self.buffer.is_empty() {
+            self.buffer.reserve(MAX_PART_BYTES);
+            self.more_soon().await?;
+        }
+        Ok(self.buffer.split_to(self.buffer.len().min(unread)))
+    }
+
     async fn more(&mut self) -> Result<(), Broken> {
         match self.stream.read_buf(&mut self.buffer).await? {
             0 => Err(Broken::Ended(io::ErrorKind::UnexpectedEof.into())),
@@ -196,10 +217,18 @@
         timeout(self.stall, self.more()).await.unwrap_or(Err(Broken::Spoilt("stalled")))
     }
 
+    fn longest_body(&self) -> usize {
+        if self.left_beyond < usize::MAX {
+            usize::MAX
+        } else {
+            self.body_most
+        }
+    }
+
     /// Reads the answer that has begun; nothing if it was of the kind 1xx.
     async fn read_begun(&mut self) -> Result<Option<Reply>, Broken> {
         let head = loop {
-            match http::answer_within(&self.buffer, self.body_most)? {
+            match http::answer_within(&self.buffer, self.longest_body())? {
                 Some(head) => break head,
                 None => self.more_soon().await?,
             }
@@ -217,12 +246,19 @@
         if open_end && success.contains(&head.status) {
             return Err(Broken::Spoilt("no length"));
         }
+        if let http::Framing::Length(length) = head.framing {
+            if length > self.left_beyond {
+                let body = self.buffer.split_to(self.buffer.len().min(length)).to_vec();
+                let (unread, keep) = (length - body.len(), head.keep_alive && head.status >= 200);
+                return Ok(Some(Reply { head, bytes, body, unread, keep }));
+            }
+        }
         let make = if self.strict { Body::new } else { Body::lenient };
         let mut body = make(head.framing, self.body_most);
         while !open_end && !body.take(&mut self.buffer)? {
             self.more_soon().await?;
         }
         let keep = head.keep_alive && !open_end && head.status >= 200 && self.buffer.is_empty();
-        Ok(Some(Reply { head, bytes, body: body.bytes, keep }))
+        Ok(Some(Reply { head, bytes, body: body.bytes, unread: 0, keep }))
     }
 }
--- a/crates/data/http1/src/http.rs
+++ b/crates/data/http1/src/http.rs
@@ -352,6 +352,12 @@
 
 /// Writes a head and a body as one message.
 pub fn write_answer(to: &mut Vec<u8>, status: u16, headers: &[u8], close: bool, body: &[u8]) {
+    write_answer_head(to, status, headers, close, body.len());
+    to.extend_from_slice(body);
+}
+
+/// Writes the head of a message whose body has this length.
+pub fn write_answer_head(to: &mut Vec<u8>, status: u16, headers: &[u8], close: bool, length: usize) {
     let reason = match status {
         200 => "OK",
         400 => "Bad Request",
@@ -379,7 +385,6 @@
         to.extend_from_slice(b"Connection: close\r\n");
     }
     to.extend_from_slice(b"Content-Length: ");
-    to.extend_from_slice(digits.format(body.len()).as_bytes());
+    to.extend_from_slice(digits.format(length).as_bytes());
     to.extend_from_slice(b"\r\n\r\n");
-    to.extend_from_slice(body);
 }
--- a/crates/data/http1/src/inbound.rs
+++ b/crates/data/http1/src/inbound.rs
@@ -1,7 +1,7 @@
 //! Connections on which others ask us over HTTP/1.1: reading a whole request within bounds, writing its answer.
 
 use crate::http::{self, Body, Framing, Head, HttpError};
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use std::io;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -16,6 +16,10 @@
 pub const ERROR_LINGER: Duration = Duration::from_millis(300);
 /// Bytes of further requests that are read before the answer to the last one.
 const MAX_READ_AHEAD_BYTES: usize = 64 * 1024;
+/// Most bytes of a body that are read at once.
+const MAX_READ_BYTES: usize = 64 * 1024;
+/// What is read at once of what is dropped.
+const LINGER_READ_BYTES: usize = 16 * 1024;
 /// Bytes of a buffer that are kept.
 const MAX_IDLE_BUFFER_BYTES: usize = 4 * 1024;
 
@@ -37,7 +41,7 @@
     /// What the head was read from.
     pub bytes: BytesMut,
     /// Its body.
-    pub body: Vec<u8>,
+    pub body: Bytes,
 }
 
 impl Message {
@@ -49,6 +53,38 @@
     }
 }
 
+/// A request whose head has come, and whose body is being read.
+pub struct IncomingRequest {
+    /// Its head, by places in `bytes`.
+    pub head: Head,
+    /// What the head was read from.
+    pub bytes: BytesMut,
+    body: Body,
+    /// When all of it must have come.
+    deadline: Instant,
+    /// How long it may take from its first byte to its last.
+    read_timeout: Duration,
+    /// The client waits for a word before it sends the body.
+    expects_continue: bool,
+}
+
+impl IncomingRequest {
+    /// How much of the body has come, in bytes.
+    pub fn received_bytes(&self) -> usize {
+        self.body.bytes.len()
+    }
+
+    /// The time to read begins anew: the body has had to wait for this side.
+    pub fn restart_read_timeout(&mut self) {
+        self.deadline = Instant::now() + self.read_timeout;
+    }
+
+    /// The request, once its body is whole.
+    pub fn into_message(self) -> Message {
+        Message { head: self.head, bytes: self.bytes, body: self.body.bytes.into() }
+    }
+}
+
 /// Why no request comes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stop {
@@ -58,6 +94,16 @@
     Status(u16),
 }
 
+/// The status for a request that cannot be read.
+fn refusal(error: HttpError) -> Stop {
+    Stop::Status(match error {
+        HttpError::Malformed => 400,
+        HttpError::HeadTooLong => 431,
+        HttpError::BodyTooLong => 413,
+        HttpError::Coding => 501,
+    })
+}
+
 /// A connection.
 pub struct Inbound {
     stream: TcpStream,
@@ -107,32 +153,49 @@
 
     /// Reads the next request.
     pub async fn read(&mut self, bounds: Bounds) -> Result<Message, Stop> {
+        let mut request = self.read_head(bounds).await?;
+        self.read_body(&mut request, usize::MAX).await?;
+        Ok(request.into_message())
+    }
+
+    /// Reads the head of the next request.
+    pub async fn read_head(&mut self, bounds: Bounds) -> Result<IncomingRequest, Stop> {
         self.ready(bounds).await?;
-        let until = Instant::now() + bounds.read_timeout;
-        let status = |e: HttpError| {
-            Stop::Status(match e {
-                HttpError::Malformed => 400,
-                HttpError::HeadTooLong => 431,
-                HttpError::BodyTooLong => 413,
-                HttpError::Coding => 501,
-            })
-        };
+        let deadline = Instant::now() + bounds.read_timeout;
         let head = loop {
-            match http::request_within(&self.buffer, self.head_most, bounds.body).map_err(status)? {
+            match http::request_within(&self.buffer, self.head_most, bounds.body).map_err(refusal)? {
                 Some(head) => break head,
-                None => self.more(until).await?,
+                None => self.more(deadline).await?,
             }
         };
         let bytes = self.buffer.split_to(head.len);
-        let waits = head.header(&bytes, "expect").is_some_and(|e| e.eq_ignore_ascii_case(b"100-continue"));
-        let mut body = Body::new(head.framing, bounds.body);
-        if waits && head.framing != Framing::Length(0) && self.buffer.is_empty() {
+        let expects_continue =
+            head.header(&bytes, "expect").is_some_and(|e| e.eq_ignore_ascii_case(b"100-continue"));
+        let body = Body::new(head.framing, bounds.body);
+        let read_timeout = bounds.read_timeout;
+        Ok(IncomingRequest { head, bytes, body, deadline, read_timeout, expects_continue })
+    }
+
+    /// Reads the body until it is whole, or until `limit` bytes of it are held, or a little more: false then. What is not read stays
+    /// with the client.
+    pub async fn read_body(&mut self, request: &mut IncomingRequest, limit: usize) -> Result<bool, Stop> {
+        let has_body = request.head.framing != Framing::Length(0);
+        if std::mem::take(&mut request.expects_continue) && has_body && self.buffer.is_empty() {
             let _ = self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
         }
-        while !body.take(&mut self.buffer).map_err(status)? {
-            self.more(until).await?;
+        if let Framing::Length(length) = request.head.framing {
+            request.body.bytes.reserve_exact(length.min(limit).saturating_sub(request.received_bytes()));
+        }
+        while !request.body.take(&mut self.buffer).map_err(refusal)? {
+            if request.received_bytes() >= limit {
+                return Ok(false);
+            }
+            if request.received_bytes() >= MAX_IDLE_BUFFER_BYTES {
+                self.buffer.reserve(MAX_READ_BYTES);
+            }
+            self.more(request.deadline).await?;
         }
-        Ok(Message { head, bytes, body: body.bytes })
+        Ok(true)
     }
 
     async fn more(&mut self, until: Instant) -> Result<(), Stop> {
@@ -196,7 +259,7 @@
     /// closes, or for as long as `limit`.
     pub async fn linger(mut self, limit: Duration) {
         self.finish_writing().await;
-        let mut rest = [0; 1024];
+        let mut rest = vec![0; LINGER_READ_BYTES];
         let _ =
             timeout(limit, async { while matches!(self.stream.read(&mut rest).await, Ok(n) if n > 0) {} })
                 .await;
--- a/crates/data/settings/src/lib.rs
+++ b/crates/data/settings/src/lib.rs
@@ -23,6 +23,11 @@
 /// The variable that holds the path of the settings file.
 pub const VARIABLE: &str = "LIMEWAY_BOOT";
 
+/// Memory of a process whose settings file states none, in megabytes.
+const DEFAULT_MEMORY_MB: usize = 256;
+/// Bytes of a megabyte.
+const BYTES_PER_MB: usize = 1_000_000;
+
 /// A range of ports, both ends included.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PortRange {
@@ -86,6 +91,8 @@
     pub tolerated_losses: usize,
     /// File descriptors that the process may have open.
     pub max_file_descriptors: usize,
+    /// Memory that the process may use, in bytes.
+    pub max_memory_bytes: usize,
     /// Directory on the machine's disk, if it has one.
     pub data_directory: Option<PathBuf>,
     /// Interval between two heartbeats of a server.
@@ -149,6 +156,10 @@
             max_file_descriptors: fields
                 .optional("limits.max-file-descriptors", "is no number", integer)?
                 .unwrap_or(1024),
+            max_memory_bytes: fields
+                .optional("limits.memory-mb", "is no number", integer)?
+                .unwrap_or(DEFAULT_MEMORY_MB)
+                .saturating_mul(BYTES_PER_MB),
             data_directory: fields.optional("data-directory", "is no path", |v| Some(PathBuf::from(v)))?,
             heartbeat: fields.optional("heartbeat", "is no time with a unit", time)?.unwrap_or(1_500_000),
             bounds: RuleBounds::parse(fields.0.get("bounds").copied().unwrap_or(""))?,
--- a/crates/data/settings/tests/files.rs
+++ b/crates/data/settings/tests/files.rs
@@ -87,6 +87,7 @@
         loss_counted: true,
         tolerated_losses: 2,
         max_file_descriptors: 4_100,
+        max_memory_bytes: 256_000_000,
         data_directory: Some("/var/lib/limeway".into()),
         heartbeat: 1_500_000,
         bounds: RuleBounds {
--- a/crates/gateway/gateway/src/servers.rs
+++ b/crates/gateway/gateway/src/servers.rs
@@ -298,7 +298,7 @@
         // Broke before the last byte was handed over: it cannot have run.
         return (Status::ConnectFailed, None);
     }
-    let Reply { head, bytes, body, keep } = match conn.read().await {
+    let Reply { head, bytes, body, keep, .. } = match conn.read().await {
         Ok(reply) => reply,
         Err(Broken::Ended(e)) => {
             log::debug!("server {} broke off: {e}", start.server);
--- a/crates/testing/load-generator/src/system.rs
+++ b/crates/testing/load-generator/src/system.rs
@@ -145,6 +145,7 @@
             machine_losses: 1,
             heartbeat: STATED_HEARTBEAT_INTERVAL,
             max_file_descriptors: None,
+            memory_mb: None,
             bounds: BOUNDS.map(|(name, value)| (name, value.to_owned())).to_vec(),
         }
     }
--- a/crates/testing/settings-file/src/lib.rs
+++ b/crates/testing/settings-file/src/lib.rs
@@ -77,6 +77,8 @@
     pub heartbeat: Duration,
     /// Upper bound on open files, if there is one.
     pub max_file_descriptors: Option<usize>,
+    /// Memory that the process may use, in megabytes, if that is stated.
+    pub memory_mb: Option<usize>,
     /// Bounds of the operators' rules: names and values.
     pub bounds: Vec<(&'static str, String)>,
 }
@@ -102,6 +104,9 @@
         if let Some(limit) = self.max_file_descriptors {
             writeln!(f, "limits.max-file-descriptors={limit}")?;
         }
+        if let Some(limit) = self.memory_mb {
+            writeln!(f, "limits.memory-mb={limit}")?;
+        }
         writeln!(f, "bounds={}", join(&self.bounds, |(name, value)| format!("{name}={value}")))
     }
 }
--- a/crates/testing/settings-file/tests/text.rs
+++ b/crates/testing/settings-file/tests/text.rs
@@ -34,6 +34,7 @@
         machine_losses: 1,
         heartbeat: Duration::from_millis(1_500),
         max_file_descriptors: Some(100),
+        memory_mb: Some(160),
         bounds: vec![("contact", milliseconds(Duration::from_secs(4))), ("quota-overshoot", "0.1".into())],
     }
 }
@@ -54,6 +55,7 @@
     assert_eq!(settings.seeds, [at(383), at(1_383)]);
     assert_eq!((settings.initial_start, settings.tolerated_losses), (true, 1));
     assert_eq!((settings.heartbeat, settings.max_file_descriptors), (1_500_000, 100));
+    assert_eq!(settings.max_memory_bytes, 160_000_000);
     assert_eq!(settings.bounds.contact, 4_000_000);
 }
 
--- a/crates/testing/soak/src/client.rs
+++ b/crates/testing/soak/src/client.rs
@@ -33,6 +33,12 @@
 const EAGER_RATIO: usize = 6;
 /// One time in so many an eager client sends two requests at once on a kept connection.
 const PAIR_RATIO: u32 = 3;
+/// One request in so many that may run once has a long body, where there are some;
+const LONG_BODY_RATIO: u32 = 2;
+/// it is longer by so many bytes.
+const LONG_BODY_BYTES: usize = 15 * 1024 * 1024;
+/// How long the response to a request that was not taken whole is waited for.
+const REFUSED_PATIENCE: Duration = Duration::from_millis(500);
 /// When a client leaves in the middle of a request, in milliseconds.
 const LEAVE_AFTER_MS: std::ops::Range<u64> = 0..400;
 
@@ -49,6 +55,8 @@
     eager: bool,
     /// It is one of the tenant whose quota is judged.
     tight: bool,
+    /// Some of its bodies are of many megabytes.
+    long_bodies: bool,
     conn: Option<(usize, Conn)>,
 }
 
@@ -61,6 +69,7 @@
         seed: u64,
         ledger: Rc<Ledger>,
         demand: Rc<Demand>,
+        long_bodies: bool,
     ) -> Self {
         let rng = ChaCha8Rng::seed_from_u64(seed ^ (number as u64) << 32);
         Client {
@@ -72,6 +81,7 @@
             keeps: number.is_multiple_of(2),
             eager: number.is_multiple_of(EAGER_RATIO),
             tight: number % 4 == 3,
+            long_bodies,
             conn: None,
         }
     }
@@ -134,10 +144,22 @@
         let (key, route) = self.draw_target();
         let idempotent = self.rng.random_ratio(3, 5);
         let deadline = if self.rng.random_ratio(1, BULK_RATIO) { BULK_DEADLINE } else { DEADLINE };
+        let is_long = self.long_bodies && !idempotent && self.rng.random_ratio(1, LONG_BODY_RATIO);
+        let padding = if is_long { LONG_BODY_BYTES } else { 0 };
         let id = self.ledger.next_request();
         let sent = self.ledger.now();
-        let request =
-            Request { idempotent, route, key, gateway, sent, deadline, end: None, reused, pipelined: false };
+        let request = Request {
+            idempotent,
+            route,
+            key,
+            gateway,
+            sent,
+            deadline,
+            end: None,
+            reused,
+            pipelined: false,
+            padding,
+        };
         let message = message(id, &request);
         self.ledger.seen.borrow_mut().requests.insert(id, request);
         (id, message, deadline)
@@ -217,9 +239,8 @@
         message: Vec<u8>,
         patience: Duration,
     ) {
-        if !self.send(id, &mut conn, &message).await {
-            return self.ledger.ended(id, End::Closed);
-        }
+        // A request that is refused may not be taken whole: its response is read all the same.
+        let patience = if self.send(id, &mut conn, &message).await { patience } else { REFUSED_PATIENCE };
         match timeout(patience, conn.read()).await {
             Ok(Ok(reply)) => {
                 self.ledger.ended(id, response(id, &reply));
@@ -238,7 +259,7 @@
     /// Sends a request; some of those with a body in two parts. False if the connection takes no more.
     async fn send(&mut self, id: RequestId, conn: &mut Conn, message: &[u8]) -> bool {
         let is_slow = message.starts_with(b"POST ") && self.rng.random_ratio(1, SLOW_BODY.0);
-        let first = if is_slow { message.len() - request_body(id).len() / 2 } else { message.len() };
+        let first = if is_slow { message.len() - request_body(id, 0).len() / 2 } else { message.len() };
         if conn.write(&message[..first], &Cell::new(false)).await.is_err() {
             return false;
         }
@@ -266,15 +287,20 @@
 
 fn message(id: RequestId, request: &Request) -> Vec<u8> {
     let path = prefix(request.idempotent, request.route);
-    let (method, body) = if request.idempotent { ("GET", String::new()) } else { ("POST", request_body(id)) };
-    format!(
+    let (method, body) = match request.idempotent {
+        true => ("GET", Vec::new()),
+        false => ("POST", request_body(id, request.padding)),
+    };
+    let mut message = format!(
         "{method} {path}{id:016x}?q=%0d%0a HTTP/1.1\r\nHost: soak.example\r\nLimeway-Request-Id: {id:016x}\r\n\
-         Limeway-Deadline-Ms: {}\r\nAuthorization: Bearer {}\r\nContent-Length: {}\r\n\r\n{body}",
+         Limeway-Deadline-Ms: {}\r\nAuthorization: Bearer {}\r\nContent-Length: {}\r\n\r\n",
         request.deadline.as_millis(),
         request.key,
         body.len()
     )
-    .into_bytes()
+    .into_bytes();
+    message.extend_from_slice(&body);
+    message
 }
 
 /// Judges a whole response by itself.
--- a/crates/testing/soak/src/cluster.rs
+++ b/crates/testing/soak/src/cluster.rs
@@ -140,6 +140,11 @@
         self.layout.gateway_numbers()
     }
 
+    /// The process of a machine, while one runs.
+    pub(crate) fn process_id(&self, at: usize) -> Option<Pid> {
+        self.machines[at].pid.get()
+    }
+
     fn settings(&self, at: usize, initial_start: bool) -> String {
         let settings = ProcessSettings {
             net: self.net,
--- a/crates/testing/soak/src/judge/mod.rs
+++ b/crates/testing/soak/src/judge/mod.rs
@@ -67,6 +67,7 @@
         service::evacuation_after_power_loss(seen),
         service::readiness(seen),
         service::own_ends(seen),
+        service::memory(seen),
         service::recovery(seen),
     ]);
     findings
--- a/crates/testing/soak/src/judge/service.rs
+++ b/crates/testing/soak/src/judge/service.rs
@@ -2,12 +2,14 @@
 
 use super::contact::in_touch;
 use super::{Finding, MAX_EXAMPLES};
-use crate::bounds::{EVACUATION, QUOTA_WINDOW, RECOVERY, TIGHT_IN_WINDOW};
+use crate::bounds::{EVACUATION, MEMORY_MB, QUOTA_WINDOW, RECOVERY, TIGHT_IN_WINDOW};
 use crate::ledger::{ConfigVersion, End, Execution, ReadinessProbe, Request, Seen};
 use std::time::Duration;
 
 /// One look in so many at a gateway in touch may find it not ready: a duty is missed for an eighth of the calm time.
 const UNREADY_RATIO: u64 = 8;
+/// A process with more than one part in so many of its memory holds bodies: else it takes a small part of that.
+const NEAR_MEMORY_DIVISOR: usize = 4;
 /// Upper bound on the requests that are looked at for whether service is back.
 const MAX_RECENT: usize = 1_000;
 
@@ -92,6 +94,18 @@
     finding
 }
 
+/// Fault: a process that goes over its memory is killed by the platform.
+pub(super) fn memory(seen: &Seen) -> Finding {
+    let mut finding = Finding::new("memory");
+    let limit = MEMORY_MB * 1_000_000;
+    for (machine, peak) in &seen.memory_peaks {
+        finding.check(NEAR_MEMORY_DIVISOR * peak > limit, *peak <= limit, || {
+            format!("machine {machine} had {peak} bytes, and may have {limit}")
+        });
+    }
+    finding
+}
+
 /// RECOVER: after the loss of power, gateways are ready within the bound on recovery, and requests are served, if they were before.
 pub(super) fn recovery(seen: &Seen) -> Finding {
     let mut finding = Finding::new("RECOVER");
--- a/crates/testing/soak/src/ledger.rs
+++ b/crates/testing/soak/src/ledger.rs
@@ -53,6 +53,8 @@
     pub reused: bool,
     /// More bytes were sent after it, before the client closed.
     pub pipelined: bool,
+    /// By how many bytes its body is longer than usual.
+    pub padding: usize,
 }
 
 /// A server's work on a request.
@@ -158,6 +160,8 @@
     pub faults: Vec<Fired>,
     /// The zone of each instance.
     pub zones: BTreeMap<String, String>,
+    /// The largest memory that each machine's processes were seen with, in bytes.
+    pub memory_peaks: BTreeMap<usize, usize>,
     /// Processes that ended by themselves.
     pub own_ends: Vec<String>,
     /// When all machines lost power, and when they were started again.
--- a/crates/testing/soak/src/lib.rs
+++ b/crates/testing/soak/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod judge;
 pub mod layout;
 pub mod ledger;
+mod memory;
 pub mod network;
 pub mod operator;
 pub mod payload;
@@ -69,6 +70,8 @@
     pub const RECOVERY: Duration = Duration::from_secs(15);
     /// After a client has closed, nothing more of its request happens later than this.
     pub const GONE: Duration = Duration::from_millis(500);
+    /// Memory that a process may use, in megabytes.
+    pub const MEMORY_MB: usize = 160;
     /// The span over which a quota is judged.
     pub const QUOTA_WINDOW: Duration = Duration::from_secs(5);
     /// Requests a second, and burst, of the tenant whose quota is judged.
--- a/crates/testing/soak/src/main.rs
+++ b/crates/testing/soak/src/main.rs
@@ -36,6 +36,8 @@
                 optional --clients clients: usize
                 /// Large runs: series of stops over so many gateways, without links between processes.
                 optional --gateways gateways: usize
+                /// Some requests have bodies of many megabytes.
+                optional --long-bodies
                 /// Runs at one time (1).
                 optional --jobs jobs: u8
                 /// The second byte of the addresses of the first job (200); those of the others follow. Differs between calls at one time.
@@ -99,6 +101,7 @@
         length: Duration::from_secs(flags.seconds.unwrap_or(SECONDS)),
         clients: flags.clients.unwrap_or(CLIENTS),
         gateways: flags.gateways,
+        long_bodies: flags.long_bodies,
     };
     let from = flags.from.unwrap_or(1);
     let (next, end) = (AtomicU64::new(from), from + flags.seeds.unwrap_or(4));
--- a/crates/testing/soak/src/operator.rs
+++ b/crates/testing/soak/src/operator.rs
@@ -278,7 +278,7 @@
         )
     };
     items.push(format!(
-        "{{\"resource-kind\":\"limits\",\"metadata\":{{\"name\":\"limits\"}},\"specification\":{{\"idle-timeout\":\"{}ms\"}}}}",
+        "{{\"resource-kind\":\"limits\",\"metadata\":{{\"name\":\"limits\"}},\"specification\":{{\"max-body-bytes\":67108864,\"idle-timeout\":\"{}ms\"}}}}",
         config.idle_timeout_ms
     ));
     items.push(tenant("ample", &config.keys, 2_000.0));
--- a/crates/testing/soak/src/process_settings.rs
+++ b/crates/testing/soak/src/process_settings.rs
@@ -48,6 +48,7 @@
             machine_losses: 1,
             heartbeat: HEARTBEAT_INTERVAL,
             max_file_descriptors: Some(MAX_FILE_DESCRIPTORS),
+            memory_mb: Some(bounds::MEMORY_MB),
             bounds: bounds(),
         }
     }
--- a/crates/testing/soak/src/run.rs
+++ b/crates/testing/soak/src/run.rs
@@ -9,6 +9,7 @@
 use crate::judge::{is_served_since, is_served_so_far, judge};
 use crate::layout::Layout;
 use crate::ledger::{Ledger, ReadinessProbe};
+use crate::memory;
 use crate::network::Network;
 use crate::operator::Operator;
 use crate::plan::Plan;
@@ -55,6 +56,8 @@
     pub clients: usize,
     /// A large run with so many gateways, in place of a small one.
     pub gateways: Option<usize>,
+    /// Some requests have bodies of many megabytes.
+    pub long_bodies: bool,
 }
 
 /// Why a run could not be made.
@@ -146,6 +149,7 @@
     }
     let stage = Rc::new(Stage { cluster: cluster.clone(), network, servers, demand: demand.clone(), ledger });
     let watching = tokio::task::spawn_local(watch(stage.clone()));
+    let watching_memory = tokio::task::spawn_local(memory::watch(stage.clone()));
     let watching_stalls = tokio::task::spawn_local(stalls::watch(stage.ledger.clone(), threads));
     let mut callers = start_clients(options, layout, seed, &stage);
     callers.push(tokio::task::spawn_local(operator.clone().run()));
@@ -158,11 +162,15 @@
     }
     watching.abort();
     watching_stalls.abort();
+    watching_memory.abort();
     finish(&stage, seed).await
 }
 
 fn start_clients(options: &Options, layout: Layout, seed: u64, stage: &Stage) -> Vec<JoinHandle<()>> {
-    let client = |n| Client::new(n, options.net, layout, seed, stage.ledger.clone(), stage.demand.clone());
+    let client = |n| {
+        let (ledger, demand) = (stage.ledger.clone(), stage.demand.clone());
+        Client::new(n, options.net, layout, seed, ledger, demand, options.long_bodies)
+    };
     (0..options.clients).map(|n| tokio::task::spawn_local(client(n).run())).collect()
 }
 
--- a/crates/testing/soak/src/server.rs
+++ b/crates/testing/soak/src/server.rs
@@ -37,7 +37,7 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// What a request may be.
 const BOUNDS: Bounds =
-    Bounds { body: 1 << 20, read_timeout: Duration::from_secs(5), idle: Duration::from_secs(10) };
+    Bounds { body: 16 << 20, read_timeout: Duration::from_secs(5), idle: Duration::from_secs(10) };
 /// How a server treats requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Manner {
@@ -244,7 +244,8 @@
         let begun = self.ledger.now();
         let mut seen = self.ledger.seen.borrow_mut();
         let request = if seen.requests.contains_key(&number) { number } else { 0 };
-        let is_unchanged = is_unchanged(number, message);
+        let padding = seen.requests.get(&number).map_or(0, |request| request.padding);
+        let is_unchanged = is_unchanged(number, padding, message);
         seen.executions.push(Execution {
             request,
             server: instance.to_owned(),
@@ -266,11 +267,11 @@
 }
 
 /// Whether a request is as its client sent it.
-fn is_unchanged(number: RequestId, message: &Message) -> bool {
+fn is_unchanged(number: RequestId, padding: usize, message: &Message) -> bool {
     let (method, target) = message.line();
     let names_itself = target.ends_with(&format!("/{number:016x}?q=%0d%0a"));
     let has_body = match method {
-        "POST" => message.body == request_body(number).into_bytes(),
+        "POST" => message.body == request_body(number, padding),
         _ => message.body.is_empty(),
     };
     let tenant = message.head.header(&message.bytes, "limeway-tenant").unwrap_or(b"");
--- a/crates/testing/soak/tests/lost.rs
+++ b/crates/testing/soak/tests/lost.rs
@@ -28,6 +28,7 @@
         deadline: Duration::from_secs(5),
         end: Some((after_stop(ended), end)),
         reused: false,
+        padding: 0,
         pipelined: false,
     };
     seen.requests.insert(ID, request);
