Long responses in chunks go on as they come, too; broken-off ones tested

A body that is longer than 512 KiB goes on as it comes now, in chunks where its length is not known.

`proxy/response_writer.rs` is taken out of `proxy/mod.rs`.

--- a/crates/balancer/src/proxy/attempt.rs
+++ b/crates/balancer/src/proxy/attempt.rs
@@ -160,7 +160,7 @@
                 AttemptResult::Moved => Outcome::Moved,
                 AttemptResult::NotSent | AttemptResult::Unknown => Outcome::Broken,
             };
-            (attempt_result, Some(response), outcome)
+            (attempt_result, Some(*response), outcome)
         }
         Some(UpstreamResult::NotSent) => (AttemptResult::NotSent, None, Outcome::Broken),
         Some(UpstreamResult::Broken) => (AttemptResult::Unknown, None, Outcome::Broken),
--- a/crates/balancer/src/proxy/headers.rs
+++ b/crates/balancer/src/proxy/headers.rs
@@ -25,7 +25,7 @@
 const ALWAYS_FORWARDED: [&[u8]; 3] = [b"host", b"limeway-request-id", b"limeway-server-stamp"];
 
 /// A body up to this size, in bytes, is written together with its head.
-const MAX_COPIED_BODY_BYTES: usize = 64 * 1024;
+pub(super) const MAX_COPIED_BODY_BYTES: usize = 64 * 1024;
 /// Room for what is added to a response's headers, in bytes.
 const STATUS_LINE_BYTES: usize = 128;
 
@@ -34,23 +34,16 @@
     append(head, bytes, &[&HOP_BY_HOP, &CLIENT_ONLY], to);
 }
 
-/// The head of a server's response as it goes to the client, and its body behind it if that is short.
-pub(super) fn forward_response(reply: &Reply, close: bool) -> Vec<u8> {
+/// The head of a server's response as it goes to the client.
+pub(super) fn response_head(reply: &Reply, body_length: Option<usize>, close: bool) -> Vec<u8> {
     let mut headers = Vec::with_capacity(reply.bytes.len());
     append(&reply.head, &reply.bytes, &[&HOP_BY_HOP], &mut headers);
-    let copied: &[u8] = if is_copied(reply) { &reply.body } else { b"" };
-    let mut out = Vec::with_capacity(headers.len() + copied.len() + STATUS_LINE_BYTES);
-    let length = reply.body.len() + reply.unread;
-    http::write_answer_head(&mut out, reply.head.status, &headers, close, length);
-    out.extend_from_slice(copied);
+    let copied = reply.body.len().min(MAX_COPIED_BODY_BYTES);
+    let mut out = Vec::with_capacity(headers.len() + copied + STATUS_LINE_BYTES);
+    http::write_answer_head(&mut out, reply.head.status, &headers, close, body_length);
     out
 }
 
-/// Whether the body of a response is copied behind its head.
-pub(super) fn is_copied(reply: &Reply) -> bool {
-    reply.body.len() <= MAX_COPIED_BODY_BYTES
-}
-
 /// Appends headers but for those excluded, and for those that `Connection` names.
 fn append(head: &http::Head, bytes: &[u8], excluded: &[&[&[u8]]], to: &mut Vec<u8>) {
     let named = head.header(bytes, "connection").unwrap_or(b"");
--- a/crates/balancer/src/proxy/mod.rs
+++ b/crates/balancer/src/proxy/mod.rs
@@ -11,6 +11,7 @@
 mod request;
 mod request_reader;
 mod request_record;
+mod response_writer;
 
 pub use body_budget::BodyBudget;
 pub use connections::{log_traffic, ClientConnections};
@@ -27,6 +28,7 @@
 use local_response::LocalResponse;
 use request_reader::{read_request, NoRequest, ReadRequest};
 use request_record::RequestRecord;
+use response_writer::write_response;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -159,36 +161,6 @@
     }
 }
 
-/// Writes a response. A long body of a server's goes on as it comes, and ends with its connection if the server breaks off: the client
-/// sees that it is not whole.
-///
-/// # Errors
-/// Why the connection is of no further use.
-async fn write_response(
-    inbound: &mut Inbound,
-    response: Result<ServerResponse, LocalResponse>,
-    close: bool,
-) -> Result<(), Failure> {
-    let ServerResponse { reply, rest } = match response {
-        Ok(response) => response,
-        Err(local) => return taken(inbound.write(&local.to_bytes(close)).await),
-    };
-    taken(inbound.write(&headers::forward_response(&reply, close)).await)?;
-    if !headers::is_copied(&reply) {
-        taken(inbound.write(&reply.body).await)?;
-    }
-    drop(reply);
-    let Some(mut rest) = rest else { return Ok(()) };
-    while let Some(part) = rest.next_part().await.map_err(|_| Failure::Unknown)? {
-        taken(inbound.write(&part).await)?;
-    }
-    Ok(())
-}
-
-fn taken(is_taken: bool) -> Result<(), Failure> {
-    is_taken.then_some(()).ok_or(Failure::NotTaken)
-}
-
 /// Waits for the first byte of the next request, as long as the configuration in force at the end of the wait allows. False if the
 /// connection is to end with nothing read.
 async fn next_request(gateway: &Gateway, clients: &ClientConnections, inbound: &mut Inbound) -> bool {
--- a/crates/balancer/src/upstream.rs
+++ b/crates/balancer/src/upstream.rs
@@ -1,8 +1,9 @@
 //! Connections to servers, and one attempt at one server.
 
 use crate::clock::now;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use limeway_http1::conn::{Broken, Conn, Reply};
+use limeway_http1::http::Body;
 use limeway_invariants::{check, Invariant};
 use limeway_types::{Micros, Timestamp};
 use std::cell::{Cell, RefCell};
@@ -29,12 +30,10 @@
 const MAX_UNREAD_REQUEST_BYTES: usize = 8 * 1024;
 /// A body up to this size, in bytes, is written together with its head.
 const MAX_COPIED_BODY_BYTES: usize = 16 * 1024;
-/// Longest body of a response that is held whole, in bytes: a longer one with a length is passed on as it comes.
+/// Longest body of a response that is held whole, in bytes: a longer one is passed on as it comes.
 const MAX_HELD_BODY_BYTES: usize = 512 * 1024;
 /// Longest pause of a server in a response's body once the request's time is over.
 const MAX_LATE_PAUSE: Duration = Duration::from_millis(250);
-/// Upper bound on the body of a response without a length, in bytes: it is held whole.
-const MAX_RESPONSE_BODY_BYTES: usize = 16 * 1024 * 1024;
 /// Request ids that are remembered of a connection: a surplus response to one of them may still come.
 const REMEMBERED_IDS: usize = 4;
 /// Upper bound on the surplus responses that are skipped on one connection.
@@ -70,14 +69,14 @@
     /// Its head, and its body or the first part of that.
     pub reply: Reply,
     /// Where the rest of the body comes from, if there is one.
-    pub rest: Option<Box<ResponseRest>>,
+    pub rest: Option<ResponseRest>,
 }
 
 /// The part of a response's body that the server is still sending.
 pub struct ResponseRest {
     /// None once all has been read.
     connection: Option<ActiveConnection>,
-    unread: usize,
+    body: Body,
     deadline: Timestamp,
     /// None if the connection may not be used again.
     reuse: Option<Reuse>,
@@ -88,18 +87,22 @@
     ///
     /// # Errors
     /// The server broke off, or paused for too long.
-    pub async fn next_part(&mut self) -> Result<Option<BytesMut>, Broken> {
+    pub async fn next_part(&mut self) -> Result<Option<Vec<u8>>, Broken> {
         let Some(active) = &mut self.connection else { return Ok(None) };
         let left = Duration::from_micros(self.deadline.saturating_sub(now()));
         active.conn.patient(left.max(MAX_LATE_PAUSE));
-        let part = active.conn.read_part(self.unread).await?;
-        self.unread -= part.len();
-        if self.unread == 0 {
+        let (part, is_last) = active.conn.read_part(&mut self.body).await?;
+        if is_last {
             self.end();
         }
         Ok(Some(part))
     }
 
+    /// The length of the whole body, where it is known ahead.
+    pub fn body_length(&self) -> Option<usize> {
+        self.body.length()
+    }
+
     fn end(&mut self) {
         if let (Some(active), Some(reuse)) = (self.connection.take(), self.reuse.take()) {
             reuse.keep(active);
@@ -110,7 +113,7 @@
 /// The result of an attempt.
 pub enum UpstreamResult {
     /// A response to this request.
-    Response(ServerResponse),
+    Response(Box<ServerResponse>),
     /// No connection: the server has not seen the request.
     NotSent,
     /// The request was sent, and no usable response came.
@@ -241,7 +244,6 @@
         let mut conn = connected.ok()?.ok()?;
         conn.strict();
         conn.leave_bodies_beyond(MAX_HELD_BODY_BYTES);
-        conn.limit_body(MAX_RESPONSE_BODY_BYTES);
         let mut active = ActiveConnection { conn, ids: [0; REMEMBERED_IDS], unacknowledged_timeout: None };
         active.bound_unacknowledged(id, UNACKNOWLEDGED_TIMEOUT);
         Some(active)
@@ -277,7 +279,7 @@
     ) -> UpstreamResult {
         let mut had_surplus = false;
         for _ in 0..=MAX_SURPLUS_RESPONSES {
-            let reply = match active.conn.read().await {
+            let mut reply = match active.conn.read().await {
                 Ok(reply) => reply,
                 Err(e) => {
                     if matches!(e, Broken::Ended(_)) {
@@ -288,7 +290,7 @@
                     return UpstreamResult::Broken;
                 }
             };
-            if !is_response_to(request, &reply) && reply.unread > 0 {
+            if !is_response_to(request, &reply) && reply.unread.is_some() {
                 // Too long to be skipped.
                 return UpstreamResult::Broken;
             }
@@ -307,15 +309,14 @@
                 max_idle_time: max_idle_time(&reply),
                 request: hash(&request.id),
             });
-            if reply.unread > 0 {
-                let connection = Some(active);
-                let rest = ResponseRest { connection, unread: reply.unread, deadline, reuse };
-                return UpstreamResult::Response(ServerResponse { reply, rest: Some(Box::new(rest)) });
+            if let Some(body) = reply.unread.take() {
+                let rest = ResponseRest { connection: Some(active), body, deadline, reuse };
+                return UpstreamResult::Response(Box::new(ServerResponse { reply, rest: Some(rest) }));
             }
             if let Some(reuse) = reuse {
                 reuse.keep(active);
             }
-            return UpstreamResult::Response(ServerResponse { reply, rest: None });
+            return UpstreamResult::Response(Box::new(ServerResponse { reply, rest: None }));
         }
         UpstreamResult::Broken
     }
--- a/crates/balancer/tests/long_bodies.rs
+++ b/crates/balancer/tests/long_bodies.rs
@@ -8,6 +8,7 @@
 mod waiting;
 
 use operations::config;
+use rstest::rstest;
 use servers::heartbeat;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, TcpListener, TcpStream};
@@ -22,6 +23,8 @@
 const MIB: usize = 1024 * 1024;
 /// How long a server works on a request.
 const WORK: Duration = Duration::from_millis(200);
+/// Bytes of a chunk of a response.
+const CHUNK_BYTES: usize = 100_000;
 /// How long a client does not read its response.
 const SLOW_READER_PAUSE: Duration = Duration::from_millis(700);
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(5);
@@ -32,20 +35,23 @@
 struct BulkServer {
     executed: Arc<AtomicUsize>,
     response_bytes: usize,
+    /// Its responses come in chunks.
+    in_chunks: bool,
+    /// It breaks off each response of more than a chunk in the middle.
+    breaks_off: bool,
 }
 
 impl BulkServer {
-    fn start(ip: Ipv4Addr, response_bytes: usize) -> Self {
+    fn start(self, ip: Ipv4Addr) -> Self {
         let listener = TcpListener::bind((ip, SERVER_PORT)).expect("listens");
-        let server = BulkServer { response_bytes, ..BulkServer::default() };
-        let accepting = server.clone();
+        let accepting = self.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let server = accepting.clone();
                 thread::spawn(move || while server.serve(&stream).is_some() {});
             }
         });
-        server
+        self
     }
 
     /// Serves one request; None at the end of the connection.
@@ -60,12 +66,29 @@
         self.executed.fetch_add(1, Ordering::SeqCst);
         thread::sleep(WORK);
         let bytes = self.response_bytes;
+        let framing = match self.in_chunks {
+            true => "Transfer-Encoding: chunked".to_owned(),
+            false => format!("Content-Length: {bytes}"),
+        };
         let head = format!(
-            "HTTP/1.1 200 OK\r\nLimeway-Request-Id: {id}\r\nLimeway-Server-Stamp: s\r\nContent-Length: {bytes}\r\n\r\n"
+            "HTTP/1.1 200 OK\r\nLimeway-Request-Id: {id}\r\nLimeway-Server-Stamp: s\r\n{framing}\r\n\r\n"
         );
         let mut stream = stream;
         stream.write_all(head.as_bytes()).ok()?;
-        stream.write_all(&vec![b'r'; bytes]).ok()
+        let sent = if self.breaks_off { bytes / 2 } else { bytes };
+        if !self.in_chunks {
+            stream.write_all(&vec![b'r'; sent]).ok()?;
+            return (sent == bytes).then_some(());
+        }
+        for part in vec![b'r'; sent].chunks(CHUNK_BYTES) {
+            stream.write_all(format!("{:x}\r\n", part.len()).as_bytes()).ok()?;
+            stream.write_all(part).ok()?;
+            stream.write_all(b"\r\n").ok()?;
+        }
+        if sent < bytes {
+            return None;
+        }
+        stream.write_all(b"0\r\n\r\n").ok()
     }
 }
 
@@ -82,8 +105,30 @@
     Some((head, length))
 }
 
+/// The length of a body in chunks; None if it is cut short.
+fn read_chunks(reader: &mut impl BufRead) -> Option<usize> {
+    let mut total = 0;
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line).ok()?;
+        let size = usize::from_str_radix(line.trim_end(), 16).ok()?;
+        let with_end = size as u64 + 2;
+        if std::io::copy(&mut reader.take(with_end), &mut std::io::sink()).ok()? != with_end {
+            return None;
+        }
+        if size == 0 {
+            return Some(total);
+        }
+        total += size;
+    }
+}
+
 /// A gateway's system with one server.
 fn start(net: u8, response_bytes: usize) -> (Arc<System>, BulkServer) {
+    start_with(net, BulkServer { response_bytes, ..BulkServer::default() })
+}
+
+fn start_with(net: u8, server: BulkServer) -> (Arc<System>, BulkServer) {
     let system = System::start(net, 1, GRACE);
     let config = config(1, 0, "/x/", r#""k1""#)
         .replace("\"idempotent\"", "\"non_idempotent\"")
@@ -91,9 +136,12 @@
         .replace("\"resource-list\":[", &format!("\"resource-list\":[{LIMITS},"));
     assert_eq!(system.order("config.replace", &config).0, 200);
     let ip = address(net, 99);
-    let server = BulkServer::start(ip, response_bytes);
+    let server = server.start(ip);
     assert_eq!(heartbeat(&system, "i-1", (ip, SERVER_PORT), "ready", 1), 200);
-    system.until("a first answer", |system| post(system, "first", 10, Duration::ZERO) == Some(200));
+    system.until("a first request", |system| {
+        post(system, "first", 10, Duration::ZERO);
+        server.executed.load(Ordering::SeqCst) > 0
+    });
     (Arc::new(system), server)
 }
 
@@ -112,6 +160,9 @@
     thread::sleep(pause);
     let mut reader = BufReader::new(&stream);
     let (head, length) = read_head(&mut reader)?;
+    if head.contains("Transfer-Encoding: chunked") {
+        return (read_chunks(&mut reader)? > 0).then(|| head.get(9..12)?.parse().ok())?;
+    }
     let read = std::io::copy(&mut reader.take(length as u64), &mut std::io::sink()).ok()?;
     (read == length as u64).then(|| head.get(9..12)?.parse().ok())?
 }
@@ -171,14 +222,31 @@
 }
 
 /// Guards against the same fault in responses: each was held twice, for as long as its client read.
-#[test]
-fn long_responses_to_slow_readers_stay_within_the_memory_of_a_gateway() {
-    let (system, _server) = start(82, 12 * MIB);
+#[rstest]
+#[case::with_a_length(82, false)]
+#[case::in_chunks(86, true)]
+fn long_responses_to_slow_readers_stay_within_the_memory_of_a_gateway(
+    #[case] net: u8,
+    #[case] in_chunks: bool,
+) {
+    let server = BulkServer { response_bytes: 12 * MIB, in_chunks, ..BulkServer::default() };
+    let (system, _server) = start_with(net, server);
     let (statuses, peak) = peak_memory_during(&system, || post_at_once(&system, 40, 10, SLOW_READER_PAUSE));
     assert_eq!(count(&statuses, 200), 40, "{statuses:?}: {}", system.log());
     assert!(peak < MEMORY_MB * 1_000_000, "{peak} bytes");
 }
 
+/// MIXED: a response that its server has broken off does not look whole, and its connection takes no further request.
+#[rstest]
+#[case::with_a_length(87, false)]
+#[case::in_chunks(89, true)]
+fn a_long_response_that_is_broken_off_does_not_look_whole(#[case] net: u8, #[case] in_chunks: bool) {
+    let response_bytes = 4 * MIB;
+    let server = BulkServer { response_bytes, in_chunks, breaks_off: true, ..BulkServer::default() };
+    let (system, _server) = start_with(net, server);
+    assert_eq!(post(&system, "cut", 10, Duration::ZERO), None, "{}", system.log());
+}
+
 /// Guards against 413 to a body that the configuration allows.
 #[test]
 fn a_body_of_the_greatest_length_that_the_configuration_allows_is_served() {
--- a/crates/balancer/tests/upstream.rs
+++ b/crates/balancer/tests/upstream.rs
@@ -110,7 +110,7 @@
         let came = pools.exchange(&server, target, &request, now() + 20_000_000, &sent);
         let came = match runtime.block_on(async { tokio::time::timeout(SOON, came).await }) {
             Err(_) => Err("late"),
-            Ok(UpstreamResult::Response(response)) => runtime.block_on(whole_body(response)),
+            Ok(UpstreamResult::Response(response)) => runtime.block_on(whole_body(*response)),
             Ok(UpstreamResult::NotSent) => Err("not sent"),
             Ok(UpstreamResult::Broken) => Err("broke"),
         };
--- a/crates/data/http1/src/conn.rs
+++ b/crates/data/http1/src/conn.rs
@@ -79,8 +79,8 @@
     pub bytes: BytesMut,
     /// Its body, or the first part of it.
     pub body: Vec<u8>,
-    /// Bytes of the body that are still to be read, by [`Conn::read_part`]; 0 unless [`Conn::leave_bodies_beyond`] was called.
-    pub unread: usize,
+    /// The rest of the body, to be read by [`Conn::read_part`]; none unless [`Conn::leave_bodies_beyond`] was called.
+    pub unread: Option<Body>,
     /// The connection may be used again.
     pub keep: bool,
 }
@@ -100,8 +100,7 @@
     to: SocketAddr,
     stall: Duration,
     strict: bool,
-    body_most: usize,
-    /// Bodies whose length is beyond this are left in the connection.
+    /// Bodies that are longer than this are left in the connection.
     left_beyond: usize,
     _counted: Counted,
 }
@@ -119,7 +118,6 @@
             to,
             stall: STALL,
             strict: false,
-            body_most: http::MAX_ANSWER_BODY,
             left_beyond: usize::MAX,
             _counted,
         })
@@ -135,12 +133,8 @@
         self.strict = true;
     }
 
-    /// Takes bodies of so many bytes at most from now on, in place of [`http::MAX_ANSWER_BODY`].
-    pub fn limit_body(&mut self, most: usize) {
-        self.body_most = most;
-    }
-
-    /// Leaves bodies with a length beyond this in the connection from now on, however long they are: [`Reply::unread`] says how much.
+    /// Leaves bodies that are longer than this in the connection from now on, however long they are: [`Reply::unread`] is what reads them.
+    /// Before, none may be longer than [`http::MAX_ANSWER_BODY`].
     pub fn leave_bodies_beyond(&mut self, bytes: usize) {
         self.left_beyond = bytes;
     }
@@ -195,13 +189,16 @@
         Err(Broken::Spoilt("too many interim answers"))
     }
 
-    /// Reads the next part of a body that was left in the connection, of which so many bytes are unread.
-    pub async fn read_part(&mut self, unread: usize) -> Result<BytesMut, Broken> {
-        if self.buffer.is_empty() {
+    /// Reads the next part of a body that was left in the connection, and whether it is the last one.
+    pub async fn read_part(&mut self, body: &mut Body) -> Result<(Vec<u8>, bool), Broken> {
+        loop {
+            let is_whole = body.take(&mut self.buffer)?;
+            if is_whole || !body.bytes.is_empty() {
+                return Ok((body.drain(), is_whole));
+            }
             self.buffer.reserve(MAX_PART_BYTES);
             self.more_soon().await?;
         }
-        Ok(self.buffer.split_to(self.buffer.len().min(unread)))
     }
 
     async fn more(&mut self) -> Result<(), Broken> {
@@ -221,7 +218,7 @@
         if self.left_beyond < usize::MAX {
             usize::MAX
         } else {
-            self.body_most
+            http::MAX_ANSWER_BODY
         }
     }
 
@@ -246,19 +243,16 @@
         if open_end && success.contains(&head.status) {
             return Err(Broken::Spoilt("no length"));
         }
-        if let http::Framing::Length(length) = head.framing {
-            if length > self.left_beyond {
-                let body = self.buffer.split_to(self.buffer.len().min(length)).to_vec();
-                let (unread, keep) = (length - body.len(), head.keep_alive && head.status >= 200);
-                return Ok(Some(Reply { head, bytes, body, unread, keep }));
-            }
-        }
         let make = if self.strict { Body::new } else { Body::lenient };
-        let mut body = make(head.framing, self.body_most);
+        let mut body = make(head.framing, self.longest_body());
         while !open_end && !body.take(&mut self.buffer)? {
+            if body.length().unwrap_or(body.bytes.len()) > self.left_beyond {
+                let keep = head.keep_alive && head.status >= 200;
+                return Ok(Some(Reply { head, bytes, body: body.drain(), unread: Some(body), keep }));
+            }
             self.more_soon().await?;
         }
         let keep = head.keep_alive && !open_end && head.status >= 200 && self.buffer.is_empty();
-        Ok(Some(Reply { head, bytes, body: body.bytes, unread: 0, keep }))
+        Ok(Some(Reply { head, bytes, body: body.bytes, unread: None, keep }))
     }
 }
--- a/crates/data/http1/src/http.rs
+++ b/crates/data/http1/src/http.rs
@@ -263,8 +263,10 @@
 pub struct Body {
     framing: Framing,
     most: usize,
-    /// What has been gathered.
+    /// What has been gathered, and not been drained.
     pub bytes: Vec<u8>,
+    /// Bytes of the body that have come, the drained ones too.
+    received: usize,
     /// Left of the chunk being read; nothing between chunks.
     chunk: Option<usize>,
     /// The last chunk has come; trailers follow.
@@ -277,7 +279,16 @@
 impl Body {
     /// A body of this framing, and of so many bytes at most.
     pub fn new(framing: Framing, most: usize) -> Self {
-        Body { framing, most, bytes: Vec::new(), chunk: None, trailers: false, trailing: 0, lenient: false }
+        Body {
+            framing,
+            most,
+            bytes: Vec::new(),
+            received: 0,
+            chunk: None,
+            trailers: false,
+            trailing: 0,
+            lenient: false,
+        }
     }
 
     /// The same as the limiter in service has read it so far: its marks are held against that.
@@ -289,10 +300,8 @@
     pub fn take(&mut self, from: &mut BytesMut) -> Result<bool, HttpError> {
         match self.framing {
             Framing::Length(length) => {
-                let part = from.len().min(length - self.bytes.len());
-                self.bytes.extend_from_slice(&from[..part]);
-                from.advance(part);
-                Ok(self.bytes.len() == length)
+                self.gather(from, length - self.received);
+                Ok(self.received == length)
             }
             // Never gathered: nobody could tell whether it is whole.
             Framing::UntilClose => Err(HttpError::Malformed),
@@ -300,6 +309,28 @@
         }
     }
 
+    /// Its length, where that is known ahead.
+    pub fn length(&self) -> Option<usize> {
+        match self.framing {
+            Framing::Length(length) => Some(length),
+            Framing::Chunked | Framing::UntilClose => None,
+        }
+    }
+
+    /// What has been gathered since this was called last.
+    pub fn drain(&mut self) -> Vec<u8> {
+        std::mem::take(&mut self.bytes)
+    }
+
+    /// Moves at most so many bytes from the front of `from`: how many.
+    fn gather(&mut self, from: &mut BytesMut, most: usize) -> usize {
+        let part = from.len().min(most);
+        self.bytes.extend_from_slice(&from[..part]);
+        from.advance(part);
+        self.received += part;
+        part
+    }
+
     fn take_chunks(&mut self, from: &mut BytesMut) -> Result<bool, HttpError> {
         loop {
             if self.trailers {
@@ -315,9 +346,7 @@
                     return Ok(true);
                 }
             } else if let Some(left) = self.chunk {
-                let part = from.len().min(left);
-                self.bytes.extend_from_slice(&from[..part]);
-                from.advance(part);
+                let part = self.gather(from, left);
                 self.chunk = Some(left - part);
                 if left > part || from.len() < 2 {
                     return Ok(false);
@@ -335,7 +364,7 @@
                 match httparse::parse_chunk_size(from) {
                     Ok(httparse::Status::Complete((len, size))) => {
                         let size = usize::try_from(size).map_err(|_| HttpError::BodyTooLong)?;
-                        if size > self.most - self.bytes.len() {
+                        if size > self.most - self.received {
                             return Err(HttpError::BodyTooLong);
                         }
                         from.advance(len);
@@ -352,12 +381,12 @@
 
 /// Writes a head and a body as one message.
 pub fn write_answer(to: &mut Vec<u8>, status: u16, headers: &[u8], close: bool, body: &[u8]) {
-    write_answer_head(to, status, headers, close, body.len());
+    write_answer_head(to, status, headers, close, Some(body.len()));
     to.extend_from_slice(body);
 }
 
-/// Writes the head of a message whose body has this length.
-pub fn write_answer_head(to: &mut Vec<u8>, status: u16, headers: &[u8], close: bool, length: usize) {
+/// Writes the head of a message whose body has this length; it comes in chunks if that is not known.
+pub fn write_answer_head(to: &mut Vec<u8>, status: u16, headers: &[u8], close: bool, length: Option<usize>) {
     let reason = match status {
         200 => "OK",
         400 => "Bad Request",
@@ -384,7 +413,26 @@
     if close {
         to.extend_from_slice(b"Connection: close\r\n");
     }
-    to.extend_from_slice(b"Content-Length: ");
-    to.extend_from_slice(digits.format(length).as_bytes());
+    match length {
+        Some(length) => {
+            to.extend_from_slice(b"Content-Length: ");
+            to.extend_from_slice(digits.format(length).as_bytes());
+        }
+        None => to.extend_from_slice(b"Transfer-Encoding: chunked"),
+    }
     to.extend_from_slice(b"\r\n\r\n");
 }
+
+/// What follows the last chunk.
+pub const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+
+/// A part of a body as a chunk; nothing if it is empty, as an empty chunk would end the body.
+pub fn chunk(part: &[u8]) -> Vec<u8> {
+    if part.is_empty() {
+        return Vec::new();
+    }
+    let mut chunk = format!("{:x}\r\n", part.len()).into_bytes();
+    chunk.extend_from_slice(part);
+    chunk.extend_from_slice(b"\r\n");
+    chunk
+}
