--- a/crates/control/consensus/tests/schedules.rs
+++ b/crates/control/consensus/tests/schedules.rs
@@ -1,5 +1,5 @@
-//! Ballots under seeded schedules: messages lost, doubled, late and out of order, machines that lose their disks, processes
-//! that end before their own disk knew of a ballot, and sets of voters that change. Whatever happens, one slot has one value.
+//! Proposals under seeded schedules: messages lost, doubled, late and out of order, machines that lose their disks, processes
+//! that end before their own disk knew of a number, and sets of voters that change. Whatever happens, one slot has one value.
 
 use limeway_consensus::{
     Acceptor, AcceptorReply, NodeId, ProposalNumber, Proposer, ProposerStep, RoundAllocator, Slot, Voter,
@@ -8,25 +8,25 @@
 use serde_bytes::ByteBuf;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Which guard is switched off.
+/// The guard that is disabled.
 #[derive(Debug, Clone, Copy, PartialEq)]
-enum Off {
-    Nothing,
-    /// A machine that lost its disk votes with the life of the old one.
-    Lives,
-    /// Ballots do not tell the processes apart that hold them.
-    Boots,
+enum DisabledGuard {
+    None,
+    /// A machine that lost its disk votes with the incarnation of the old one.
+    DiskIncarnations,
+    /// Proposal numbers do not tell the incarnations of a process apart.
+    ProcessIncarnations,
     /// A proposer takes its rounds from its own acceptor alone.
-    Rounds,
+    UniqueRounds,
     /// A newcomer is given a voter before it has the state, and votes without it.
-    Learning,
+    CandidateCatchUp,
 }
 
 #[derive(Debug, Clone)]
 enum Message {
     Prepare(Slot, ProposalNumber),
     Accept(Slot, ProposalNumber, ByteBuf),
-    Word(Slot, ProposalNumber, AcceptorReply),
+    Reply(Slot, ProposalNumber, AcceptorReply),
 }
 
 struct Rng(u64);
@@ -41,7 +41,7 @@
     }
 }
 
-/// One machine: what is on its disk, and the ballot that its process holds.
+/// One machine: what is on its disk, and the proposal that its process has under way.
 #[derive(Clone)]
 struct Machine {
     disk: Acceptor,
@@ -50,12 +50,12 @@
     /// The rounds that its process has used: forgotten when it ends.
     rounds: RoundAllocator,
     incarnation: u64,
-    round: Option<Proposer>,
+    proposer: Option<Proposer>,
     accepting: ByteBuf,
 }
 
-struct World {
-    off: Off,
+struct Cluster {
+    disabled: DisabledGuard,
     first: Vec<Voter>,
     machines: Vec<Machine>,
     wire: Vec<(NodeId, NodeId, Message)>,
@@ -84,18 +84,18 @@
     bytes[8..].chunks(12).map(voter).collect()
 }
 
-impl World {
-    fn new(machines: usize, spare: usize, off: Off) -> Self {
+impl Cluster {
+    fn new(machines: usize, spare: usize, disabled: DisabledGuard) -> Self {
         let machine = |n: usize| Machine {
             disk: Acceptor { disk: if n < machines { 0 } else { 100 + n as u64 }, ..Acceptor::default() },
             log: Vec::new(),
             rounds: RoundAllocator::default(),
             incarnation: 1 + n as u64,
-            round: None,
+            proposer: None,
             accepting: ByteBuf::new(),
         };
-        World {
-            off,
+        Cluster {
+            disabled,
             first: (0..machines as NodeId).map(|node| Voter { node, disk: 0 }).collect(),
             machines: (0..machines + spare).map(machine).collect(),
             wire: Vec::new(),
@@ -121,7 +121,7 @@
         // Now and then a machine without a voter takes the place of one that lost its disk or is another machine's.
         let new = (0..self.machines.len()).map(|n| self.voter(n)).find(|s| {
             let has = self.machines[s.node as usize].log.len() == machine.log.len();
-            !voters.contains(s) && (has || self.off == Off::Learning)
+            !voters.contains(s) && (has || self.disabled == DisabledGuard::CandidateCatchUp)
         });
         let change = match new {
             Some(new) if rng.below(2) == 0 => {
@@ -135,14 +135,15 @@
         let machine = &mut self.machines[at];
         let slot = machine.disk.applied + 1;
         // A machine without a voter promises nothing itself.
-        let round = match self.off {
-            Off::Rounds => machine.disk.slot_state.promised.round + 1,
+        let round = match self.disabled {
+            DisabledGuard::UniqueRounds => machine.disk.slot_state.promised.round + 1,
             _ => machine.rounds.next(slot, machine.disk.slot_state.promised),
         };
-        let incarnation = if self.off == Off::Boots { 0 } else { machine.incarnation };
-        let ballot = ProposalNumber { round, proposer: at as NodeId, incarnation };
-        machine.round = Some(Proposer::new(slot, ballot, voters, value(self.next, &change)));
-        self.send_all(at, &Message::Prepare(slot, ballot));
+        let incarnation =
+            if self.disabled == DisabledGuard::ProcessIncarnations { 0 } else { machine.incarnation };
+        let number = ProposalNumber { round, proposer: at as NodeId, incarnation };
+        machine.proposer = Some(Proposer::new(slot, number, voters, value(self.next, &change)));
+        self.send_all(at, &Message::Prepare(slot, number));
     }
 
     fn send_all(&mut self, from: usize, message: &Message) {
@@ -155,7 +156,7 @@
     fn restart(&mut self, at: usize) {
         self.next += 1;
         let machine = &mut self.machines[at];
-        machine.round = None;
+        machine.proposer = None;
         machine.rounds = RoundAllocator::default();
         machine.incarnation = self.next;
     }
@@ -163,9 +164,13 @@
     /// A machine comes back with an empty disk.
     fn wipe(&mut self, at: usize) {
         self.restart(at);
-        let life = if self.off == Off::Lives { self.machines[at].disk.disk } else { self.next };
+        let disk = if self.disabled == DisabledGuard::DiskIncarnations {
+            self.machines[at].disk.disk
+        } else {
+            self.next
+        };
         let machine = &mut self.machines[at];
-        machine.disk = Acceptor { disk: life, ..Acceptor::default() };
+        machine.disk = Acceptor { disk, ..Acceptor::default() };
         machine.log.clear();
     }
 
@@ -180,17 +185,17 @@
         };
         chosen <= longest
             && voters.iter().all(|s| self.voter(s.node as usize) == *s)
-            && voters
-                .iter()
-                .filter(|s| s.node as usize != at)
-                .all(|s| self.machines[s.node as usize].log.len() == longest || self.off == Off::Learning)
+            && voters.iter().filter(|s| s.node as usize != at).all(|s| {
+                self.machines[s.node as usize].log.len() == longest
+                    || self.disabled == DisabledGuard::CandidateCatchUp
+            })
     }
 
     fn apply(&mut self, at: usize, value: &ByteBuf) {
         let machine = &mut self.machines[at];
         machine.log.push(value.clone());
         machine.disk.advance(machine.log.len() as Slot);
-        machine.round = None;
+        machine.proposer = None;
     }
 
     /// A machine is handed what it lacks by another one.
@@ -204,43 +209,45 @@
     fn deliver(&mut self, from: NodeId, to: NodeId, message: Message) {
         let at = to as usize;
         let voters = self.voters(&self.machines[at].log);
-        let sits = voters.contains(&self.voter(at));
+        let is_voter = voters.contains(&self.voter(at));
         match message {
-            Message::Prepare(slot, ballot) => {
-                let skip = self.off == Off::Learning && slot > self.machines[at].disk.applied + 1;
+            Message::Prepare(slot, number) => {
+                let skip = self.disabled == DisabledGuard::CandidateCatchUp
+                    && slot > self.machines[at].disk.applied + 1;
                 if skip {
                     self.machines[at].disk.advance(slot - 1);
                 }
-                if sits || skip {
-                    let word = self.machines[at].disk.prepare(slot, ballot);
-                    self.wire.push((to, from, Message::Word(slot, ballot, word)));
+                if is_voter || skip {
+                    let reply = self.machines[at].disk.prepare(slot, number);
+                    self.wire.push((to, from, Message::Reply(slot, number, reply)));
                 }
             }
-            Message::Accept(slot, ballot, value) => {
-                if !sits {
+            Message::Accept(slot, number, value) => {
+                if !is_voter {
                     return;
                 }
-                let word = self.machines[at].disk.accept(slot, ballot, value.clone());
-                if let AcceptorReply::Accepted { .. } = word {
-                    let who = self.accepted.entry((slot, ballot, value.to_vec())).or_default();
+                let reply = self.machines[at].disk.accept(slot, number, value.clone());
+                if let AcceptorReply::Accepted { .. } = reply {
+                    let who = self.accepted.entry((slot, number, value.to_vec())).or_default();
                     who.insert(Voter { node: to, disk: self.machines[at].disk.disk });
                     let votes = who.iter().filter(|s| voters.contains(s)).count();
                     if votes > voters.len() / 2 {
                         self.chosen.entry(slot).or_default().insert(value.to_vec());
                     }
                 }
-                self.wire.push((to, from, Message::Word(slot, ballot, word)));
+                self.wire.push((to, from, Message::Reply(slot, number, reply)));
             }
-            Message::Word(slot, ballot, word) => {
+            Message::Reply(slot, number, reply) => {
                 let machine = &mut self.machines[at];
-                let Some(round) = machine.round.as_mut().filter(|r| r.number == ballot && r.slot == slot)
+                let Some(proposer) =
+                    machine.proposer.as_mut().filter(|r| r.number == number && r.slot == slot)
                 else {
                     return;
                 };
-                match round.handle_reply(from, word) {
+                match proposer.handle_reply(from, reply) {
                     ProposerStep::Accept { value, .. } => {
                         machine.accepting = value.clone();
-                        self.send_all(at, &Message::Accept(slot, ballot, value));
+                        self.send_all(at, &Message::Accept(slot, number, value));
                     }
                     ProposerStep::Chosen => {
                         let value = machine.accepting.clone();
@@ -297,19 +304,25 @@
 }
 
 /// Plays schedules; the first seed under which a slot had two values, and how many slots were decided.
-fn play(machines: usize, spare: usize, off: Off, seeds: u64, steps: usize) -> (Option<u64>, usize) {
-    let mut some = 0;
+fn play(
+    machines: usize,
+    spare: usize,
+    disabled: DisabledGuard,
+    seeds: u64,
+    steps: usize,
+) -> (Option<u64>, usize) {
+    let mut decided = 0;
     for seed in 0..seeds {
-        let (mut world, mut rng) = (World::new(machines, spare, off), Rng(seed));
+        let (mut cluster, mut rng) = (Cluster::new(machines, spare, disabled), Rng(seed));
         for _ in 0..steps {
-            world.step(&mut rng);
-            if world.broken() {
-                return (Some(seed), some);
+            cluster.step(&mut rng);
+            if cluster.broken() {
+                return (Some(seed), decided);
             }
         }
-        some += world.chosen.len();
+        decided += cluster.chosen.len();
     }
-    (None, some)
+    (None, decided)
 }
 
 #[rstest]
@@ -319,55 +332,55 @@
 #[case(3, 1, 3_000)]
 #[case(5, 2, 1_000)]
 fn a_slot_has_one_value(#[case] machines: usize, #[case] spare: usize, #[case] seeds: u64) {
-    let (broken, some) = play(machines, spare, Off::Nothing, seeds, 500);
+    let (broken, decided) = play(machines, spare, DisabledGuard::None, seeds, 500);
     assert_eq!(broken, None);
-    assert!(some as u64 > seeds / 2, "only {some} slots in {seeds} schedules: nothing was tested");
+    assert!(decided as u64 > seeds / 2, "only {decided} slots in {seeds} schedules: nothing was tested");
 }
 
 #[rstest]
-#[case(Off::Lives, 3, 0)]
-#[case(Off::Boots, 3, 0)]
-#[case(Off::Rounds, 3, 1)]
-#[case(Off::Learning, 3, 1)]
-fn a_guard_that_is_off_is_found(#[case] off: Off, #[case] machines: usize, #[case] spare: usize) {
-    let (broken, _) = play(machines, spare, off, 20_000, 500);
-    assert!(broken.is_some(), "{off:?}");
+#[case(DisabledGuard::DiskIncarnations, 3, 0)]
+#[case(DisabledGuard::ProcessIncarnations, 3, 0)]
+#[case(DisabledGuard::UniqueRounds, 3, 1)]
+#[case(DisabledGuard::CandidateCatchUp, 3, 1)]
+fn a_disabled_guard_is_found(#[case] disabled: DisabledGuard, #[case] machines: usize, #[case] spare: usize) {
+    let (broken, _) = play(machines, spare, disabled, 20_000, 500);
+    assert!(broken.is_some(), "{disabled:?}");
 }
 
-/// The case that lives rule out, step by step: a promise from before a disk was lost meets one given after.
+/// The case that disk incarnations rule out, step by step: a promise from before a disk was lost meets one given after.
 #[rstest]
-#[case(Off::Nothing, 1)]
-#[case(Off::Lives, 2)]
-fn a_word_of_a_lost_disk_counts_no_more(#[case] off: Off, #[case] values: usize) {
-    let mut world = World::new(3, 0, off);
-    let voters = world.first.clone();
-    let ballots = [
+#[case(DisabledGuard::None, 1)]
+#[case(DisabledGuard::DiskIncarnations, 2)]
+fn a_reply_of_a_lost_disk_is_not_counted(#[case] disabled: DisabledGuard, #[case] values: usize) {
+    let mut cluster = Cluster::new(3, 0, disabled);
+    let voters = cluster.first.clone();
+    let numbers = [
         ProposalNumber { round: 9, proposer: 0, incarnation: 1 },
         ProposalNumber { round: 5, proposer: 1, incarnation: 2 },
     ];
-    // Machine 0 holds ballot 9, and has the promise of machine 2 only.
-    world.machines[0].round = Some(Proposer::new(1, ballots[0], voters.clone(), value(1, &[])));
-    world.deliver(0, 2, Message::Prepare(1, ballots[0]));
-    let early = world.wire.pop().expect("a promise");
-    // Machine 2 loses its disk. Machine 1 wants its lower ballot chosen by itself and machine 2.
-    world.wipe(2);
-    world.machines[1].round = Some(Proposer::new(1, ballots[1], voters, value(2, &[])));
-    for message in [Message::Prepare(1, ballots[1]), Message::Accept(1, ballots[1], value(2, &[]))] {
+    // Machine 0 proposes under number 9, and has the promise of machine 2 only.
+    cluster.machines[0].proposer = Some(Proposer::new(1, numbers[0], voters.clone(), value(1, &[])));
+    cluster.deliver(0, 2, Message::Prepare(1, numbers[0]));
+    let early = cluster.wire.pop().expect("a promise");
+    // Machine 2 loses its disk. Machine 1 wants its lower number chosen by itself and machine 2.
+    cluster.wipe(2);
+    cluster.machines[1].proposer = Some(Proposer::new(1, numbers[1], voters, value(2, &[])));
+    for message in [Message::Prepare(1, numbers[1]), Message::Accept(1, numbers[1], value(2, &[]))] {
         for to in [1, 2] {
-            world.deliver(1, to, message.clone());
-            let answers: Vec<_> = world.wire.extract_if(.., |(_, to, _)| *to == 1).collect();
-            for (from, to, word) in answers {
-                world.deliver(from, to, word);
+            cluster.deliver(1, to, message.clone());
+            let answers: Vec<_> = cluster.wire.extract_if(.., |(_, to, _)| *to == 1).collect();
+            for (from, to, reply) in answers {
+                cluster.deliver(from, to, reply);
             }
         }
     }
     // Ballot 9 goes on, with the old promise and its own.
-    world.deliver(early.0, early.1, early.2);
-    world.deliver(0, 0, Message::Prepare(1, ballots[0]));
-    while let Some((from, to, message)) = world.wire.pop() {
+    cluster.deliver(early.0, early.1, early.2);
+    cluster.deliver(0, 0, Message::Prepare(1, numbers[0]));
+    while let Some((from, to, message)) = cluster.wire.pop() {
         if from == 0 || to == 0 {
-            world.deliver(from, to, message);
+            cluster.deliver(from, to, message);
         }
     }
-    assert_eq!(world.chosen.get(&1).map_or(0, BTreeSet::len), values);
+    assert_eq!(cluster.chosen.get(&1).map_or(0, BTreeSet::len), values);
 }
