--- a/crates/control/consensus/tests/exhaustive.rs
+++ b/crates/control/consensus/tests/exhaustive.rs
@@ -1,8 +1,8 @@
 //! Every run, up to a bound, of three voters and one newcomer over three slots: whatever is delivered, late or lost, whichever
 //! disk is lost, and whoever then gets its voter, one slot has one value, and what was chosen is known to a machine.
 //!
-//! Each question and each word may arrive at any time, or never; a question that its holder has gone past is dropped. A disk is lost only while no other voter's disk is:
-//! within the fault model a lost one counts until its place is agreed and all who sit have applied that.
+//! Each call and each reply may arrive at any time, or never; a call whose proposer has left its phase is dropped. A disk is lost only while no other voter's disk is:
+//! within the fault model a lost one counts until its voter is replaced and all voters have applied that.
 
 use limeway_consensus::{
     Acceptor, AcceptorReply, NodeId, ProposalNumber, Proposer, ProposerStep, Slot, Voter,
@@ -16,14 +16,14 @@
 const SLOTS: Slot = 3;
 const VOTERS: usize = 3;
 
-/// Which guard is off.
+/// The guard that is disabled.
 #[derive(Debug, Clone, Copy, PartialEq)]
-enum Off {
-    Nothing,
-    /// A machine that lost its disk votes with the life of the old one.
-    Lives,
+enum DisabledGuard {
+    None,
+    /// A machine that lost its disk votes with the incarnation of the old one.
+    DiskIncarnations,
     /// A second disk may be lost while the first is.
-    Losses,
+    ToleratedLosses,
 }
 
 #[derive(Debug, Clone)]
@@ -32,12 +32,12 @@
     log: Vec<ByteBuf>,
 }
 
-/// A ballot as its holder began it, and the words that it has got.
+/// A proposal as its proposer began it, and the replies that acceptors have given.
 #[derive(Debug, Clone)]
-struct Held {
+struct Proposal {
     slot: Slot,
-    ballot: ProposalNumber,
-    round: Proposer,
+    number: ProposalNumber,
+    proposer: Proposer,
     own: ByteBuf,
     promises: BTreeMap<NodeId, AcceptorReply>,
     accepting: Option<ByteBuf>,
@@ -46,14 +46,14 @@
 }
 
 #[derive(Debug, Clone)]
-struct World {
+struct ModelState {
     machines: Vec<Machine>,
-    held: Vec<Held>,
+    proposals: Vec<Proposal>,
     chosen: BTreeMap<Slot, BTreeSet<Vec<u8>>>,
     lost: usize,
 }
 
-/// A value is a number, and the voters from the next slot on if it changes them: one byte a node, one a life.
+/// A value is a number, and the voters from the next slot on if it changes them: one byte a node, one an incarnation of a disk.
 fn value(number: usize, voters: &[Voter]) -> ByteBuf {
     let pairs = voters.iter().flat_map(|s| [s.node as u8, s.disk as u8]);
     ByteBuf::from(std::iter::once(number as u8 + 1).chain(pairs).collect::<Vec<u8>>())
@@ -67,46 +67,47 @@
     last.map_or_else(first, read)
 }
 
-impl World {
+impl ModelState {
     fn new() -> Self {
         let disk = |n: usize| Acceptor { disk: u64::from(n >= VOTERS) * 9, ..Acceptor::default() };
         let machines = (0..=VOTERS).map(|n| Machine { disk: disk(n), log: Vec::new() }).collect();
-        World { machines, held: Vec::new(), chosen: BTreeMap::new(), lost: 0 }
+        ModelState { machines, proposals: Vec::new(), chosen: BTreeMap::new(), lost: 0 }
     }
 
     fn voter(&self, at: usize) -> Voter {
         Voter { node: at as NodeId, disk: self.machines[at].disk.disk }
     }
 
-    /// Worlds with one key go on alike.
+    /// States with one key go on alike.
     fn key(&self) -> u64 {
         let mut hasher = DefaultHasher::new();
-        let ballot = |b: &ProposalNumber| (b.round, b.proposer);
+        let number_key = |number: &ProposalNumber| (number.round, number.proposer);
         for machine in &self.machines {
             let open = &machine.disk.slot_state;
-            (machine.disk.disk, machine.disk.applied, ballot(&open.promised)).hash(&mut hasher);
-            open.accepted.as_ref().map(|(b, v)| (ballot(b), v)).hash(&mut hasher);
+            (machine.disk.disk, machine.disk.applied, number_key(&open.promised)).hash(&mut hasher);
+            open.accepted.as_ref().map(|(b, v)| (number_key(b), v)).hash(&mut hasher);
             machine.log.hash(&mut hasher);
         }
-        let mut words = |words: &BTreeMap<NodeId, AcceptorReply>| {
-            for (node, word) in words {
-                let said = match word {
-                    AcceptorReply::Promised { disk: life, accepted } => {
-                        (*life, accepted.as_ref().map(|(b, v)| (ballot(b), v)))
+        let mut replies = |replies: &BTreeMap<NodeId, AcceptorReply>| {
+            for (node, reply) in replies {
+                let said = match reply {
+                    AcceptorReply::Promised { disk: incarnation, accepted } => {
+                        (*incarnation, accepted.as_ref().map(|(b, v)| (number_key(b), v)))
                     }
-                    AcceptorReply::Accepted { disk: life } => (*life, None),
+                    AcceptorReply::Accepted { disk: incarnation } => (*incarnation, None),
                     _ => (u64::MAX, None),
                 };
                 (node, said).hash(&mut hasher);
             }
-            words.len().hash(&mut hasher);
+            replies.len().hash(&mut hasher);
         };
-        for held in &self.held {
-            words(&held.promises);
-            words(&held.accepts);
+        for proposal in &self.proposals {
+            replies(&proposal.promises);
+            replies(&proposal.accepts);
         }
-        for held in &self.held {
-            (held.slot, ballot(&held.ballot), &held.own, &held.accepting, held.done).hash(&mut hasher);
+        for proposal in &self.proposals {
+            (proposal.slot, number_key(&proposal.number), &proposal.own, &proposal.accepting, proposal.done)
+                .hash(&mut hasher);
         }
         (&self.chosen, self.lost).hash(&mut hasher);
         hasher.finish()
@@ -123,7 +124,7 @@
         self.chosen.iter().any(|(slot, values)| values.len() > 1 || values.iter().any(|v| !known(*slot, v)))
     }
 
-    /// All voters are held, and all who sit have applied what is newest.
+    /// Every voter has its disk, and has applied the newest slot.
     fn whole(&self) -> bool {
         let longest = self.machines.iter().map(|m| m.log.len()).max().unwrap_or(0);
         let newest = self.machines.iter().find(|m| m.log.len() == longest).map(|m| voters(&m.log));
@@ -145,43 +146,53 @@
         machine.disk.advance(machine.log.len() as Slot);
     }
 
-    /// All worlds that one step leads to.
-    fn next(&self, ballots: usize, losses: usize, off: Off) -> Vec<World> {
+    /// All states that one step leads to.
+    fn next(&self, proposals: usize, losses: usize, disabled: DisabledGuard) -> Vec<ModelState> {
         let mut all = Vec::new();
         for at in 0..self.machines.len() {
-            // Voters are alike but for the place that a newcomer takes: one of them begins the first ballot, that one or another
+            // Voters are alike but for the place that a newcomer takes: one of them begins the first proposal, that one or another
             // the second.
-            let holds = at >= VOTERS || at <= self.held.len();
-            if holds && self.held.len() < ballots && (self.machines[at].log.len() as Slot) < SLOTS {
+            let may_propose = at >= VOTERS || at <= self.proposals.len();
+            if may_propose
+                && self.proposals.len() < proposals
+                && (self.machines[at].log.len() as Slot) < SLOTS
+            {
                 self.begin(at, &mut all);
             }
-            if self.lost < losses && (self.whole() || off == Off::Losses || (self.lost == 0 && at < VOTERS)) {
-                let mut world = self.clone();
-                world.lost += 1;
-                let life =
-                    if off == Off::Lives { self.machines[at].disk.disk } else { 10 + self.lost as u64 };
-                world.machines[at] =
-                    Machine { disk: Acceptor { disk: life, ..Acceptor::default() }, log: Vec::new() };
-                all.push(world);
+            if self.lost < losses
+                && (self.whole()
+                    || disabled == DisabledGuard::ToleratedLosses
+                    || (self.lost == 0 && at < VOTERS))
+            {
+                let mut state = self.clone();
+                state.lost += 1;
+                let incarnation = if disabled == DisabledGuard::DiskIncarnations {
+                    self.machines[at].disk.disk
+                } else {
+                    10 + self.lost as u64
+                };
+                state.machines[at] =
+                    Machine { disk: Acceptor { disk: incarnation, ..Acceptor::default() }, log: Vec::new() };
+                all.push(state);
             }
             for from in &self.machines {
                 if let Some(value) = from.log.get(self.machines[at].log.len()) {
-                    let mut world = self.clone();
-                    world.apply(at, value.clone());
-                    all.push(world);
+                    let mut state = self.clone();
+                    state.apply(at, value.clone());
+                    all.push(state);
                 }
             }
-            for held in 0..self.held.len() {
-                all.extend(self.deliver(at, held));
+            for index in 0..self.proposals.len() {
+                all.extend(self.deliver(at, index));
             }
         }
-        for held in 0..self.held.len() {
-            self.hear(held, &mut all);
+        for index in 0..self.proposals.len() {
+            self.hear(index, &mut all);
         }
         all
     }
 
-    fn begin(&self, at: usize, all: &mut Vec<World>) {
+    fn begin(&self, at: usize, all: &mut Vec<ModelState>) {
         let log = &self.machines[at].log;
         let voters = voters(log);
         // A newcomer that has all may be proposed for its own old voter, or another machine's.
@@ -195,90 +206,90 @@
             next[place.unwrap_or(0)] = voter;
             changes.push(next);
         }
-        let number = self.held.len();
+        let index = self.proposals.len();
         for change in changes {
-            let mut world = self.clone();
-            let ballot = ProposalNumber { round: number as u64 + 1, proposer: at as NodeId, incarnation: 0 };
+            let mut state = self.clone();
+            let number = ProposalNumber { round: index as u64 + 1, proposer: at as NodeId, incarnation: 0 };
             let slot = log.len() as Slot + 1;
-            let own = value(number, &change);
-            let round = Proposer::new(slot, ballot, voters.clone(), own.clone());
+            let own = value(index, &change);
+            let proposer = Proposer::new(slot, number, voters.clone(), own.clone());
             let (promises, accepts) = (BTreeMap::new(), BTreeMap::new());
-            world.held.push(Held {
+            state.proposals.push(Proposal {
                 slot,
-                ballot,
-                round,
+                number,
+                proposer,
                 own,
                 promises,
                 accepting: None,
                 accepts,
                 done: false,
             });
-            all.push(world);
+            all.push(state);
         }
     }
 
-    /// A machine hears a ballot's question; its word is on the wire from then on.
-    fn deliver(&self, at: usize, held: usize) -> Option<World> {
-        let (mut world, ballot) = (self.clone(), &self.held[held]);
-        let sits = voters(&self.machines[at].log).contains(&self.voter(at));
-        let disk = &mut world.machines[at].disk;
+    /// A machine handles a call of a proposal; its reply is on the wire from then on.
+    fn deliver(&self, at: usize, index: usize) -> Option<ModelState> {
+        let (mut state, proposal) = (self.clone(), &self.proposals[index]);
+        let is_voter = voters(&self.machines[at].log).contains(&self.voter(at));
+        let disk = &mut state.machines[at].disk;
         let node = at as NodeId;
-        match &ballot.accepting {
-            _ if !sits => None,
-            None if !ballot.promises.contains_key(&node) => {
-                let word = disk.prepare(ballot.slot, ballot.ballot);
-                let given = matches!(word, AcceptorReply::Promised { .. });
-                world.held[held].promises.insert(node, word);
-                given.then_some(world)
+        match &proposal.accepting {
+            _ if !is_voter => None,
+            None if !proposal.promises.contains_key(&node) => {
+                let reply = disk.prepare(proposal.slot, proposal.number);
+                let given = matches!(reply, AcceptorReply::Promised { .. });
+                state.proposals[index].promises.insert(node, reply);
+                given.then_some(state)
             }
-            Some(value) if !ballot.accepts.contains_key(&node) => {
-                let word = disk.accept(ballot.slot, ballot.ballot, value.clone());
-                let given = matches!(word, AcceptorReply::Accepted { .. });
-                world.held[held].accepts.insert(node, word);
-                given.then_some(world)
+            Some(value) if !proposal.accepts.contains_key(&node) => {
+                let reply = disk.accept(proposal.slot, proposal.number, value.clone());
+                let given = matches!(reply, AcceptorReply::Accepted { .. });
+                state.proposals[index].accepts.insert(node, reply);
+                given.then_some(state)
             }
             _ => None,
         }
     }
 
-    /// The holder hears a majority of the words that have been given, any.
-    fn hear(&self, held: usize, all: &mut Vec<World>) {
-        let ballot = &self.held[held];
-        let words = if ballot.accepting.is_none() { &ballot.promises } else { &ballot.accepts };
-        for (node, word) in words {
-            for (other, second) in words.range(node + 1..) {
-                let mut round = ballot.round.clone();
-                round.handle_reply(*node, word.clone());
-                let next = round.handle_reply(*other, second.clone());
-                let mut world = self.clone();
-                let now = &mut world.held[held];
+    /// The proposer hears a majority of the replies that have been given, any.
+    fn hear(&self, index: usize, all: &mut Vec<ModelState>) {
+        let proposal = &self.proposals[index];
+        let replies = if proposal.accepting.is_none() { &proposal.promises } else { &proposal.accepts };
+        for (node, reply) in replies {
+            for (other, second) in replies.range(node + 1..) {
+                let mut proposer = proposal.proposer.clone();
+                proposer.handle_reply(*node, reply.clone());
+                let next = proposer.handle_reply(*other, second.clone());
+                let mut state = self.clone();
+                let now = &mut state.proposals[index];
                 match next {
                     ProposerStep::Accept { value, .. } => {
-                        (now.round, now.accepting) = (round, Some(value));
+                        (now.proposer, now.accepting) = (proposer, Some(value));
                         now.promises.clear();
                     }
                     ProposerStep::Chosen if !now.done => {
                         now.done = true;
-                        let value = ballot.accepting.clone().unwrap_or_default();
-                        world.chosen.entry(ballot.slot).or_default().insert(value.to_vec());
-                        let at = ballot.ballot.proposer as usize;
-                        if world.machines[at].log.len() as Slot + 1 == ballot.slot {
-                            world.apply(at, value);
+                        let value = proposal.accepting.clone().unwrap_or_default();
+                        state.chosen.entry(proposal.slot).or_default().insert(value.to_vec());
+                        let at = proposal.number.proposer as usize;
+                        if state.machines[at].log.len() as Slot + 1 == proposal.slot {
+                            state.apply(at, value);
                         }
                     }
                     _ => continue,
                 }
-                all.push(world);
+                all.push(state);
             }
         }
     }
 }
 
-/// Looks at every world within the bounds: how many there are, and whether one is broken. None if there are more than `most`.
-fn search(ballots: usize, losses: usize, off: Off, most: usize) -> Option<(usize, bool)> {
-    let (mut seen, mut open) = (HashSet::new(), vec![World::new()]);
-    while let Some(world) = open.pop() {
-        for next in world.next(ballots, losses, off) {
+/// Looks at every state within the bounds: how many there are, and whether one is broken. None if there are more than `most`.
+fn search(proposals: usize, losses: usize, disabled: DisabledGuard, most: usize) -> Option<(usize, bool)> {
+    let (mut seen, mut open) = (HashSet::new(), vec![ModelState::new()]);
+    while let Some(state) = open.pop() {
+        for next in state.next(proposals, losses, disabled) {
             if seen.insert(next.key()) {
                 if next.broken() {
                     return Some((seen.len(), true));
@@ -294,18 +305,22 @@
 }
 
 #[rstest]
-#[case::one_ballot_two_losses(1, 2)]
-#[case::two_ballots(2, 0)]
-#[case::two_ballots_one_loss(2, 1)]
-fn one_slot_has_one_value_in_every_run(#[case] ballots: usize, #[case] losses: usize) {
-    let (worlds, broken) = search(ballots, losses, Off::Nothing, 3_000_000).expect("within bounds");
-    println!("{worlds} worlds");
-    assert!(worlds > 100 && !broken, "{worlds} worlds");
+#[case::one_proposal_two_losses(1, 2)]
+#[case::two_proposals(2, 0)]
+#[case::two_proposals_one_loss(2, 1)]
+fn one_slot_has_one_value_in_every_run(#[case] proposals: usize, #[case] losses: usize) {
+    let (states, broken) = search(proposals, losses, DisabledGuard::None, 3_000_000).expect("within bounds");
+    println!("{states} states");
+    assert!(states > 100 && !broken, "{states} states");
 }
 
 #[rstest]
-#[case(Off::Lives, 2, 1)]
-#[case(Off::Losses, 1, 2)]
-fn a_guard_that_is_off_is_found(#[case] off: Off, #[case] ballots: usize, #[case] losses: usize) {
-    assert_eq!(search(ballots, losses, off, 3_000_000).map(|f| f.1), Some(true));
+#[case(DisabledGuard::DiskIncarnations, 2, 1)]
+#[case(DisabledGuard::ToleratedLosses, 1, 2)]
+fn a_disabled_guard_is_found(
+    #[case] disabled: DisabledGuard,
+    #[case] proposals: usize,
+    #[case] losses: usize,
+) {
+    assert_eq!(search(proposals, losses, disabled, 3_000_000).map(|f| f.1), Some(true));
 }
