--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -127,7 +127,8 @@
 /// A call to the control plane.
 fn control(to: &str, name: &str, of: &str, body: &str, patience: Duration) -> io::Result<Message> {
     let of = if of.is_empty() { String::new() } else { format!("&of={of}") };
-    let head = format!("POST /-/rpc?call={name}{of} HTTP/1.1\r\nHost: {to}\r\nContent-Type: application/json\r\n");
+    let head =
+        format!("POST /-/rpc?call={name}{of} HTTP/1.1\r\nHost: {to}\r\nContent-Type: application/json\r\n");
     call(to, &head, body.as_bytes(), patience)
 }
 
@@ -211,18 +212,29 @@
         if is_core {
             let data = self.folder.join(name);
             let _ = std::fs::create_dir_all(&data);
-            let _ = writeln!(text, "role=desk\nmachine-class=core\nserves=control_plane,directory\nloss-counted=true");
+            let _ = writeln!(
+                text,
+                "role=desk\nmachine-class=core\nserves=control_plane,directory\nloss-counted=true"
+            );
             let _ = writeln!(text, "listen-addresses.control-plane={ip}:{}", self.control_port);
             let _ = writeln!(text, "data-directory={}", data.display());
         } else {
-            let _ = writeln!(text, "role=door\nmachine-class=edge\nserves=edge,directory\nloss-counted=false");
+            let _ =
+                writeln!(text, "role=door\nmachine-class=edge\nserves=edge,directory\nloss-counted=false");
             let _ = writeln!(text, "listen-addresses.frontend={ip}:{}", self.front_port);
             let _ = writeln!(text, "listen-addresses.readiness={ip}:{}", self.ready_port);
         }
         let seeds = self.controls().join(",");
-        let _ = writeln!(text, "internal-ports={0},{0}\nseed-nodes={seeds}\ninitial-start={initial}", self.inner_port);
+        let _ = writeln!(
+            text,
+            "internal-ports={0},{0}\nseed-nodes={seeds}\ninitial-start={initial}",
+            self.inner_port
+        );
         let _ = writeln!(text, "limits.memory-mb=260\nlimits.max-file-descriptors=4100\nheartbeat=1500ms");
-        let _ = writeln!(text, "fault-tolerance.machine-losses=1\nfault-tolerance.zones=1\nfault-tolerance.region-losses=0");
+        let _ = writeln!(
+            text,
+            "fault-tolerance.machine-losses=1\nfault-tolerance.zones=1\nfault-tolerance.region-losses=0"
+        );
         let _ = writeln!(text, "bounds={BOUNDS}");
         text
     }
@@ -244,7 +256,8 @@
         let mut machines: Vec<(String, String, usize, bool)> = Vec::new();
         // Two core machines in the first zone, one in the second, as at the site.
         (0..3).for_each(|c| machines.push((format!("core-{}", c + 1), self.core_ip(c), c / 2, true)));
-        (0..self.gateways).for_each(|g| machines.push((format!("edge-{}", g + 1), self.gateway_ip(g), g, false)));
+        (0..self.gateways)
+            .for_each(|g| machines.push((format!("edge-{}", g + 1), self.gateway_ip(g), g, false)));
         for (name, ip, zone, is_core) in machines {
             let path = self.folder.join(format!("{name}.conf"));
             std::fs::write(&path, self.settings(&name, &ip, zone, true, is_core)).expect("settings");
@@ -303,7 +316,9 @@
                         _ => {}
                     }
                 }
-                Err(e) => drop(self.record.say(format!("{who} gets no answer to {name} {of}: {:?}", e.kind()))),
+                Err(e) => {
+                    self.record.say(format!("{who} gets no answer to {name} {of}: {:?}", e.kind()));
+                }
             }
             thread::sleep(Duration::from_millis(100 + 50 * turn as u64));
         }
@@ -356,8 +371,7 @@
     )
 }
 
-const LIMITS: &str =
-    r#"{"max-header-bytes":16384,"max-body-bytes":67108864,"header-timeout":"3000ms","idle-timeout":"15000ms"}"#;
+const LIMITS: &str = r#"{"max-header-bytes":16384,"max-body-bytes":67108864,"header-timeout":"3000ms","idle-timeout":"15000ms"}"#;
 
 // --------------------------------------------------------------------------------------------------------------- servers
 
@@ -377,13 +391,25 @@
     number: usize,
     zone: usize,
     address: String,
+    /// Which start of it this is: each has an id of its own.
+    life: AtomicU64,
+    /// When it stops being cold: 3 s after a start during traffic.
+    cold_until: Mutex<Option<Instant>>,
+    /// Its process is down: connections end at once.
+    is_down: AtomicBool,
     runs: Arc<Mutex<Vec<Run>>>,
     ends: Arc<AtomicBool>,
 }
 
 impl Server {
     /// Listens, and reports itself from now on.
-    fn start(deployment: &Deployment, number: usize, zone: usize, runs: &Arc<Mutex<Vec<Run>>>, ends: &Arc<AtomicBool>) {
+    fn start(
+        deployment: &Deployment,
+        number: usize,
+        zone: usize,
+        runs: &Arc<Mutex<Vec<Run>>>,
+        ends: &Arc<AtomicBool>,
+    ) {
         let server = Server::listen(deployment, number, zone, runs, ends);
         let controls = deployment.controls();
         thread::spawn(move || server.beat(&controls));
@@ -399,8 +425,16 @@
     ) -> Arc<Self> {
         let listener = TcpListener::bind((deployment.server_ip(number), 0)).expect("a server's address");
         let address = listener.local_addr().expect("its address").to_string();
-        let server =
-            Arc::new(Server { number, zone, address, runs: runs.clone(), ends: ends.clone() });
+        let server = Arc::new(Server {
+            number,
+            zone,
+            address,
+            life: AtomicU64::new(0),
+            cold_until: Mutex::new(None),
+            is_down: AtomicBool::new(false),
+            runs: runs.clone(),
+            ends: ends.clone(),
+        });
         let (accepting, record) = (server.clone(), deployment.record.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -412,13 +446,16 @@
     }
 
     fn instance(&self) -> String {
-        format!("i-{:08x}", 0x7f3a_9000 + self.number)
+        format!("i-{:08x}{:02x}", 0x7f3a_9000 + self.number, self.life.load(Ordering::Relaxed))
     }
 
     fn serve(&self, mut stream: TcpStream, record: &Record) {
         let _ = stream.set_nodelay(true);
         let mut buffer = Vec::new();
         while let Ok(Some(request)) = read_message(&mut stream, &mut buffer) {
+            if self.is_down.load(Ordering::Relaxed) {
+                return;
+            }
             let id = request.header("limeway-request-id").to_owned();
             let expected = request.header("limeway-expect-instance");
             let (status, more) = if request.first.starts_with("GET /health") {
@@ -428,8 +465,15 @@
             } else {
                 let body = String::from_utf8_lossy(&request.body).into_owned();
                 let what = if body.is_empty() { String::new() } else { format!(" with the body \"{body}\"") };
-                let at = record.say(format!("server {} in {} runs {id}{what}", self.number, ZONES[self.zone].0));
-                self.runs.lock().unwrap().push(Run { at, zone: self.zone, server: self.number, id: id.clone(), body });
+                let at =
+                    record.say(format!("server {} in {} runs {id}{what}", self.number, ZONES[self.zone].0));
+                self.runs.lock().unwrap().push(Run {
+                    at,
+                    zone: self.zone,
+                    server: self.number,
+                    id: id.clone(),
+                    body,
+                });
                 thread::sleep(Duration::from_millis(40));
                 (200, format!("Limeway-Server-Stamp: s{}.{id}\r\n", self.number))
             };
@@ -446,12 +490,22 @@
 
     /// What a heartbeat says, as a ready server.
     fn report(&self, count: u64) -> String {
+        let cold_until = *self.cold_until.lock().unwrap();
+        let cold_left =
+            cold_until.map_or(0, |until| until.saturating_duration_since(Instant::now()).as_millis());
         format!(
-            r#"{{"target-service":"{SERVICE}","address":"{}","zone":"{}","config-version":"v1","capacity-slots":8,"state":"ready","cold-left":"0ms","call-count":{count}}}"#,
+            r#"{{"target-service":"{SERVICE}","address":"{}","zone":"{}","config-version":"v1","capacity-slots":8,"state":"ready","cold-left":"{cold_left}ms","call-count":{count}}}"#,
             self.address, ZONES[self.zone].0
         )
     }
 
+    /// Its process starts again: a new life with a new id.
+    fn start_again(&self) {
+        self.life.fetch_add(1, Ordering::Relaxed);
+        *self.cold_until.lock().unwrap() = Some(Instant::now() + Duration::from_secs(3));
+        self.is_down.store(false, Ordering::Relaxed);
+    }
+
     /// Reports this server about every heartbeat.
     fn beat(&self, controls: &[String]) {
         for count in 1u64.. {
@@ -461,7 +515,8 @@
             let body = self.report(count);
             for turn in 0..3 {
                 let to = &controls[(self.number + count as usize + turn) % controls.len()];
-                let answer = control(to, "instances.heartbeat", &self.instance(), &body, Duration::from_secs(1));
+                let answer =
+                    control(to, "instances.heartbeat", &self.instance(), &body, Duration::from_secs(1));
                 if answer.is_ok_and(|a| (200..300).contains(&a.status())) {
                     break;
                 }
@@ -618,8 +673,13 @@
     }
     let leaver = Server::listen(&deployment, 4, 0, &runs, &ends);
     let beat = |to: String, count: u64| {
-        let answer =
-            control(&to, "instances.heartbeat", &leaver.instance(), &leaver.report(count), Duration::from_secs(1));
+        let answer = control(
+            &to,
+            "instances.heartbeat",
+            &leaver.instance(),
+            &leaver.report(count),
+            Duration::from_secs(1),
+        );
         let status = answer.map_or(0, |answer| answer.status());
         record.say(format!("heartbeat {count} of server 4 at {to}: {status}"));
         status == 200
@@ -649,7 +709,13 @@
     if !beat(deployment.control(1), 6) {
         return Verdict::CouldNotRun("a heartbeat was not acknowledged".into());
     }
-    let left = control(&deployment.control(1), "instances.deregister", &leaver.instance(), "", Duration::from_secs(1));
+    let left = control(
+        &deployment.control(1),
+        "instances.deregister",
+        &leaver.instance(),
+        "",
+        Duration::from_secs(1),
+    );
     if left.map_or(0, |answer| answer.status()) != 200 {
         return Verdict::CouldNotRun("the leaving was not acknowledged".into());
     }
@@ -689,6 +755,186 @@
     }
 }
 
+/// The only server of a service crashes and is started again at its address: a new life with a new id. The last heartbeat of its
+/// former life is late. The closing fault kills all processes, which come back within a second. Then the new life reports itself, and
+/// after that the late heartbeat arrives.
+fn late_life(record: &Arc<Record>, program: &Path, trouble: bool) -> Verdict {
+    const RECOVERY: f64 = 15.0;
+    let mut deployment = Deployment::new(record, program, 2);
+    let (runs, sent) = (Arc::new(Mutex::new(Vec::new())), Arc::new(Mutex::new(Vec::new())));
+    let ends = Arc::new(AtomicBool::new(false));
+    deployment.start_all();
+    if !deployment.first_config(&config(1, 0, 200, LIMITS)) {
+        return Verdict::CouldNotRun("the first configuration was not taken".into());
+    }
+    let server = Server::listen(&deployment, 0, 0, &runs, &ends);
+    let controls = deployment.controls();
+    let beat = |to: usize, count: u64| {
+        let to_address = controls[to].clone();
+        let (id, body) = (server.instance(), server.report(count));
+        let answer = control(&to_address, "instances.heartbeat", &id, &body, Duration::from_secs(1));
+        let status = answer.map_or(0, |answer| answer.status());
+        record.say(format!("heartbeat {count} of {id} to core-{}: {status}", to + 1));
+        status == 200
+    };
+    if !deployment.wait_ready() {
+        return Verdict::CouldNotRun("the gateways were not ready".into());
+    }
+    for client in 0..4 {
+        start_client(&deployment, client % 2, Duration::from_millis(50), &sent, &ends);
+    }
+    for count in 1..=4 {
+        if !beat(1, count) {
+            return Verdict::CouldNotRun("a heartbeat was not acknowledged".into());
+        }
+        thread::sleep(Duration::from_millis(1_400));
+    }
+    let (late_id, late_body) = (server.instance(), server.report(5));
+    let late_from = record.say(format!("heartbeat 5 of {late_id} is sent to core-1, and comes late"));
+    thread::sleep(Duration::from_millis(300));
+    record.say(format!("{late_id} crashes, and says nothing"));
+    server.is_down.store(true, Ordering::Relaxed);
+    // No sooner than `address-reuse` (2 s).
+    thread::sleep(Duration::from_millis(2_200));
+    server.start_again();
+    record.say(format!("it is started again as {}", server.instance()));
+    if !beat(1, 1) {
+        return Verdict::CouldNotRun("a heartbeat was not acknowledged".into());
+    }
+    thread::sleep(Duration::from_millis(1_400));
+    if !beat(1, 2) {
+        return Verdict::CouldNotRun("a heartbeat was not acknowledged".into());
+    }
+    let killed = record.now();
+    let back = if trouble {
+        deployment.kill_all();
+        thread::sleep(Duration::from_millis(500));
+        deployment.start_again()
+    } else {
+        killed
+    };
+    // The heartbeats go on, each to whatever core machine answers.
+    let mut count = 3;
+    let mut beat_on = |until: f64| {
+        while record.now() < until {
+            for turn in 0..3 {
+                if beat((1 + turn) % 3, count) {
+                    break;
+                }
+                count += 1;
+            }
+            count += 1;
+            let pause = (until - record.now()).clamp(0.0, 1.4);
+            thread::sleep(Duration::from_secs_f64(pause));
+        }
+    };
+    beat_on(late_from + LATE);
+    let answer =
+        control(&deployment.control(0), "instances.heartbeat", &late_id, &late_body, Duration::from_secs(1));
+    record.say(format!("heartbeat 5 of {late_id} comes to core-1: {}", answer.map_or(0, |a| a.status())));
+    let from = back + RECOVERY;
+    beat_on(from + 6.0);
+    if !deployment.all_run() {
+        return Verdict::CouldNotRun("a process ended".into());
+    }
+    ends.store(true, Ordering::Relaxed);
+    let sent = sent.lock().unwrap();
+    let share = |from: f64, to: f64| {
+        let all: Vec<&Sent> = sent.iter().filter(|s| s.at >= from && s.at < to).collect();
+        let served = all.iter().filter(|s| s.status == 200).count();
+        (served, all.len())
+    };
+    let (before, all_before) = share(0.0, killed - 0.1);
+    let (after, all_after) = share(from, from + 5.5);
+    let judged = format!(
+        "{before} of {all_before} requests served before {killed:.3} s, {after} of {all_after} from {from:.3} s on"
+    );
+    if 4 * before < all_before || all_after == 0 {
+        return Verdict::CouldNotRun(format!("too little was served before: {judged}"));
+    }
+    if 4 * after < all_after {
+        Verdict::Broken(format!(
+            "RECOVER: less than a quarter is served later than `recovery` after all are back: {judged}"
+        ))
+    } else {
+        Verdict::Held(judged)
+    }
+}
+
+/// The only server of a service crashes right after its first start and is started again at its address: a new life with a new id.
+/// The one heartbeat of its first life, its first, is late. Then the traffic starts.
+fn late_first_beat(record: &Arc<Record>, program: &Path, trouble: bool) -> Verdict {
+    let mut deployment = Deployment::new(record, program, 2);
+    let (runs, sent) = (Arc::new(Mutex::new(Vec::new())), Arc::new(Mutex::new(Vec::new())));
+    let ends = Arc::new(AtomicBool::new(false));
+    deployment.start_all();
+    if !deployment.first_config(&config(1, 0, 200, LIMITS)) || !deployment.wait_ready() {
+        return Verdict::CouldNotRun("the deployment did not come up".into());
+    }
+    let server = Server::listen(&deployment, 0, 0, &runs, &ends);
+    let controls = deployment.controls();
+    let refused = std::cell::Cell::new(0);
+    let beat = |to: usize, id: &str, count: u64, body: &str| {
+        let answer = control(&controls[to], "instances.heartbeat", id, body, Duration::from_secs(1));
+        let status = answer.map_or(0, |answer| answer.status());
+        refused.set(refused.get() + usize::from(status != 200));
+        record.say(format!("heartbeat {count} of {id} to core-{}: {status}", to + 1));
+    };
+    let (late_id, late_body) = (server.instance(), server.report(1));
+    let late_from =
+        record.say(format!("{late_id} starts; its heartbeat 1 is sent to core-1, and comes late"));
+    let mut count = 2;
+    if trouble {
+        thread::sleep(Duration::from_millis(500));
+        record.say(format!("{late_id} crashes, and says nothing"));
+        server.is_down.store(true, Ordering::Relaxed);
+        // No sooner than `address-reuse` (2 s).
+        thread::sleep(Duration::from_millis(2_200));
+        server.start_again();
+        record.say(format!("it is started again as {}", server.instance()));
+        count = 1;
+    } else {
+        thread::sleep(Duration::from_secs(1));
+    }
+    let mut beat_on = |until: f64| {
+        while record.now() < until {
+            beat(1 + count as usize % 2, &server.instance(), count, &server.report(count));
+            count += 1;
+            thread::sleep(Duration::from_secs_f64((until - record.now()).clamp(0.0, 1.4)));
+        }
+    };
+    beat_on(late_from + LATE_FIRST);
+    beat(0, &late_id, 1, &late_body);
+    let traffic = late_from + 8.0;
+    beat_on(traffic);
+    for client in 0..4 {
+        start_client(&deployment, client % 2, Duration::from_millis(100), &sent, &ends);
+    }
+    beat_on(traffic + 40.0);
+    if !deployment.all_run() {
+        return Verdict::CouldNotRun("a process ended".into());
+    }
+    ends.store(true, Ordering::Relaxed);
+    thread::sleep(Duration::from_millis(1_400));
+    let sent = sent.lock().unwrap();
+    let served = sent.iter().filter(|s| s.status == 200).count();
+    let judged = format!(
+        "{served} of {} requests were served in 40 s; of the heartbeats {} were not acknowledged",
+        sent.len(),
+        refused.get()
+    );
+    match (served, sent.len()) {
+        (_, 0) => Verdict::CouldNotRun("nothing was sent".into()),
+        (0, _) => Verdict::Broken(format!(
+            "Fault: no request is served, though the server runs and reports itself: {judged}"
+        )),
+        _ => Verdict::Held(judged),
+    }
+}
+
+/// How late the first heartbeat is, in seconds.
+const LATE_FIRST: f64 = 5.0;
+
 /// A post as its client sent it, and what came of it.
 struct Post {
     at: f64,
@@ -712,7 +958,8 @@
         while !ends.load(Ordering::Relaxed) {
             let id = format!("{:016x}", 0x9c41_0000_0000u64 + NEXT_ID.fetch_add(1, Ordering::Relaxed));
             let body = if has_body.load(Ordering::Relaxed) { format!("pledge {id}") } else { String::new() };
-            let chunks = if body.is_empty() { String::new() } else { format!("{:x}\r\n{body}\r\n", body.len()) };
+            let chunks =
+                if body.is_empty() { String::new() } else { format!("{:x}\r\n{body}\r\n", body.len()) };
             let message = format!(
                 "POST /pedidos/novo HTTP/1.1\r\nHost: {HOST}\r\nLimeway-Request-Id: {id}\r\nLimeway-Deadline-Ms: 1200\r\n\
                  Authorization: Bearer {KEY}\r\nTransfer-Encoding: chunked\r\n\r\n{chunks}0\r\n\r\n"
@@ -725,10 +972,15 @@
                 });
             }
             let Some((stream, buffer)) = &mut connection else { continue };
-            let at = record.say(format!("client posts {id} to edge-{} with the body \"{body}\", in chunks", gateway + 1));
+            let at = record.say(format!(
+                "client posts {id} to edge-{} with the body \"{body}\", in chunks",
+                gateway + 1
+            ));
             let answer = stream.write_all(message.as_bytes()).and_then(|()| read_message(stream, buffer));
             let (status, of, keeps) = match &answer {
-                Ok(Some(a)) => (a.status(), a.header("limeway-request-id").to_owned(), a.header("connection") != "close"),
+                Ok(Some(a)) => {
+                    (a.status(), a.header("limeway-request-id").to_owned(), a.header("connection") != "close")
+                }
                 _ => (0, String::new(), false),
             };
             record.say(format!("client gets {status} (id in it: \"{of}\") for {id}"));
@@ -787,7 +1039,8 @@
     let (runs, posts) = (runs.lock().unwrap(), posts.lock().unwrap());
     let sent: HashMap<&str, &Post> = posts.iter().map(|post| (post.id.as_str(), post)).collect();
     let is_changed = |run: &&Run| {
-        sent.get(run.id.as_str()).is_some_and(|post| post.at < acknowledged + CONFIG_APPLY && post.body != run.body)
+        sent.get(run.id.as_str())
+            .is_some_and(|post| post.at < acknowledged + CONFIG_APPLY && post.body != run.body)
     };
     let changed: Vec<&Run> = runs.iter().filter(is_changed).collect();
     let is_empty_post = |post: &&Post| post.body.is_empty();
@@ -831,14 +1084,17 @@
         "stale-finish" => stale_finish,
         "late-beat" => late_beat,
         "no-bodies" => no_bodies,
+        "late-life" => late_life,
+        "late-first-beat" => late_first_beat,
         _ => {
             eprintln!("no such case: {case}");
             std::process::exit(2);
         }
     };
     // A panic of a stand-in is no finding; what it has started is ended as the stack unwinds.
-    let verdict = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| run(&record, Path::new(program), trouble)))
-        .unwrap_or_else(|_| Verdict::CouldNotRun("a stand-in failed".into()));
+    let verdict =
+        std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| run(&record, Path::new(program), trouble)))
+            .unwrap_or_else(|_| Verdict::CouldNotRun("a stand-in failed".into()));
     let (code, text) = match verdict {
         Verdict::Broken(text) => (1, format!("broken: {text}")),
         Verdict::Held(text) => (0, format!("held: {text}")),
